--- /dev/null
+++ b/src/cmake/dependencies.cmake
@@ -0,0 +1,11 @@
+# Finds every library that the project links; all come from Debian's packages.
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS json unit_test_framework)
+find_package(Protobuf REQUIRED)
+find_package(prometheus-cpp CONFIG REQUIRED)
+find_package(CLI11 CONFIG REQUIRED)
+find_package(benchmark CONFIG REQUIRED)
+pkg_check_modules(grpcpp REQUIRED IMPORTED_TARGET grpc++)
+pkg_check_modules(inih REQUIRED IMPORTED_TARGET inih)
+pkg_check_modules(log4cxx REQUIRED IMPORTED_TARGET liblog4cxx)
--- /dev/null
+++ b/src/include/chervilkeel/amount.h
@@ -0,0 +1,65 @@
+// Arithmetic on what a worker carries: processors, memory, accelerators.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "wire/chervilkeel.pb.h"
+
+namespace chervilkeel {
+
+// An amount of each resource. Differences may be negative.
+struct amount {
+  std::int64_t milli_processors = 0;
+  std::int64_t memory_mb = 0;
+  std::int64_t accelerators = 0;
+
+  amount& operator+=(const amount& other) {
+    milli_processors += other.milli_processors;
+    memory_mb += other.memory_mb;
+    accelerators += other.accelerators;
+    return *this;
+  }
+  amount& operator-=(const amount& other) {
+    milli_processors -= other.milli_processors;
+    memory_mb -= other.memory_mb;
+    accelerators -= other.accelerators;
+    return *this;
+  }
+  friend amount operator+(amount left, const amount& right) {
+    return left += right;
+  }
+  friend amount operator-(amount left, const amount& right) {
+    return left -= right;
+  }
+  bool operator==(const amount&) const = default;
+};
+
+// Says whether the need fits into the room in every dimension.
+inline bool Fits(const amount& need, const amount& room) {
+  return need.milli_processors <= room.milli_processors &&
+         need.memory_mb <= room.memory_mb &&
+         need.accelerators <= room.accelerators;
+}
+
+inline amount FromWire(const wire::resources& wire) {
+  return amount{wire.milli_processors(), wire.memory_mb(), wire.accelerators()};
+}
+
+// Writes an amount to its message; negative parts become zero.
+inline wire::resources ToWire(const amount& value) {
+  const auto at_least_zero = [](std::int64_t part) {
+    return static_cast<std::uint32_t>(part < 0 ? 0 : part);
+  };
+  wire::resources wire;
+  wire.set_milli_processors(at_least_zero(value.milli_processors));
+  wire.set_memory_mb(at_least_zero(value.memory_mb));
+  wire.set_accelerators(at_least_zero(value.accelerators));
+  return wire;
+}
+
+// Names the first dimension in which the need exceeds the room, with both
+// figures; empty when it fits.
+std::string LackingDimension(const amount& need, const amount& room);
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/include/chervilkeel/cell_state.h
@@ -0,0 +1,104 @@
+// The durable state of a cell: a deterministic machine that journal records
+// move forward. Every owner that applies the same records holds the same state.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chervilkeel/result.h"
+#include "wire/chervilkeel.pb.h"
+
+namespace chervilkeel {
+
+// Returns "job/index#attempt", the name of an attempt in logs and on workers.
+std::string NameOf(const wire::task_id& id);
+
+// Returns "job/index", the name of a task over all its attempts.
+std::string TaskNameOf(const wire::task_id& id);
+
+// Reads a name written by NameOf().
+result<wire::task_id> ParseTaskId(const std::string& name);
+
+// A job with its tasks and their counts by phase.
+struct job_entry {
+  wire::job_specification specification;
+  bool cancelled = false;
+  std::string stopped;  // Why the job was given up; empty while it goes on.
+  std::vector<wire::task_record> tasks;
+  std::set<std::uint32_t> waiting;   // Indices of tasks nobody may run.
+  std::set<std::uint32_t> assigned;  // Indices of tasks some agent may run.
+  std::uint32_t finished = 0;
+  std::uint32_t attempt_base = 0;  // Attempts count from the one after this.
+
+  bool Ended() const { return finished == tasks.size(); }
+  bool Wanted() const { return !cancelled && stopped.empty() && !Ended(); }
+};
+
+// One task of one job.
+struct task_key {
+  std::string job;
+  std::uint32_t index = 0;
+  auto operator<=>(const task_key&) const = default;
+};
+
+// The state machine. It refuses a record that doesn't follow on the last one,
+// and ignores single changes that no longer apply, so that replaying is safe.
+class cell_state {
+ public:
+  cell_state() = default;
+
+  // Restores the state that a snapshot holds.
+  static cell_state Restore(const wire::cell_snapshot& snapshot);
+
+  // Applies the next record; kConflict if its sequence isn't the next one or
+  // its epoch is lower than one already seen.
+  result<void> Apply(const wire::journal_record& record);
+
+  // Returns the whole state as one value.
+  wire::cell_snapshot Snapshot() const;
+
+  std::uint64_t Sequence() const { return sequence_; }
+  std::uint64_t Epoch() const { return epoch_; }
+  std::uint64_t ManifestVersion() const { return manifest_version_; }
+  const std::map<std::string, job_entry>& Jobs() const { return jobs_; }
+  const std::map<std::string, wire::claim_record>& Claims() const {
+    return claims_;
+  }
+
+  // Returns the tasks assigned to one agent.
+  const std::set<task_key>& AssignedTo(const std::string& agent) const;
+
+  // Returns every agent that holds an assignment.
+  std::vector<std::string> AgentsWithAssignments() const;
+
+  // Returns the record of a task, or nullptr.
+  const wire::task_record* Find(const std::string& job,
+                                std::uint32_t index) const;
+
+  // Says whether exactly this attempt is assigned.
+  bool IsAssigned(const wire::task_id& id) const;
+
+ private:
+  void ApplyChange(const wire::cell_change& change);
+  void Accept(const wire::job_specification& job, std::uint32_t attempt_base);
+  void Assign(const wire::task_assigned& change);
+  void Release(const wire::task_released& change);
+  void Finish(const wire::task_finished& change);
+  void Drop(const std::string& job);
+  void Settle(const wire::settlement& settled);
+  void ExpireClaims(std::uint64_t before_ms);
+  wire::task_record* FindAttempt(const wire::task_id& id);
+  void Unassign(job_entry& job, wire::task_record& task);
+
+  std::uint64_t sequence_ = 0;
+  std::uint64_t epoch_ = 0;
+  std::uint64_t manifest_version_ = 0;
+  std::map<std::string, job_entry> jobs_;
+  std::map<std::string, std::set<task_key>> assigned_to_;
+  std::map<std::string, wire::claim_record> claims_;
+};
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/libkernel/agent_core.cpp
@@ -0,0 +1,476 @@
+#include "chervilkeel/agent_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "chervilkeel/cell_state.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr const char* kPart = "agent";
+constexpr millis kRightMargin = 1'000;  // Tasks end this long before the right.
+
+}  // namespace
+
+const char* NameOf(worker_action_kind kind) {
+  for (const auto& entry : kWorkerActionNames) {
+    if (entry.kind == kind) {
+      return entry.name;
+    }
+  }
+  return "?";
+}
+
+agent_options WithLean(agent_options options, policy_lean lean) {
+  if (lean == policy_lean::kTail) {
+    options.evict_after = 1'000;
+    options.give_back_after = 5'000;
+    options.give_back_step = 0.05;
+  }
+  return options;
+}
+
+agent_core::agent_core(agent_options options, decision_log& log)
+    : options_(std::move(options)), log_(log) {}
+
+void agent_core::OnReply(const wire::owner_reply& reply,
+                         millis sent_at,
+                         millis now) {
+  if (reply.outcome() != wire::report_accepted || reply.epoch() < epoch_) {
+    return;
+  }
+  if (reply.epoch() > epoch_) {
+    epoch_ = reply.epoch();
+    last_sequence_ = 0;
+    right_sequence_ = 0;
+  }
+  if (reply.sequence() <= last_sequence_) {
+    return;
+  }
+  last_sequence_ = reply.sequence();
+  const auto granted = static_cast<millis>(
+      reply.hold_ms() > 0 ? reply.hold_ms() : reply.tenure_ms());
+  if (granted > 0 && sent_at + granted > now) {
+    right_until_ = sent_at + granted;
+    right_sequence_ = reply.sequence();
+  }
+  for (const auto& id : reply.withdraw()) {
+    TakeWithdraw(id);
+  }
+  for (const auto& id : reply.give_back()) {
+    TakeGiveBack(id);
+  }
+  for (const auto& id : reply.acknowledged()) {
+    TakeAcknowledged(id);
+  }
+  for (const auto& assignment : reply.start()) {
+    TakeStart(assignment);
+  }
+}
+
+void agent_core::TakeStart(const wire::assignment& assignment) {
+  const auto [at, added] = tasks_.try_emplace(NameOf(assignment.id()));
+  if (!added) {
+    return;
+  }
+  local_task& task = at->second;
+  task.id = assignment.id();
+  task.assignment = assignment;
+  task.need = FromWire(assignment.need());
+  task.checkpoint = assignment.checkpoint();
+  if (draining_) {
+    task.phase = local_phase::kEnded;
+    task.reason = "the agent is leaving";
+  }
+}
+
+void agent_core::TakeWithdraw(const wire::task_id& id) {
+  const auto found = tasks_.find(NameOf(id));
+  if (found == tasks_.end() || found->second.phase == local_phase::kEnded) {
+    return;
+  }
+  local_task& task = found->second;
+  task.withdrawn = true;
+  if (task.phase == local_phase::kBacklog) {
+    task.phase = local_phase::kEnded;
+    task.reason = "withdrawn before it started";
+  }
+}
+
+void agent_core::TakeGiveBack(const wire::task_id& id) {
+  const auto found = tasks_.find(NameOf(id));
+  if (found == tasks_.end() || found->second.phase != local_phase::kBacklog) {
+    return;
+  }
+  found->second.phase = local_phase::kEnded;
+  found->second.reason = "given back before it started";
+}
+
+void agent_core::TakeAcknowledged(const wire::task_id& id) {
+  const auto found = tasks_.find(NameOf(id));
+  if (found != tasks_.end() && found->second.phase == local_phase::kEnded) {
+    found->second.acknowledged = true;
+  }
+}
+
+void agent_core::OnWorkerTasks(const std::vector<worker_task>& tasks,
+                               millis asked_at) {
+  std::map<std::string, const worker_task*> listed;
+  for (const worker_task& task : tasks) {
+    listed[task.task] = &task;
+    if (tasks_.count(task.task) == 0) {
+      Adopt(task);
+    }
+  }
+  for (auto& [name, task] : tasks_) {
+    const auto found = listed.find(name);
+    if (found != listed.end()) {
+      TakeWorkerTask(task, *found->second);
+    } else {
+      NoteMissing(task, asked_at);
+    }
+  }
+  std::erase_if(tasks_, [&](const auto& entry) {
+    return entry.second.phase == local_phase::kEnded &&
+           entry.second.acknowledged && listed.count(entry.first) == 0;
+  });
+  const std::int64_t free =
+      options_.capacity.milli_processors - BatchInUse().milli_processors;
+  const std::int64_t granted =
+      std::clamp<std::int64_t>(free / options_.slot_milli, 0, options_.slots);
+  granted_slots_ = static_cast<std::uint32_t>(granted);
+}
+
+// Takes over a task that an earlier process of this agent started.
+void agent_core::Adopt(const worker_task& listed) {
+  const auto id = ParseTaskId(listed.task);
+  if (!id.has_value()) {
+    return;
+  }
+  local_task& task = tasks_[listed.task];
+  task.id = id.value();
+  task.need = listed.need;
+  task.phase = local_phase::kRunning;
+  log_.Add(kPart, listed.task, "adopted the task",
+           "the worker lists it and this process did not start it");
+}
+
+void agent_core::TakeWorkerTask(local_task& task, const worker_task& listed) {
+  if (task.phase == local_phase::kEnded) {
+    return;
+  }
+  task.phase = local_phase::kRunning;
+  task.share = listed.share;
+  task.progress_ms = listed.progress_ms;
+  if (!listed.checkpoint.empty()) {
+    task.checkpoint = listed.checkpoint;
+  }
+  if (listed.state == worker_task_state::kRunning) {
+    return;
+  }
+  task.phase = local_phase::kEnded;
+  task.ended_as = EndedAs(task, listed.state);
+  if (listed.state == worker_task_state::kFailed) {
+    task.reason = "failed: " + listed.reason;
+  } else if (listed.state == worker_task_state::kLapsed) {
+    task.reason = "its lease lapsed";
+  }
+}
+
+wire::task_phase agent_core::EndedAs(const local_task& task,
+                                     worker_task_state state) {
+  switch (state) {
+    case worker_task_state::kFinished:
+      return wire::phase_finished;
+    case worker_task_state::kFailed:
+      return wire::phase_failed;
+    case worker_task_state::kLapsed:
+      return wire::phase_evicted;
+    default:
+      return task.withdrawn ? wire::phase_stopped : wire::phase_evicted;
+  }
+}
+
+// A start that the worker doesn't list may still be on its way until the lease
+// that it carried has ended; from then on the task has certainly not started.
+// A running task that has vanished went down with its worker.
+void agent_core::NoteMissing(local_task& task, millis asked_at) {
+  if (task.phase == local_phase::kStarting && asked_at > task.start_until) {
+    task.phase = task.withdrawn || draining_ ? local_phase::kEnded
+                                             : local_phase::kBacklog;
+    task.reason = "the worker did not start it";
+  }
+  if (task.phase == local_phase::kRunning) {
+    task.phase = local_phase::kEnded;
+    task.ended_as = wire::phase_evicted;
+    task.reason = "the worker no longer lists it";
+  }
+}
+
+amount agent_core::BatchInUse() const {
+  amount used;
+  for (const auto& [name, task] : tasks_) {
+    if (task.phase == local_phase::kStarting) {
+      used += task.need;
+    }
+    if (task.phase == local_phase::kRunning) {
+      amount need = task.need;
+      need.milli_processors = static_cast<std::int64_t>(
+          static_cast<double>(need.milli_processors) * task.share);
+      used += need;
+    }
+  }
+  return used;
+}
+
+amount agent_core::BatchAllowed(std::uint32_t wanted_slots) const {
+  amount allowed = options_.capacity;
+  allowed.milli_processors -= options_.slot_milli * wanted_slots;
+  allowed.memory_mb -= options_.executor_memory_mb;
+  return allowed;
+}
+
+std::vector<worker_action> agent_core::Tick(std::uint32_t wanted_slots,
+                                            millis now) {
+  std::vector<worker_action> actions;
+  planned_slots_ = std::min(wanted_slots, options_.slots);
+  const amount allowed = BatchAllowed(planned_slots_);
+  AddForgets(actions);
+  AddRenewals(actions, now);
+  RelievePressure(actions, allowed, now);
+  if (!draining_ && MayRun(now)) {
+    StartBacklog(actions, allowed, now);
+  }
+  return actions;
+}
+
+void agent_core::AddForgets(std::vector<worker_action>& actions) {
+  for (const auto& [name, task] : tasks_) {
+    if (task.phase == local_phase::kEnded && task.acknowledged) {
+      worker_action action;
+      action.kind = worker_action_kind::kForget;
+      action.task = name;
+      actions.push_back(action);
+    }
+  }
+}
+
+void agent_core::AddRenewals(std::vector<worker_action>& actions, millis now) {
+  const bool right_ends = right_until_ - now <= kRightMargin;
+  for (auto& [name, task] : tasks_) {
+    if (task.phase != local_phase::kRunning) {
+      continue;
+    }
+    worker_action action;
+    action.task = name;
+    if (task.withdrawn) {
+      action.kind = worker_action_kind::kStop;
+      task.reason = "withdrawn by the owner";
+      actions.push_back(action);
+    } else if (draining_) {
+      Evict(actions, task, "the agent is leaving");
+    } else if (right_ends && right_until_ != 0) {
+      Evict(actions, task, "the right to run it ends");
+    } else if (MayRun(now)) {
+      action.kind = worker_action_kind::kRenew;
+      action.lease_until = std::min(now + options_.worker_lease, right_until_);
+      actions.push_back(action);
+      if (now - task.checkpoint_at >= options_.checkpoint_every) {
+        task.checkpoint_at = now;
+        action.kind = worker_action_kind::kCheckpoint;
+        actions.push_back(action);
+      }
+    }
+  }
+}
+
+void agent_core::Evict(std::vector<worker_action>& actions,
+                       local_task& task,
+                       const std::string& why) {
+  worker_action action;
+  action.kind = worker_action_kind::kEvict;
+  action.task = NameOf(task.id);
+  actions.push_back(action);
+  if (!task.stopping) {
+    task.stopping = true;
+    task.reason = why;
+    ++evictions_;
+    log_.Add(kPart, action.task, "evicted the task", why);
+  }
+}
+
+void agent_core::RelievePressure(std::vector<worker_action>& actions,
+                                 const amount& allowed,
+                                 millis now) {
+  const std::int64_t used = BatchInUse().milli_processors;
+  if (used <= allowed.milli_processors) {
+    pressure_since_ = 0;
+    if (calm_since_ == 0) {
+      calm_since_ = now;
+    }
+    if (now - calm_since_ >= options_.give_back_after) {
+      GiveBack(actions, allowed);
+    }
+    return;
+  }
+  calm_since_ = 0;
+  if (pressure_since_ == 0) {
+    pressure_since_ = now;
+  }
+  const double factor = static_cast<double>(
+                            std::max<std::int64_t>(allowed.milli_processors, 0)) /
+                        static_cast<double>(used);
+  Throttle(actions, factor);
+  if (now - pressure_since_ >= options_.evict_after) {
+    EvictCheapest(actions, now);
+    pressure_since_ = now;
+  }
+}
+
+void agent_core::Throttle(std::vector<worker_action>& actions, double factor) {
+  for (auto& [name, task] : tasks_) {
+    if (task.phase != local_phase::kRunning || task.stopping) {
+      continue;
+    }
+    const double share = std::max(options_.lowest_share, task.share * factor);
+    if (share < task.share) {
+      worker_action action;
+      action.kind = worker_action_kind::kThrottle;
+      action.task = name;
+      action.share = share;
+      actions.push_back(action);
+      log_.Add(kPart, name, "throttled the task",
+               "requests want more of the processors");
+    }
+  }
+}
+
+// Evicts the running task whose loss costs least: the lowest priority first,
+// then the one whose newest checkpoint loses least, then the least progress.
+void agent_core::EvictCheapest(std::vector<worker_action>& actions,
+                               millis now) {
+  local_task* cheapest = nullptr;
+  const auto cost = [&](const local_task& task) {
+    return std::make_tuple(task.assignment.priority(), now - task.checkpoint_at,
+                           task.progress_ms);
+  };
+  for (auto& [name, task] : tasks_) {
+    if (task.phase == local_phase::kRunning && !task.stopping &&
+        (!cheapest || cost(task) < cost(*cheapest))) {
+      cheapest = &task;
+    }
+  }
+  if (cheapest) {
+    Evict(actions, *cheapest,
+          "throttling did not free enough processors for the requests");
+  }
+}
+
+// Raises throttled shares a step, while the sum stays within what is allowed.
+void agent_core::GiveBack(std::vector<worker_action>& actions,
+                          const amount& allowed) {
+  std::int64_t room =
+      allowed.milli_processors - BatchInUse().milli_processors;
+  for (auto& [name, task] : tasks_) {
+    if (task.phase != local_phase::kRunning || task.share >= 1.0) {
+      continue;
+    }
+    const double share = std::min(1.0, task.share + options_.give_back_step);
+    const auto more = static_cast<std::int64_t>(
+        (share - task.share) *
+            static_cast<double>(task.need.milli_processors) +
+        1);
+    if (more > room) {
+      continue;
+    }
+    room -= more;
+    worker_action action;
+    action.kind = worker_action_kind::kThrottle;
+    action.task = name;
+    action.share = share;
+    actions.push_back(action);
+  }
+}
+
+// Starts tasks by priority while the whole need of each fits beside the full
+// needs of the others. Throttled tasks count whole, so that starting one never
+// keeps another throttled.
+void agent_core::StartBacklog(std::vector<worker_action>& actions,
+                              const amount& allowed,
+                              millis now) {
+  amount room = allowed;
+  std::vector<local_task*> backlog;
+  for (auto& [name, task] : tasks_) {
+    if (task.phase == local_phase::kStarting ||
+        task.phase == local_phase::kRunning) {
+      room -= task.need;
+    }
+    if (task.phase == local_phase::kBacklog) {
+      backlog.push_back(&task);
+    }
+  }
+  std::stable_sort(backlog.begin(), backlog.end(),
+                   [](const local_task* left, const local_task* right) {
+                     return left->assignment.priority() >
+                            right->assignment.priority();
+                   });
+  for (local_task* task : backlog) {
+    if (!Fits(task->need, room)) {
+      continue;
+    }
+    room -= task->need;
+    task->phase = local_phase::kStarting;
+    task->checkpoint_at = now;
+    worker_action action;
+    action.kind = worker_action_kind::kStart;
+    action.task = NameOf(task->id);
+    action.lease_until = std::min(now + options_.worker_lease, right_until_);
+    action.assignment = task->assignment;
+    task->start_until = action.lease_until;
+    actions.push_back(std::move(action));
+    log_.Add(kPart, NameOf(task->id), "started the task",
+             "it fits beside " + std::to_string(planned_slots_) +
+                 " slots of requests");
+  }
+}
+
+void agent_core::FillReport(wire::agent_report& report) const {
+  report.set_epoch(epoch_);
+  report.set_right_sequence(right_sequence_);
+  report.set_draining(draining_);
+  *report.mutable_capacity() = ToWire(options_.capacity);
+  *report.mutable_batch_room() = ToWire(BatchAllowed(planned_slots_));
+  for (const auto& [name, task] : tasks_) {
+    auto* entry = report.add_tasks();
+    *entry->mutable_id() = task.id;
+    entry->set_progress_ms(static_cast<std::uint64_t>(task.progress_ms));
+    entry->set_checkpoint(task.checkpoint);
+    entry->set_reason(task.reason);
+    entry->set_throttled(task.share < 1.0);
+    switch (task.phase) {
+      case local_phase::kBacklog:
+        entry->set_phase(wire::phase_backlog);
+        break;
+      case local_phase::kEnded:
+        entry->set_phase(task.ended_as);
+        break;
+      default:
+        entry->set_phase(wire::phase_running);
+        break;
+    }
+  }
+}
+
+void agent_core::Drain() {
+  draining_ = true;
+  for (auto& [name, task] : tasks_) {
+    if (task.phase == local_phase::kBacklog) {
+      task.phase = local_phase::kEnded;
+      task.reason = "the agent is leaving";
+    }
+  }
+}
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/libkernel/cell_owner.cpp
@@ -0,0 +1,404 @@
+#include "chervilkeel/cell_owner.h"
+
+#include <utility>
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr const char* kPart = "owner";
+constexpr int kMaxChangesInRecord = 400;  // Keeps a record far below 1 MB.
+
+bool IsEnded(wire::task_phase phase) {
+  return phase == wire::phase_finished || phase == wire::phase_evicted ||
+         phase == wire::phase_failed || phase == wire::phase_stopped;
+}
+
+millis WithDrift(millis duration, double drift) {
+  return duration + static_cast<millis>(static_cast<double>(duration) * drift);
+}
+
+}  // namespace
+
+cell_owner::cell_owner(std::string cell,
+                       std::uint64_t epoch,
+                       std::string owner,
+                       cell_state state,
+                       owner_options options,
+                       decision_log& log,
+                       millis now)
+    : cell_(std::move(cell)),
+      epoch_(epoch),
+      owner_(std::move(owner)),
+      options_(options),
+      state_(std::move(state)),
+      log_(log),
+      started_at_(now) {
+  for (const std::string& name : state_.AgentsWithAssignments()) {
+    agent_entry& agent = agents_[name];
+    agent.report.set_agent(name);
+    agent.heard_at = now;
+    agent.hold_until = now + WithDrift(options_.hold, options_.clock_drift);
+  }
+}
+
+bool cell_owner::MayGrant(millis now) const {
+  return now < lease_until_;
+}
+
+wire::cell_change& cell_owner::Propose() {
+  return proposed_.emplace_back();
+}
+
+void cell_owner::TakeIncarnation(agent_entry& agent,
+                                 const wire::agent_report& report) {
+  if (agent.report.incarnation() == report.incarnation()) {
+    return;
+  }
+  if (agent.report.incarnation() != 0) {
+    log_.Add(kPart, report.agent(), "took a new incarnation",
+             "the agent restarted");
+  }
+  agent.backlog_since.clear();
+}
+
+wire::owner_reply cell_owner::OnReport(const wire::agent_report& report,
+                                       millis now) {
+  wire::owner_reply reply;
+  reply.set_epoch(epoch_);
+  if (report.epoch() > epoch_) {
+    reply.set_outcome(wire::report_not_owner);
+    reply.set_reason("the agent follows a later epoch");
+    return reply;
+  }
+  agent_entry& agent = agents_[report.agent()];
+  if (agent.report.incarnation() > report.incarnation()) {
+    reply.set_outcome(wire::report_not_owner);
+    reply.set_reason("a later incarnation of this agent has reported");
+    return reply;
+  }
+  TakeIncarnation(agent, report);
+  agent.report = report;
+  agent.heard_at = now;
+  agent.silent = false;
+  reply.set_sequence(++agent.reply_sequence);
+  reply.set_manifest_version(manifest_version_);
+  for (const auto& task : report.tasks()) {
+    TakeTaskReport(agent, task, reply, now);
+  }
+  AddStarts(agent, reply);
+  GrantRight(agent, reply, now);
+  return reply;
+}
+
+void cell_owner::GrantRight(agent_entry& agent,
+                            wire::owner_reply& reply,
+                            millis now) {
+  const bool right_is_newer = agent.report.epoch() == epoch_ &&
+                              agent.report.right_sequence() > agent.hold_sequence;
+  if (right_is_newer) {
+    agent.hold_until = 0;
+  }
+  if (!MayGrant(now)) {
+    return;
+  }
+  if (store_reachable_) {
+    reply.set_tenure_ms(static_cast<std::uint64_t>(options_.tenure));
+    agent.tenure_until = now + WithDrift(options_.tenure, options_.clock_drift);
+    return;
+  }
+  reply.set_hold_ms(static_cast<std::uint64_t>(options_.hold));
+  agent.hold_until = now + WithDrift(options_.hold, options_.clock_drift);
+  agent.hold_sequence = reply.sequence();
+}
+
+void cell_owner::TakeTaskReport(agent_entry& agent,
+                                const wire::task_report& task,
+                                wire::owner_reply& reply,
+                                millis now) {
+  const std::string name = NameOf(task.id());
+  const wire::task_record* record =
+      state_.Find(task.id().job(), task.id().index());
+  const bool current = state_.IsAssigned(task.id()) &&
+                       record->agent() == agent.report.agent();
+  if (!current) {
+    agent.backlog_since.erase(name);
+    returning_.erase(name);
+    *(IsEnded(task.phase()) ? reply.add_acknowledged()
+                            : reply.add_withdraw()) = task.id();
+    return;
+  }
+  if (IsEnded(task.phase())) {
+    TakeEndedTask(agent, task, now);
+    return;
+  }
+  const job_entry& job = state_.Jobs().at(task.id().job());
+  if (job.cancelled || !job.stopped.empty()) {
+    *reply.add_withdraw() = task.id();
+    return;
+  }
+  if (task.phase() != wire::phase_backlog) {
+    agent.backlog_since.erase(name);
+    returning_.erase(name);
+    return;
+  }
+  agent.backlog_since.try_emplace(name, now);
+  if (returning_.count(name) != 0) {
+    *reply.add_give_back() = task.id();
+  }
+}
+
+void cell_owner::TakeEndedTask(agent_entry& agent,
+                               const wire::task_report& task,
+                               millis now) {
+  if (changing_.count({task.id().job(), task.id().index()}) != 0) {
+    return;
+  }
+  switch (task.phase()) {
+    case wire::phase_finished:
+      agent.failures_in_row = 0;
+      ProposeFinish(task.id());
+      break;
+    case wire::phase_failed:
+      CountFailure(agent, now);
+      ProposeRelease(task.id(), wire::release_failed, &task,
+                     agent.report.agent());
+      break;
+    case wire::phase_evicted:
+      ProposeRelease(task.id(), wire::release_evicted, &task,
+                     agent.report.agent());
+      break;
+    default: {
+      const job_entry& job = state_.Jobs().at(task.id().job());
+      const auto cause = job.Wanted() ? wire::release_returned
+                                      : wire::release_cancelled;
+      ProposeRelease(task.id(), cause, &task, agent.report.agent());
+      break;
+    }
+  }
+}
+
+void cell_owner::CountFailure(agent_entry& agent, millis now) {
+  ++agent.failures_in_row;
+  if (agent.failures_in_row == options_.quarantine_failures) {
+    agent.probe_at = now + options_.quarantine_probe;
+    log_.Add(kPart, agent.report.agent(), "quarantined the worker",
+             std::to_string(agent.failures_in_row) +
+                 " tasks in a row failed on it");
+  }
+}
+
+void cell_owner::ProposeFinish(const wire::task_id& id) {
+  *Propose().mutable_finished()->mutable_id() = id;
+  changing_.insert({id.job(), id.index()});
+  log_.Add(kPart, NameOf(id), "recorded the end", "the agent says it finished");
+}
+
+void cell_owner::ProposeRelease(const wire::task_id& id,
+                                wire::release_cause cause,
+                                const wire::task_report* report,
+                                const std::string& agent) {
+  auto* released = Propose().mutable_released();
+  *released->mutable_id() = id;
+  released->set_cause(cause);
+  released->set_agent(agent);
+  std::string why = "the right of " + agent + " to run it has ended";
+  if (report) {
+    released->set_checkpoint(report->checkpoint());
+    released->set_progress_ms(report->progress_ms());
+    why = agent + ": " + report->reason();
+  }
+  changing_.insert({id.job(), id.index()});
+  log_.Add(kPart, NameOf(id),
+           "released the task (" + wire::release_cause_Name(cause) + ")", why);
+}
+
+void cell_owner::AddStarts(const agent_entry& agent,
+                           wire::owner_reply& reply) const {
+  std::set<std::string> reported;
+  for (const auto& task : agent.report.tasks()) {
+    reported.insert(NameOf(task.id()));
+  }
+  for (const task_key& key : state_.AssignedTo(agent.report.agent())) {
+    const job_entry& job = state_.Jobs().at(key.job);
+    const wire::task_record& task = job.tasks[key.index];
+    const wire::assignment assignment = MakeAssignment(job, task);
+    const bool known = reported.count(NameOf(assignment.id())) != 0;
+    const bool same_process = task.incarnation() == agent.report.incarnation();
+    if (!known && same_process && job.Wanted() && changing_.count(key) == 0) {
+      *reply.add_start() = assignment;
+    }
+  }
+}
+
+wire::assignment cell_owner::MakeAssignment(
+    const job_entry& job,
+    const wire::task_record& task) const {
+  wire::assignment assignment;
+  assignment.mutable_id()->set_job(job.specification.name());
+  assignment.mutable_id()->set_index(task.index());
+  assignment.mutable_id()->set_attempt(task.attempt());
+  *assignment.mutable_need() = job.specification.need();
+  assignment.set_run_ms(job.specification.run_ms());
+  assignment.set_task_class(job.specification.task_class());
+  assignment.set_checkpoint(task.checkpoint());
+  assignment.set_priority(job.specification.priority());
+  return assignment;
+}
+
+void cell_owner::OnManifest(const manifest& value, std::uint64_t version) {
+  if (version <= manifest_version_) {
+    return;
+  }
+  manifest_ = value;
+  manifest_version_ = version;
+  log_.SetContext(version, epoch_);
+  for (const auto& [name, job] : value.jobs) {
+    const bool known = state_.Jobs().count(name) != 0;
+    if (!known && HomeCell(name, value.cells) == cell_) {
+      *Propose().mutable_accepted()->mutable_job() = job;
+      log_.Add(kPart, name, "accepted the job",
+               "manifest version " + std::to_string(version));
+    }
+  }
+  for (const auto& [name, job] : state_.Jobs()) {
+    if (value.jobs.count(name) == 0 && !job.cancelled && !job.Ended()) {
+      Propose().mutable_cancelled()->set_job(name);
+      log_.Add(kPart, name, "cancelled the job",
+               "it is gone from manifest version " + std::to_string(version));
+    }
+  }
+  if (version > state_.ManifestVersion()) {
+    Propose().mutable_manifest()->set_version(version);
+  }
+}
+
+std::optional<wire::claim_reply> cell_owner::Claim(
+    const wire::claim_request& request,
+    std::uint64_t wall_ms) {
+  wire::claim_reply reply;
+  const auto known = state_.Claims().find(request.key());
+  if (known != state_.Claims().end()) {
+    const wire::claim_record& claim = known->second;
+    if (claim.has_settled()) {
+      reply.set_state(wire::claim_answered);
+      *reply.mutable_settled() = claim.settled();
+    } else if (claim.request_id() == request.request_id()) {
+      reply.set_state(wire::claim_granted);
+    } else {
+      reply.set_state(wire::claim_in_progress);
+      reply.set_reason("request " + claim.request_id() +
+                       " holds this idempotency key");
+    }
+    return reply;
+  }
+  if (claiming_.count(request.key()) != 0) {
+    reply.set_state(wire::claim_in_progress);
+    reply.set_reason("another request is claiming this idempotency key");
+    return reply;
+  }
+  if (!store_reachable_ ||
+      state_.Claims().size() + claiming_.size() >= options_.claim_limit) {
+    reply.set_state(wire::claim_unavailable);
+    reply.set_reason(store_reachable_
+                         ? "the cell remembers as many keys as it may"
+                         : "the store does not answer");
+    return reply;
+  }
+  auto* claimed = Propose().mutable_claimed();
+  claimed->set_key(request.key());
+  claimed->set_request_id(request.request_id());
+  claimed->set_service(request.service());
+  claimed->set_at_ms(wall_ms);
+  claiming_.insert(request.key());
+  const auto kept = static_cast<std::uint64_t>(options_.claim_kept);
+  if (++record_count_ % 256 == 0 && wall_ms > kept) {
+    Propose().mutable_expired()->set_before_ms(wall_ms - kept);
+  }
+  return std::nullopt;
+}
+
+void cell_owner::Settle(const wire::settlement& settled) {
+  if (settled.outcome() == wire::outcome_not_run) {
+    Propose().mutable_unclaimed()->set_key(settled.key());
+    return;
+  }
+  *Propose().mutable_settled() = settled;
+}
+
+std::optional<wire::journal_record> cell_owner::NextRecord() {
+  if (in_flight_ || proposed_.empty()) {
+    return std::nullopt;
+  }
+  wire::journal_record record;
+  record.set_sequence(state_.Sequence() + 1);
+  record.set_epoch(epoch_);
+  record.set_owner(owner_);
+  record.set_operation(owner_ + "/" + std::to_string(epoch_) + "/" +
+                       std::to_string(record.sequence()));
+  const std::size_t count =
+      std::min<std::size_t>(proposed_.size(), kMaxChangesInRecord);
+  for (std::size_t i = 0; i < count; ++i) {
+    *record.add_changes() = std::move(proposed_[i]);
+  }
+  proposed_.erase(proposed_.begin(),
+                  proposed_.begin() + static_cast<std::ptrdiff_t>(count));
+  in_flight_ = record;
+  return record;
+}
+
+// The key past the last task marks a change to the job as a whole.
+void cell_owner::ClearJobMarker(const std::string& name) {
+  const auto job = state_.Jobs().find(name);
+  if (job != state_.Jobs().end()) {
+    changing_.erase({name, job->second.specification.tasks()});
+  }
+}
+
+result<void> cell_owner::OnCommitted(millis /*now*/) {
+  const wire::journal_record record = std::move(*in_flight_);
+  in_flight_.reset();
+  for (const auto& change : record.changes()) {
+    const wire::task_id* id = nullptr;
+    if (change.has_assigned()) {
+      id = &change.assigned().id();
+    } else if (change.has_released()) {
+      id = &change.released().id();
+    } else if (change.has_finished()) {
+      id = &change.finished().id();
+    } else if (change.has_claimed()) {
+      claiming_.erase(change.claimed().key());
+    } else if (change.has_dropped()) {
+      ClearJobMarker(change.dropped().job());
+    } else if (change.has_stopped()) {
+      ClearJobMarker(change.stopped().job());
+    }
+    if (id) {
+      changing_.erase({id->job(), id->index()});
+    }
+  }
+  return state_.Apply(record);
+}
+
+void cell_owner::FillRoster(wire::roster_reply& reply, millis now) const {
+  reply.set_cell(cell_);
+  reply.set_epoch(epoch_);
+  reply.set_manifest_version(manifest_version_);
+  for (const auto& [name, agent] : agents_) {
+    if (agent.report.address().empty() ||
+        now - agent.heard_at > options_.forget_after) {
+      continue;
+    }
+    auto* member = reply.add_members();
+    member->set_agent(name);
+    member->set_address(agent.report.address());
+    member->set_data_centre(agent.report.data_centre());
+    member->set_rack(agent.report.rack());
+    member->set_incarnation(agent.report.incarnation());
+    member->set_heard_ms_ago(static_cast<std::uint64_t>(now - agent.heard_at));
+    member->set_draining(agent.report.draining());
+    *member->mutable_load() = agent.report.load();
+  }
+}
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/libkernel/cell_owner_placement.cpp
@@ -0,0 +1,476 @@
+// The part of the owner that decides where waiting tasks go, and when the
+// tasks of a silent agent move.
+#include <algorithm>
+
+#include "chervilkeel/cell_owner.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr const char* kPart = "owner";
+constexpr const char* kRepairPart = "repair";
+constexpr std::size_t kMaxPlacementsInTick = 200;
+constexpr std::uint64_t kStragglerFactor = 4;  // Times the declared run time.
+
+}  // namespace
+
+void cell_owner::Tick(millis now) {
+  MoveLostTasks(now);
+  StopFailingJobs();
+  DropEndedJobs();
+  ReportMisfits(now);
+  if (MayGrant(now) && store_reachable_) {
+    Place(now);
+    TakeBackBacklog(now);
+  }
+}
+
+bool cell_owner::Usable(const agent_entry& agent, millis now) const {
+  if (agent.report.address().empty() || agent.report.draining() ||
+      now - agent.heard_at > options_.silent_after) {
+    return false;
+  }
+  if (agent.failures_in_row < options_.quarantine_failures) {
+    return true;
+  }
+  return now >= agent.probe_at &&
+         state_.AssignedTo(agent.report.agent()).empty();
+}
+
+void cell_owner::MoveLostTasks(millis now) {
+  for (auto& [name, agent] : agents_) {
+    const bool silent = now - agent.heard_at > options_.silent_after;
+    if (silent && !agent.silent) {
+      agent.silent = true;
+      log_.Add(kRepairPart, name, "stopped giving work to the agent",
+               "no heartbeat for " + std::to_string(now - agent.heard_at) +
+                   " ms");
+    }
+    if (now >= agent.MayRunUntil()) {
+      MoveTasksOf(name, agent);
+    }
+  }
+}
+
+// Past the end of every right the agent may hold, releases what a silent agent
+// held, and what an earlier incarnation held that this one does not know.
+void cell_owner::MoveTasksOf(const std::string& name,
+                             const agent_entry& agent) {
+  std::set<std::string> reported;
+  if (!agent.silent) {
+    for (const auto& task : agent.report.tasks()) {
+      reported.insert(NameOf(task.id()));
+    }
+  }
+  std::size_t moved = 0;
+  for (const task_key& key : state_.AssignedTo(name)) {
+    const wire::task_record& task = *state_.Find(key.job, key.index);
+    const bool orphaned = task.incarnation() != agent.report.incarnation();
+    wire::task_id id;
+    id.set_job(key.job);
+    id.set_index(key.index);
+    id.set_attempt(task.attempt());
+    if (changing_.count(key) != 0 || reported.count(NameOf(id)) != 0 ||
+        !(agent.silent || orphaned)) {
+      continue;
+    }
+    const wire::task_report* last = nullptr;
+    for (const auto& report : agent.report.tasks()) {
+      if (NameOf(report.id()) == NameOf(id)) {
+        last = &report;
+      }
+    }
+    ProposeRelease(id, wire::release_lost, last, name);
+    ++moved;
+  }
+  if (moved > 0) {
+    moved_tasks_ += moved;
+    log_.Add(kRepairPart, name,
+             "moved " + std::to_string(moved) + " tasks from the agent",
+             "its right to run them has ended");
+  }
+}
+
+void cell_owner::StopFailingJobs() {
+  std::size_t heard = 0;
+  for (const auto& [name, agent] : agents_) {
+    heard += agent.silent ? 0 : 1;
+  }
+  for (const auto& [name, job] : state_.Jobs()) {
+    if (!job.Wanted()) {
+      continue;
+    }
+    const auto limit =
+        std::min<std::size_t>(job.specification.max_failures(), heard);
+    for (const std::uint32_t index : job.waiting) {
+      const wire::task_record& task = job.tasks[index];
+      const auto workers = static_cast<std::size_t>(task.failed_on_size());
+      const task_key marker{name, job.specification.tasks()};
+      if (workers == 0 || workers < limit || changing_.count(marker) != 0) {
+        continue;
+      }
+      changing_.insert(marker);
+      auto* stopped = Propose().mutable_stopped();
+      stopped->set_job(name);
+      stopped->set_reason("task " + std::to_string(index) + " failed on " +
+                          std::to_string(workers) + " different workers");
+      log_.Add(kPart, name, "stopped the job", stopped->reason());
+      break;
+    }
+  }
+}
+
+void cell_owner::DropEndedJobs() {
+  if (manifest_version_ == 0) {
+    return;
+  }
+  for (const auto& [name, job] : state_.Jobs()) {
+    const task_key marker{name, job.specification.tasks()};
+    const auto declared = manifest_.jobs.find(name);
+    const bool gone = declared == manifest_.jobs.end();
+    const bool came_back = !gone && job.cancelled && !job.Ended();
+    const bool over = gone && (job.cancelled || job.Ended());
+    if (!job.assigned.empty() || changing_.count(marker) != 0 ||
+        !(over || came_back)) {
+      continue;
+    }
+    changing_.insert(marker);
+    Propose().mutable_dropped()->set_job(name);
+    if (came_back) {
+      *Propose().mutable_accepted()->mutable_job() = declared->second;
+      log_.Add(kPart, name, "accepted the job again",
+               "it came back after it was cancelled");
+    }
+  }
+}
+
+void cell_owner::ReportMisfits(millis now) {
+  std::vector<amount> sizes;
+  for (const auto& [name, agent] : agents_) {
+    if (Usable(agent, now)) {
+      sizes.push_back(FromWire(agent.report.capacity()));
+    }
+  }
+  for (const auto& [name, job] : state_.Jobs()) {
+    const amount need = FromWire(job.specification.need());
+    const bool fits =
+        sizes.empty() || std::any_of(sizes.begin(), sizes.end(),
+                                     [&](const amount& size) {
+                                       return Fits(need, size);
+                                     });
+    if (fits || !job.Wanted()) {
+      misfits_.erase(name);
+      continue;
+    }
+    amount largest;
+    for (const amount& size : sizes) {
+      largest.milli_processors =
+          std::max(largest.milli_processors, size.milli_processors);
+      largest.memory_mb = std::max(largest.memory_mb, size.memory_mb);
+      largest.accelerators = std::max(largest.accelerators, size.accelerators);
+    }
+    std::string lack = LackingDimension(need, largest);
+    if (lack.empty()) {
+      lack = "no single worker has all dimensions at once";
+    }
+    if (misfits_[name] != lack) {
+      misfits_[name] = lack;
+      log_.Add(kPart, name, "left the job waiting", "it fits nowhere: " + lack);
+    }
+  }
+}
+
+// Calls `visit` with the job and the agent of each assignment that has been
+// decided but is not durable yet.
+template <class function_type>
+void cell_owner::ForEachPendingAssignment(function_type visit) const {
+  const auto visit_change = [&](const wire::cell_change& change) {
+    if (!change.has_assigned()) {
+      return;
+    }
+    const auto job = state_.Jobs().find(change.assigned().id().job());
+    if (job != state_.Jobs().end()) {
+      visit(job->second, change.assigned().agent());
+    }
+  };
+  std::for_each(proposed_.begin(), proposed_.end(), visit_change);
+  if (in_flight_) {
+    std::for_each(in_flight_->changes().begin(), in_flight_->changes().end(),
+                  visit_change);
+  }
+}
+
+std::vector<placement_candidate> cell_owner::Candidates(millis now) {
+  std::vector<placement_candidate> candidates;
+  candidates.reserve(agents_.size());
+  for (const auto& [name, agent] : agents_) {
+    placement_candidate candidate;
+    candidate.agent = name;
+    candidate.rack = agent.report.rack();
+    candidate.capacity = FromWire(agent.report.capacity());
+    candidate.room = FromWire(agent.report.batch_room());
+    candidate.usable = Usable(agent, now);
+    for (const task_key& key : state_.AssignedTo(name)) {
+      const job_entry& job = state_.Jobs().at(key.job);
+      candidate.room -= FromWire(job.specification.need());
+      candidate.classes.push_back(job.specification.task_class());
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  ForEachPendingAssignment([&](const job_entry& job, const std::string& agent) {
+    for (placement_candidate& candidate : candidates) {
+      if (candidate.agent == agent) {
+        candidate.room -= FromWire(job.specification.need());
+        candidate.classes.push_back(job.specification.task_class());
+      }
+    }
+  });
+  return candidates;
+}
+
+double cell_owner::ShareOfQuota(const std::string& team) const {
+  const auto used = used_by_team_.find(team);
+  const auto declared = manifest_.teams.find(team);
+  if (used == used_by_team_.end() || declared == manifest_.teams.end() ||
+      declared->second.quota.milli_processors == 0) {
+    return 0;
+  }
+  return static_cast<double>(used->second.milli_processors) /
+         static_cast<double>(declared->second.quota.milli_processors);
+}
+
+// Orders jobs by priority, then by the share of its quota that the team uses.
+std::vector<const job_entry*> cell_owner::JobsInOrder() const {
+  std::vector<const job_entry*> jobs;
+  for (const auto& [name, job] : state_.Jobs()) {
+    if (job.Wanted() && !job.waiting.empty() && misfits_.count(name) == 0) {
+      jobs.push_back(&job);
+    }
+  }
+  std::stable_sort(
+      jobs.begin(), jobs.end(), [&](const job_entry* left, const job_entry* right) {
+        if (left->specification.priority() != right->specification.priority()) {
+          return left->specification.priority() > right->specification.priority();
+        }
+        return ShareOfQuota(left->specification.team()) <
+               ShareOfQuota(right->specification.team());
+      });
+  return jobs;
+}
+
+bool cell_owner::WithinQuota(const job_entry& job, const amount& need) const {
+  const auto team = manifest_.teams.find(job.specification.team());
+  if (team == manifest_.teams.end()) {
+    return true;
+  }
+  const auto used = used_by_team_.find(job.specification.team());
+  const amount held = used == used_by_team_.end() ? amount() : used->second;
+  return Fits(held + need, team->second.quota);
+}
+
+void cell_owner::Place(millis now) {
+  used_by_team_.clear();
+  for (const auto& [name, job] : state_.Jobs()) {
+    amount& used = used_by_team_[job.specification.team()];
+    for (std::size_t i = 0; i < job.assigned.size(); ++i) {
+      used += FromWire(job.specification.need());
+    }
+  }
+  ForEachPendingAssignment([&](const job_entry& job, const std::string&) {
+    used_by_team_[job.specification.team()] +=
+        FromWire(job.specification.need());
+  });
+  std::vector<placement_candidate> candidates = Candidates(now);
+  std::size_t placed = 0;
+  for (const job_entry* job : JobsInOrder()) {
+    for (const std::uint32_t index : job->waiting) {
+      if (changing_.count({job->specification.name(), index}) != 0) {
+        continue;
+      }
+      if (placed >= kMaxPlacementsInTick ||
+          !PlaceOne(*job, index, candidates, now)) {
+        break;
+      }
+      ++placed;
+    }
+  }
+}
+
+bool cell_owner::PlaceOne(const job_entry& job,
+                          std::uint32_t index,
+                          std::vector<placement_candidate>& candidates,
+                          millis now) {
+  const wire::task_record& task = job.tasks[index];
+  placement_request request;
+  request.task_class = job.specification.task_class();
+  request.need = FromWire(job.specification.need());
+  if (task.failed_on_size() > 0) {
+    request.avoid = task.failed_on(task.failed_on_size() - 1);
+  }
+  if (!WithinQuota(job, request.need)) {
+    return false;
+  }
+  placement_choice choice = ChooseWorker(request, candidates, interference_);
+  if (choice.index < 0) {
+    choice = ChooseAhead(request, candidates);
+  }
+  if (choice.index < 0) {
+    return false;
+  }
+  auto& chosen = candidates[static_cast<std::size_t>(choice.index)];
+  agent_entry& agent = agents_[chosen.agent];
+  auto* assigned = Propose().mutable_assigned();
+  assigned->mutable_id()->set_job(job.specification.name());
+  assigned->mutable_id()->set_index(index);
+  assigned->mutable_id()->set_attempt(task.attempt() + 1);
+  assigned->set_agent(chosen.agent);
+  assigned->set_incarnation(agent.report.incarnation());
+  changing_.insert({job.specification.name(), index});
+  log_.Add(kPart, NameOf(assigned->id()), "assigned to " + chosen.agent,
+           choice.reason);
+  chosen.room -= request.need;
+  chosen.classes.push_back(request.task_class);
+  used_by_team_[job.specification.team()] += request.need;
+  if (agent.failures_in_row >= options_.quarantine_failures) {
+    chosen.usable = false;
+    agent.probe_at = now + options_.quarantine_probe;
+  }
+  return true;
+}
+
+// Chooses a worker for a task that no worker has room for now: the one with
+// the fewest tasks waiting on it, up to a limit, that the task fits at all.
+placement_choice cell_owner::ChooseAhead(
+    const placement_request& request,
+    const std::vector<placement_candidate>& candidates) const {
+  placement_choice choice;
+  std::size_t fewest = options_.assign_ahead;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const placement_candidate& candidate = candidates[i];
+    const auto agent = agents_.find(candidate.agent);
+    std::size_t running = 0;
+    for (const auto& task : agent->second.report.tasks()) {
+      running += task.phase() == wire::phase_running ? 1 : 0;
+    }
+    const std::size_t ahead = candidate.classes.size() > running
+                                  ? candidate.classes.size() - running
+                                  : 0;
+    const bool probing =
+        agent->second.failures_in_row >= options_.quarantine_failures;
+    if (candidate.usable && !probing && ahead < fewest &&
+        Fits(request.need, candidate.capacity)) {
+      choice.index = static_cast<int>(i);
+      fewest = ahead;
+    }
+  }
+  if (choice.index >= 0) {
+    choice.reason = "no worker has room now; fewest tasks ahead (" +
+                    std::to_string(fewest) + ")";
+  }
+  return choice;
+}
+
+// Asks for tasks back that wait on a worker while another has room for them.
+void cell_owner::TakeBackBacklog(millis now) {
+  const std::vector<placement_candidate> candidates = Candidates(now);
+  for (auto& [name, agent] : agents_) {
+    for (const auto& [task_name, since] : agent.backlog_since) {
+      const auto id = ParseTaskId(task_name);
+      if (now - since < options_.return_after || !id.has_value() ||
+          !state_.IsAssigned(id.value())) {
+        continue;
+      }
+      const job_entry& job = state_.Jobs().at(id.value().job());
+      const amount need = FromWire(job.specification.need());
+      const bool elsewhere = std::any_of(
+          candidates.begin(), candidates.end(), [&](const auto& candidate) {
+            return candidate.usable && candidate.agent != name &&
+                   Fits(need, candidate.room);
+          });
+      if (elsewhere && returning_.insert(task_name).second) {
+        log_.Add(kPart, task_name, "asked the task back from " + name,
+                 "it has not started and another worker has room");
+      }
+    }
+  }
+}
+
+void cell_owner::FillJobs(wire::jobs_reply& reply, millis now) const {
+  reply.set_cell(cell_);
+  reply.set_epoch(epoch_);
+  reply.set_owner(owner_);
+  std::map<std::string, std::uint32_t> running;
+  std::map<std::string, std::uint32_t> stragglers;
+  for (const auto& [name, agent] : agents_) {
+    auto* worker = reply.add_workers();
+    worker->set_agent(name);
+    worker->set_data_centre(agent.report.data_centre());
+    worker->set_rack(agent.report.rack());
+    *worker->mutable_capacity() = agent.report.capacity();
+    worker->set_condition(
+        agent.silent                       ? "silent"
+        : agent.report.draining()          ? "leaving"
+        : agent.failures_in_row >= options_.quarantine_failures
+            ? "quarantined"
+            : "in use");
+    amount assigned;
+    for (const task_key& key : state_.AssignedTo(name)) {
+      assigned += FromWire(state_.Jobs().at(key.job).specification.need());
+    }
+    *worker->mutable_assigned() = ToWire(assigned);
+    if (now - agent.heard_at > options_.silent_after) {
+      continue;
+    }
+    for (const auto& task : agent.report.tasks()) {
+      if (task.phase() == wire::phase_backlog) {
+        worker->set_backlog(worker->backlog() + 1);
+      }
+      if (task.phase() != wire::phase_running) {
+        continue;
+      }
+      worker->set_running(worker->running() + 1);
+      ++running[task.id().job()];
+      const auto job = state_.Jobs().find(task.id().job());
+      if (job != state_.Jobs().end() &&
+          task.progress_ms() >
+              kStragglerFactor * job->second.specification.run_ms()) {
+        ++stragglers[task.id().job()];
+      }
+    }
+  }
+  for (const auto& [name, job] : state_.Jobs()) {
+    auto* report = reply.add_jobs();
+    report->set_job(name);
+    report->set_tasks(static_cast<std::uint32_t>(job.tasks.size()));
+    report->set_waiting(static_cast<std::uint32_t>(job.waiting.size()));
+    report->set_assigned(static_cast<std::uint32_t>(job.assigned.size()));
+    report->set_running(running[name]);
+    report->set_finished(job.finished);
+    report->set_stragglers(stragglers[name]);
+    for (const auto& task : job.tasks) {
+      report->set_evictions(report->evictions() + task.evictions());
+      report->set_failures(report->failures() + task.failures());
+      report->set_losses(report->losses() + task.losses());
+    }
+    const auto misfit = misfits_.find(name);
+    if (job.Ended()) {
+      report->set_state("finished");
+    } else if (job.cancelled) {
+      report->set_state("cancelled");
+    } else if (!job.stopped.empty()) {
+      report->set_state("stopped");
+      report->set_reason(job.stopped);
+    } else if (misfit != misfits_.end()) {
+      report->set_state("fits nowhere");
+      report->set_reason(misfit->second);
+    } else {
+      report->set_state(job.assigned.empty() ? "waiting" : "running");
+    }
+  }
+  for (const auto& record : log_.Latest(kRepairPart, 50)) {
+    *reply.add_repairs() = record;
+  }
+}
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/libkernel/placement.cpp
@@ -0,0 +1,118 @@
+#include "chervilkeel/placement.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr double kPriorWeight = 4.0;         // Reports that the prior counts as.
+constexpr double kMaxWeight = 200.0;         // Old reports fade beyond this.
+constexpr double kSlowdownCost = 4.0;        // Per unit of predicted slowdown.
+constexpr double kRackRepeatCost = 0.05;     // Per task of the job in the rack.
+constexpr double kFailedThereCost = 10.0;    // The task failed on the worker.
+constexpr std::size_t kReportNeighbours = 8; // Pairs that one report teaches.
+
+double PredictedSlowdown(const placement_request& request,
+                         const placement_candidate& candidate,
+                         const interference_model& interference) {
+  double slowdown = 0;
+  for (const std::string& neighbour : candidate.classes) {
+    slowdown += interference.Expected(request.task_class, neighbour) - 1.0;
+    slowdown += interference.Expected(neighbour, request.task_class) - 1.0;
+  }
+  return slowdown;
+}
+
+// Prefers workers that are already in use, so that large gaps stay whole.
+double UnusedShare(const placement_candidate& candidate) {
+  if (candidate.capacity.milli_processors == 0) {
+    return 0;
+  }
+  return static_cast<double>(candidate.room.milli_processors) /
+         static_cast<double>(candidate.capacity.milli_processors);
+}
+
+double Cost(const placement_request& request,
+            const placement_candidate& candidate,
+            const interference_model& interference) {
+  double cost =
+      kSlowdownCost * PredictedSlowdown(request, candidate, interference);
+  cost += kRackRepeatCost * static_cast<double>(candidate.same_job_in_rack);
+  cost += UnusedShare(candidate);
+  if (!request.avoid.empty() && request.avoid == candidate.agent) {
+    cost += kFailedThereCost;
+  }
+  return cost;
+}
+
+std::string Explain(const placement_candidate& chosen,
+                    double cost,
+                    std::size_t considered,
+                    std::size_t fitting) {
+  char text[200];
+  std::snprintf(text, sizeof text,
+                "lowest cost %.2f of %zu workers with room, %zu considered; "
+                "%lld milli-processors free",
+                cost, fitting, considered,
+                static_cast<long long>(chosen.room.milli_processors));
+  return text;
+}
+
+}  // namespace
+
+void interference_model::Learn(const std::string& task_class,
+                               const std::vector<std::string>& neighbours,
+                               double slowdown) {
+  if (neighbours.empty()) {
+    return;
+  }
+  const std::size_t taught = std::min(neighbours.size(), kReportNeighbours);
+  const double share = (slowdown - 1.0) / static_cast<double>(neighbours.size());
+  for (std::size_t i = 0; i < taught; ++i) {
+    pair_estimate& pair = pairs_[{task_class, neighbours[i]}];
+    pair.weight = std::min(pair.weight + 1.0, kMaxWeight);
+    pair.mean += (1.0 + share - pair.mean) / pair.weight;
+  }
+}
+
+double interference_model::Expected(const std::string& task_class,
+                                    const std::string& neighbour) const {
+  const auto pair = pairs_.find({task_class, neighbour});
+  if (pair == pairs_.end()) {
+    return 1.0;
+  }
+  const double weight = pair->second.weight;
+  return 1.0 + (pair->second.mean - 1.0) * weight / (weight + kPriorWeight);
+}
+
+placement_choice ChooseWorker(
+    const placement_request& request,
+    const std::vector<placement_candidate>& candidates,
+    const interference_model& interference) {
+  placement_choice choice;
+  double lowest = 0;
+  std::size_t fitting = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const placement_candidate& candidate = candidates[i];
+    if (!candidate.usable || !Fits(request.need, candidate.room)) {
+      continue;
+    }
+    ++fitting;
+    const double cost = Cost(request, candidate, interference);
+    if (choice.index < 0 || cost < lowest) {
+      choice.index = static_cast<int>(i);
+      lowest = cost;
+    }
+  }
+  if (choice.index < 0) {
+    choice.reason = "no usable worker has room now";
+    return choice;
+  }
+  choice.reason = Explain(candidates[static_cast<std::size_t>(choice.index)],
+                          lowest, candidates.size(), fitting);
+  return choice;
+}
+
+}  // namespace chervilkeel
