--- a/src/include/chervilkeel/cell_state.h
+++ b/src/include/chervilkeel/cell_state.h
@@ -22,6 +22,13 @@
 // Reads a name written by NameOf().
 result<wire::task_id> ParseTaskId(const std::string& name);
 
+// What tasks went through before they ended.
+struct trouble_counts {
+  std::uint32_t evictions = 0;
+  std::uint32_t failures = 0;
+  std::uint32_t losses = 0;
+};
+
 // A job with its tasks and their counts by phase.
 struct job_entry {
   wire::job_specification specification;
@@ -31,8 +38,12 @@
   std::set<std::uint32_t> waiting;   // Indices of tasks nobody may run.
   std::set<std::uint32_t> assigned;  // Indices of tasks some agent may run.
   std::uint32_t finished = 0;
+  trouble_counts carried;  // Of finished tasks that a snapshot summed up.
   std::uint32_t attempt_base = 0;  // Attempts count from the one after this.
 
+  // Sums up what all tasks went through.
+  trouble_counts Troubles() const;
+
   bool Ended() const { return finished == tasks.size(); }
   bool Wanted() const { return !cancelled && stopped.empty() && !Ended(); }
 };
@@ -82,6 +93,7 @@
   bool IsAssigned(const wire::task_id& id) const;
 
  private:
+  void RestoreTask(job_entry& job, const wire::task_record& task);
   void ApplyChange(const wire::cell_change& change);
   void Accept(const wire::job_specification& job, std::uint32_t attempt_base);
   void Assign(const wire::task_assigned& change);
--- /dev/null
+++ b/src/include/chervilkeel/http_client.h
@@ -0,0 +1,84 @@
+// HTTP clients by Boost.Beast: a blocking one for control loops and tools, and
+// an asynchronous pool of connections for an executor.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include "chervilkeel/clock.h"
+#include "chervilkeel/http_server.h"
+#include "chervilkeel/result.h"
+#include "chervilkeel/settings.h"
+
+namespace chervilkeel {
+
+// A request to be sent.
+struct http_call {
+  std::string method = "POST";
+  std::string target;
+  std::string body;
+  std::string content_type = "application/json";
+  std::vector<http_header> headers;
+};
+
+// One kept-alive connection to one endpoint. Safe to call from several
+// threads; calls take turns.
+class http_client {
+ public:
+  explicit http_client(endpoint peer) : peer_(std::move(peer)) {}
+
+  // Sends a call and waits for the answer. kUnavailable: the call certainly
+  // was not sent; kUnknown: it may have been, and no answer came in time.
+  result<http_response> Call(const http_call& call, millis timeout);
+
+  const endpoint& Peer() const { return peer_; }
+
+ private:
+  result<void> Connect(millis timeout);
+  result<http_response> Exchange(const http_call& call, millis timeout);
+
+  const endpoint peer_;
+  std::mutex mutex_;
+  boost::asio::io_context context_{1};
+  std::unique_ptr<boost::beast::tcp_stream> stream_;
+  boost::beast::flat_buffer buffer_;
+};
+
+// Takes the answer, or the error with the same codes as http_client::Call().
+using http_callback = std::function<void(result<http_response>)>;
+
+// Connections to one endpoint, opened when needed and kept for reuse.
+class http_pool : public std::enable_shared_from_this<http_pool> {
+ public:
+  // Keeps at most `idle_limit` idle connections.
+  http_pool(boost::asio::io_context& context,
+            endpoint peer,
+            std::size_t idle_limit);
+
+  // Sends a call; `callback` runs on the pool's io_context.
+  void Call(http_call call,
+            millis timeout,
+            std::uint64_t body_limit,
+            http_callback callback);
+
+ private:
+  friend class http_exchange;
+  std::unique_ptr<boost::beast::tcp_stream> TakeIdle();
+  void GiveIdle(std::unique_ptr<boost::beast::tcp_stream> stream);
+
+  boost::asio::io_context& context_;
+  const endpoint peer_;
+  const std::size_t idle_limit_;
+  std::mutex mutex_;
+  std::vector<std::unique_ptr<boost::beast::tcp_stream>> idle_;
+};
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/include/chervilkeel/settings.h
@@ -0,0 +1,104 @@
+// The INI settings of a process: a table of what may be set, and a reader that
+// collects every finding with its line.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "chervilkeel/clock.h"
+#include "chervilkeel/finding.h"
+#include "chervilkeel/placement.h"
+
+namespace chervilkeel {
+
+// What a daemon does.
+enum class process_role { kEntry, kAgent };
+
+struct role_name {
+  process_role role;
+  const char* name;
+};
+
+inline constexpr role_name kRoleNames[] = {
+    {process_role::kEntry, "entry"},
+    {process_role::kAgent, "agent"},
+};
+
+// An IP number and a port.
+struct endpoint {
+  std::string address;
+  std::uint16_t port = 0;
+  std::string ToString() const { return address + ":" + std::to_string(port); }
+};
+
+// Every setting of a daemon. Durations in milliseconds.
+struct process_settings {
+  process_role role = process_role::kEntry;
+  std::string name;
+  std::string address;
+  std::uint16_t rpc_port = 0;
+  std::uint16_t http_port = 0;
+  std::string data_centre;
+  std::string rack;
+  std::uint64_t threads = 2;
+  std::vector<endpoint> entries;
+
+  std::string store_kind = "http";
+  endpoint store;
+  std::uint64_t store_timeout = 1'000;
+
+  std::uint16_t client_port = 0;
+  std::uint64_t body_limit = 4U << 20U;
+  std::uint64_t client_connections = 1'000;
+  std::uint64_t requests_in_flight = 1'000;
+
+  std::string cell;
+  std::string worker_kind = "http";
+  endpoint worker;
+  endpoint executor;
+  std::uint64_t slots = 8;
+  std::uint64_t connections = 64;
+  std::uint64_t executor_memory_mb = 4'096;
+
+  policy_lean lean = policy_lean::kBatch;
+  std::uint64_t tenure = 10'000;
+  std::uint64_t hold = 1'800'000;
+  std::uint64_t heartbeat = 500;
+  std::uint64_t worker_interval = 200;
+  std::uint64_t commit_interval = 200;
+  std::uint64_t owner_lease = 5'000;
+  std::uint64_t drain_limit = 30'000;
+
+  std::string log_level = "info";
+};
+
+struct settings_reading {
+  process_settings value;
+  findings found;
+};
+
+// Reads settings from INI text. Every finding is collected with its line;
+// `value` is complete only when there are none.
+settings_reading ReadSettings(std::string_view text);
+
+// Reads settings from a file; one that can't be opened is a finding.
+settings_reading ReadSettingsFile(const std::string& path);
+
+// Reads "IP:PORT"; returns false when the text is not of that form.
+bool ParseEndpoint(std::string_view text, endpoint& out);
+
+// One line of the table of settings, for the operators' page.
+struct setting_description {
+  std::string section;
+  std::string key;
+  std::string unit;
+  std::string fallback;
+  std::string meaning;
+};
+
+// Lists every setting with its unit, default and meaning.
+std::vector<setting_description> DescribeSettings();
+
+}  // namespace chervilkeel
--- a/src/libkernel/cell_owner_placement.cpp
+++ b/src/libkernel/cell_owner_placement.cpp
@@ -448,11 +448,10 @@
     report->set_running(running[name]);
     report->set_finished(job.finished);
     report->set_stragglers(stragglers[name]);
-    for (const auto& task : job.tasks) {
-      report->set_evictions(report->evictions() + task.evictions());
-      report->set_failures(report->failures() + task.failures());
-      report->set_losses(report->losses() + task.losses());
-    }
+    const trouble_counts troubles = job.Troubles();
+    report->set_evictions(troubles.evictions);
+    report->set_failures(troubles.failures);
+    report->set_losses(troubles.losses);
     const auto misfit = misfits_.find(name);
     if (job.Ended()) {
       report->set_state("finished");
--- a/src/libkernel/cell_state.cpp
+++ b/src/libkernel/cell_state.cpp
@@ -13,6 +13,36 @@
   return !text.empty() && parsed.ec == std::errc() && parsed.ptr == end;
 }
 
+void RestoreFinished(const wire::job_record& record, job_entry& job) {
+  const auto& ranges = record.finished_ranges();
+  for (int i = 0; i + 1 < ranges.size(); i += 2) {
+    for (std::uint32_t index = ranges[i];
+         index < ranges[i] + ranges[i + 1] && index < job.tasks.size();
+         ++index) {
+      job.tasks[index].set_phase(wire::phase_finished);
+      job.waiting.erase(index);
+      ++job.finished;
+    }
+  }
+  job.carried = {record.finished_evictions(), record.finished_failures(),
+                 record.finished_losses()};
+}
+
+// Adds a finished task to the ranges and the sums of its job's record.
+void AddFinished(const wire::task_record& task, wire::job_record& record) {
+  auto& ranges = *record.mutable_finished_ranges();
+  const int size = ranges.size();
+  if (size >= 2 && ranges[size - 2] + ranges[size - 1] == task.index()) {
+    ranges[size - 1] += 1;
+  } else {
+    ranges.Add(task.index());
+    ranges.Add(1);
+  }
+  record.set_finished_evictions(record.finished_evictions() + task.evictions());
+  record.set_finished_failures(record.finished_failures() + task.failures());
+  record.set_finished_losses(record.finished_losses() + task.losses());
+}
+
 }  // namespace
 
 std::string TaskNameOf(const wire::task_id& id) {
@@ -41,6 +71,26 @@
   return id;
 }
 
+trouble_counts job_entry::Troubles() const {
+  trouble_counts sum = carried;
+  for (const auto& task : tasks) {
+    sum.evictions += task.evictions();
+    sum.failures += task.failures();
+    sum.losses += task.losses();
+  }
+  return sum;
+}
+
+void cell_state::RestoreTask(job_entry& job, const wire::task_record& task) {
+  job.tasks[task.index()] = task;
+  if (task.phase() == wire::phase_assigned) {
+    job.waiting.erase(task.index());
+    job.assigned.insert(task.index());
+    assigned_to_[task.agent()].insert(
+        {job.specification.name(), task.index()});
+  }
+}
+
 cell_state cell_state::Restore(const wire::cell_snapshot& snapshot) {
   cell_state state;
   state.sequence_ = snapshot.sequence();
@@ -52,20 +102,11 @@
     job.cancelled = record.cancelled();
     job.stopped = record.stopped();
     for (const auto& task : record.tasks()) {
-      if (task.index() >= job.tasks.size()) {
-        continue;
-      }
-      job.tasks[task.index()] = task;
-      if (task.phase() == wire::phase_finished) {
-        job.waiting.erase(task.index());
-        ++job.finished;
-      } else if (task.phase() == wire::phase_assigned) {
-        job.waiting.erase(task.index());
-        job.assigned.insert(task.index());
-        state.assigned_to_[task.agent()].insert(
-            {record.job().name(), task.index()});
+      if (task.index() < job.tasks.size()) {
+        state.RestoreTask(job, task);
       }
     }
+    RestoreFinished(record, job);
   }
   for (const auto& claim : snapshot.claims()) {
     state.claims_[claim.key()] = claim;
@@ -276,8 +317,13 @@
     record->set_cancelled(job.cancelled);
     record->set_stopped(job.stopped);
     record->set_attempt_base(job.attempt_base);
+    record->set_finished_evictions(job.carried.evictions);
+    record->set_finished_failures(job.carried.failures);
+    record->set_finished_losses(job.carried.losses);
     for (const auto& task : job.tasks) {
-      if (task.attempt() > job.attempt_base) {
+      if (task.phase() == wire::phase_finished) {
+        AddFinished(task, *record);
+      } else if (task.attempt() > job.attempt_base) {
         *record->add_tasks() = task;
       }
     }
--- /dev/null
+++ b/src/libshell/plugins.cpp
@@ -0,0 +1,50 @@
+// The registries of plug-ins.
+#include "chervilkeel/registry.h"
+#include "chervilkeel/store.h"
+#include "chervilkeel/worker.h"
+
+namespace chervilkeel {
+
+namespace {
+
+plugin_registry<store_factory>& Stores() {
+  static plugin_registry<store_factory> registry;
+  return registry;
+}
+
+plugin_registry<worker_factory>& Workers() {
+  static plugin_registry<worker_factory> registry;
+  return registry;
+}
+
+}  // namespace
+
+bool RegisterStore(const std::string& kind, store_factory factory) {
+  return Stores().Add(kind, std::move(factory));
+}
+
+result<std::unique_ptr<key_value_store>> MakeStore(const std::string& kind,
+                                                   const endpoint& peer,
+                                                   millis timeout) {
+  const auto factory = Stores().Find(kind);
+  if (!factory) {
+    return factory.as_failure();
+  }
+  return factory.value()(peer, timeout);
+}
+
+bool RegisterWorker(const std::string& kind, worker_factory factory) {
+  return Workers().Add(kind, std::move(factory));
+}
+
+result<std::unique_ptr<worker_platform>> MakeWorker(const std::string& kind,
+                                                    const endpoint& peer,
+                                                    millis timeout) {
+  const auto factory = Workers().Find(kind);
+  if (!factory) {
+    return factory.as_failure();
+  }
+  return factory.value()(peer, timeout);
+}
+
+}  // namespace chervilkeel
