--- /dev/null
+++ b/src/chervilkeeld/main.cpp
@@ -0,0 +1,136 @@
+// chervilkeeld, the daemon. Its role stands in its INI settings.
+#include <csignal>
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "agent_process.h"
+#include "chervilkeel/http_server.h"
+#include "chervilkeel/log.h"
+#include "chervilkeel/version.h"
+#include "entry_process.h"
+#include "process_core.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr int kExitFailed = 1;
+constexpr int kExitBadInput = 2;
+
+// Runs one role until SIGTERM or SIGINT, then drains it.
+template <class role_type>
+int RunRole(process_core& core) {
+  boost::asio::io_context context;
+  const auto guard = boost::asio::make_work_guard(context);
+  role_type role(core, context);
+  http_server_options options;
+  options.listen = {core.settings.address, core.settings.http_port};
+  const auto operators = std::make_shared<http_server>(
+      context, options,
+      [&](const http_request& request, const http_responder& respond) {
+        role.Handle(request, respond);
+      });
+  std::vector<std::thread> pool;
+  for (std::uint64_t i = 0; i < core.settings.threads; ++i) {
+    pool.emplace_back([&] { context.run(); });
+  }
+  auto started = role.Start();
+  if (started) {
+    started = operators->Start();
+  }
+  if (started) {
+    LogInfo("process", "Started.");
+    boost::asio::io_context signal_context;
+    boost::asio::signal_set signals(signal_context, SIGTERM, SIGINT);
+    signals.async_wait([](boost::system::error_code, int) {});
+    signal_context.run();
+    role.Stop();
+    operators->Stop();
+  } else {
+    LogError("process", "Starting failed; " + ToString(started.error()) + ".");
+  }
+  context.stop();
+  for (std::thread& thread : pool) {
+    thread.join();
+  }
+  // Threads of libraries may still hold parts of the role; the process ends
+  // here with everything drained, without taking the role apart.
+  std::fflush(nullptr);
+  std::_Exit(started ? 0 : kExitFailed);
+}
+
+int Run(const process_settings& settings) {
+  StartLogging(settings.name, settings.log_level);
+  process_core core(settings);
+  core.incarnation = WallNow();
+  auto store = MakeStore(settings.store_kind,
+                         {settings.store,
+                          static_cast<millis>(settings.store_timeout),
+                          settings.name});
+  if (!store) {
+    LogError("process", ToString(store.error()) + ".");
+    return kExitBadInput;
+  }
+  core.store = std::move(store.value());
+  return settings.role == process_role::kEntry ? RunRole<entry_process>(core)
+                                               : RunRole<agent_process>(core);
+}
+
+void PrintSettings() {
+  for (const setting_description& entry : DescribeSettings()) {
+    std::printf("[%s] %s = %s%s%s\n    %s\n", entry.section.c_str(),
+                entry.key.c_str(), entry.fallback.c_str(),
+                entry.unit.empty() ? "" : "  ; ", entry.unit.c_str(),
+                entry.meaning.c_str());
+  }
+}
+
+}  // namespace
+
+}  // namespace chervilkeel
+
+int main(int argc, char** argv) {
+  using chervilkeel::kExitBadInput;
+  CLI::App app(
+      "chervilkeeld, the scheduler's daemon.\n"
+      "Exit codes: 0 drained, 1 failed to start, 2 bad settings or arguments.");
+  std::string config;
+  bool check = false;
+  bool list = false;
+  app.add_option("--config", config, "The INI file with the settings");
+  app.add_flag("--check", check, "Check the settings and exit");
+  app.add_flag("--list-settings", list, "List every setting and exit");
+  app.set_version_flag("--version", chervilkeel::kVersion);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& failure) {
+    return app.exit(failure) == 0 ? 0 : kExitBadInput;
+  }
+  if (list) {
+    chervilkeel::PrintSettings();
+    return 0;
+  }
+  if (config.empty()) {
+    std::fprintf(stderr, "chervilkeeld: --config FILE is missing\n");
+    return kExitBadInput;
+  }
+  const auto reading = chervilkeel::ReadSettingsFile(config);
+  if (!reading.found.empty()) {
+    std::fputs(
+        chervilkeel::ToText(reading.found, config + ": ").c_str(), stderr);
+    return kExitBadInput;
+  }
+  if (check) {
+    std::printf("%s: no findings\n", config.c_str());
+    return 0;
+  }
+  return chervilkeel::Run(reading.value);
+}
--- a/src/http.store/http_store.cpp
+++ b/src/http.store/http_store.cpp
@@ -44,8 +44,11 @@
 
 class http_store : public key_value_store {
  public:
-  http_store(endpoint peer, millis timeout)
-      : client_(peer), watcher_(peer), timeout_(timeout) {}
+  explicit http_store(store_connection connection)
+      : client_(connection.peer),
+        watcher_(connection.peer),
+        timeout_(connection.timeout),
+        caller_(std::move(connection.caller)) {}
 
   result<store_entry> Get(const std::string& key) override {
     const auto answer = Call(client_, "/v1/get", {{"key", key}}, timeout_);
@@ -117,13 +120,14 @@
   }
 
  private:
-  static result<std::string> Call(http_client& client,
-                                  const std::string& target,
-                                  const json::object& body,
-                                  millis timeout) {
+  result<std::string> Call(http_client& client,
+                           const std::string& target,
+                           const json::object& body,
+                           millis timeout) const {
     http_call call;
     call.target = target;
     call.body = json::serialize(body);
+    call.headers.push_back({"X-Caller", caller_});
     auto response = client.Call(call, timeout);
     if (!response) {
       return response.as_failure();
@@ -166,11 +170,12 @@
   http_client client_;
   http_client watcher_;  // Of its own, so that a wait blocks no other call.
   const millis timeout_;
+  const std::string caller_;
 };
 
 [[maybe_unused]] const bool kRegistered =
-    RegisterStore("http", [](endpoint peer, millis timeout) {
-      return std::make_unique<http_store>(std::move(peer), timeout);
+    RegisterStore("http", [](store_connection connection) {
+      return std::make_unique<http_store>(std::move(connection));
     });
 
 }  // namespace
--- a/src/include/chervilkeel/manifest_store.h
+++ b/src/include/chervilkeel/manifest_store.h
@@ -135,6 +135,10 @@
     if (!current) {
       return current.as_failure();
     }
+    if (current.value().root.operation() == commit.operation) {
+      report.root = current.value().root;  // An earlier try took effect.
+      return report;
+    }
     wire::manifest_root base = current.value().root;
     if (commit.base_version != 0 && commit.base_version != base.version()) {
       auto former = ReadHistory(commit.base_version);
@@ -148,25 +152,6 @@
     return CommitOnto(commit, base, ours, sections, current.value(), report);
   }
 
-  // Says whether the root in force, or one in the history, is of an operation.
-  result<bool> TookEffect(const std::string& operation, std::uint64_t from) {
-    auto current = ReadRoot();
-    if (!current) {
-      return current.as_failure();
-    }
-    if (current.value().root.operation() == operation) {
-      return true;
-    }
-    for (std::uint64_t version = current.value().root.version();
-         version > from; --version) {
-      auto former = ReadHistory(version);
-      if (former && former.value().operation() == operation) {
-        return true;
-      }
-    }
-    return false;
-  }
-
  private:
   static constexpr int kMaxTries = 8;
 
--- a/src/include/chervilkeel/slot_admission.h
+++ b/src/include/chervilkeel/slot_admission.h
@@ -49,6 +49,8 @@
   // Sets how many slots have processors, from 0 to the configured number.
   void SetGrantedSlots(std::uint32_t granted) { granted_ = granted; }
 
+  std::uint32_t GrantedSlots() const { return granted_; }
+
   // Takes a new request.
   admission_answer Offer(const admission_ticket& ticket, millis now);
 
--- a/src/include/chervilkeel/store.h
+++ b/src/include/chervilkeel/store.h
@@ -78,9 +78,15 @@
 
 static_assert(store_like<key_value_store>);
 
-// Makes the client of a kind of store.
+// How a client reaches the store.
+struct store_connection {
+  endpoint peer;
+  millis timeout = 1'000;  // Of one call.
+  std::string caller;      // The process's name, sent with each call.
+};
+
 using store_factory =
-    std::function<std::unique_ptr<key_value_store>(endpoint, millis timeout)>;
+    std::function<std::unique_ptr<key_value_store>(store_connection)>;
 
 // Registers a plug-in under the name that settings use. Called by the plug-ins
 // themselves before main().
@@ -88,7 +94,6 @@
 
 // Makes a client of the named kind; kNotFound lists the kinds there are.
 result<std::unique_ptr<key_value_store>> MakeStore(const std::string& kind,
-                                                   const endpoint& peer,
-                                                   millis timeout);
+                                                   store_connection connection);
 
 }  // namespace chervilkeel
--- a/src/libshell/plugins.cpp
+++ b/src/libshell/plugins.cpp
@@ -24,13 +24,12 @@
 }
 
 result<std::unique_ptr<key_value_store>> MakeStore(const std::string& kind,
-                                                   const endpoint& peer,
-                                                   millis timeout) {
+                                                   store_connection connection) {
   const auto factory = Stores().Find(kind);
   if (!factory) {
     return factory.as_failure();
   }
-  return factory.value()(peer, timeout);
+  return factory.value()(std::move(connection));
 }
 
 bool RegisterWorker(const std::string& kind, worker_factory factory) {
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -132,6 +132,12 @@
         mode_ = entry.mode;
       }
     }
+    if (const json::value* callers = body.if_contains("cut_off")) {
+      cut_off_.clear();
+      for (const json::value& caller : callers->as_array()) {
+        cut_off_.insert(std::string(caller.as_string()));
+      }
+    }
     if (const json::value* delay = body.if_contains("slow_ms")) {
       slow_ms_ = delay->to_number<millis>();
     }
