Repair agent restarts and the loss of an owner's VM without the long wait

Cause: scripts/demo did not end: tasks of a killed owner's own VM, and tasks that a restarted agent had not started yet, waited for the 30 min hold. Change: assignments name the worker's instance instead of the agent process, so a restart on the same VM keeps its backlog; an owner never grants a hold to its own agent, so its loss costs one tenure; claims are repeated inside the deadline while the owner changes; entries probe upstreams in the same round in which an owner fails to answer.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -59,6 +59,7 @@
   shift
   "$@" >>"$FLEET_DIR/$name.log" 2>&1 &
   FLEET_PIDS[$name]=$!
+  disown "$!"
 }
 
 fleet_start_store() { fleet_run store "$FLEET_BIN/src/standins/store_standin" --listen "$(fleet_store)"; }
@@ -143,7 +144,6 @@
   for name in "${!FLEET_PIDS[@]}"; do
     kill -CONT "${FLEET_PIDS[$name]}" 2>/dev/null || true
     kill -KILL "${FLEET_PIDS[$name]}" 2>/dev/null || true
-    wait "${FLEET_PIDS[$name]}" 2>/dev/null || true
   done
   FLEET_PIDS=()
 }
--- a/src/chervilkeeld/agent_process.cpp
+++ b/src/chervilkeeld/agent_process.cpp
@@ -47,6 +47,7 @@
   if (!described) {
     return described.as_failure();
   }
+  worker_instance_ = described.value().instance;
   agent_options options;
   options.name = core_.settings.name;
   options.capacity = described.value().capacity;
@@ -54,11 +55,14 @@
   options.executor_memory_mb =
       static_cast<std::int64_t>(core_.settings.executor_memory_mb);
   options = WithLean(options, core_.settings.lean);
-  tasks_ = std::make_unique<agent_core>(options, core_.decisions);
+  tasks_ = std::make_unique<agent_core>(options, core_.decisions,
+                                        MonotonicNow());
   grpc::ServerBuilder builder;
   builder.AddListeningPort(core_.RpcAddress(),
                            grpc::InsecureServerCredentials());
   builder.SetMaxReceiveMessageSize(-1);
+  // A process that holds the port is the only agent of this VM.
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   builder.RegisterService(&seat_);
   builder.RegisterService(&runner_);
   builder.RegisterService(&peer_);
@@ -128,6 +132,7 @@
   report.set_sequence(++report_sequence_);
   report.set_address(core_.RpcAddress());
   report.set_worker_address(core_.settings.worker.ToString());
+  report.set_worker_instance(worker_instance_);
   report.set_data_centre(core_.settings.data_centre);
   report.set_rack(core_.settings.rack);
   report.set_manifest_version(core_.manifests.Version());
--- a/src/chervilkeeld/agent_process.h
+++ b/src/chervilkeeld/agent_process.h
@@ -49,6 +49,7 @@
   process_core& core_;
   boost::asio::io_context& context_;
   std::unique_ptr<worker_platform> worker_;
+  std::string worker_instance_;  // Set by Start().
   owner_seat seat_;
   request_runner runner_;
   peer_server peer_;
--- a/src/chervilkeeld/owner_seat.cpp
+++ b/src/chervilkeeld/owner_seat.cpp
@@ -31,7 +31,7 @@
   owner_options options;
   options.tenure = static_cast<millis>(core_.settings.tenure);
   options.hold = static_cast<millis>(core_.settings.hold);
-  options.silent_after = 2 * static_cast<millis>(core_.settings.heartbeat);
+  options.silent_after = 3 * static_cast<millis>(core_.settings.heartbeat);
   return options;
 }
 
@@ -122,7 +122,8 @@
     }
     return;
   }
-  auto state = RecoverAndFence();
+  std::string former_owner;
+  auto state = RecoverAndFence(former_owner);
   if (!state) {
     LogWarn(kPart, "Reading the journal of cell " + cell_ + " failed; " +
                        ToString(state.error()) + ".");
@@ -136,8 +137,8 @@
   {
     const std::lock_guard lock(mutex_);
     owner_ = std::make_unique<cell_owner>(
-        cell_, epoch, core_.settings.name, std::move(state.value()), Options(),
-        core_.decisions, MonotonicNow());
+        cell_, epoch, core_.settings.name, former_owner,
+        std::move(state.value()), Options(), core_.decisions, MonotonicNow());
     owner_->SetLeaseUntil(lease_until_);
     location_.set_cell(cell_);
     location_.set_epoch(epoch);
@@ -203,7 +204,9 @@
   return put.as_failure();
 }
 
-result<cell_state> owner_seat::RecoverAndFence() {
+// Reads the journal and appends a record under the next epoch, after which no
+// former owner can append. Sets who the former owner was.
+result<cell_state> owner_seat::RecoverAndFence(std::string& former_owner) {
   error last;
   for (int attempt = 0; attempt < kRecoverTries; ++attempt) {
     auto state = journal_.Recover();
@@ -212,6 +215,7 @@
       std::this_thread::sleep_for(std::chrono::milliseconds(kRetryPause));
       continue;
     }
+    former_owner = state.value().Owner();
     wire::journal_record fence;
     fence.set_sequence(state.value().Sequence() + 1);
     fence.set_epoch(state.value().Epoch() + 1);
--- a/src/chervilkeeld/owner_seat.h
+++ b/src/chervilkeeld/owner_seat.h
@@ -74,7 +74,7 @@
   void TryTakeOver();
   result<void> Acquire();
   result<void> PutOwnerKey(std::uint64_t epoch);
-  result<cell_state> RecoverAndFence();
+  result<cell_state> RecoverAndFence(std::string& former_owner);
   void Renew(millis now);
   void CommitPending(millis now);
   void AfterCommit(const wire::journal_record& record);
--- a/src/chervilkeeld/request_session.cpp
+++ b/src/chervilkeeld/request_session.cpp
@@ -1,5 +1,6 @@
 #include "request_session.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -17,6 +18,8 @@
 constexpr millis kMaxDeadline = 600'000;
 constexpr millis kReplyGrace = 50;       // For a refusal at the deadline.
 constexpr millis kSettleTimeout = 2'000;
+constexpr millis kClaimPause = 200;
+constexpr millis kClaimTimeout = 1'000;
 constexpr double kHedgeFactor = 4;       // Times the expected service time.
 constexpr std::size_t kMaxKeptBody = 1'024;  // Bytes of a settled answer.
 constexpr std::size_t kMaxKeyLength = 128;
@@ -129,7 +132,7 @@
 void request_session::Claim() {
   claim_owner_ = OwnerOfKey();
   if (claim_owner_.empty()) {
-    AnswerNotRun("no owner is known for the idempotency key");
+    ClaimAgain("no owner is known for the idempotency key");
     return;
   }
   wire::claim_request request;
@@ -138,7 +141,7 @@
   request.set_service(service_.name);
   const auto call = MakeCall<wire::claim_request, wire::claim_reply>(
       tables_.core.peers.At(claim_owner_), std::move(request),
-      deadline_ - MonotonicNow());
+      std::min(kClaimTimeout, deadline_ - MonotonicNow()));
   call->peer->owner->async()->ClaimRequest(
       &call->context, &call->request, &call->reply,
       [self = shared_from_this(), call](grpc::Status status) {
@@ -153,8 +156,8 @@
   if (!status.ok()) {
     // The claim may have been recorded; nothing was sent to an executor.
     claimed_ = true;
-    AnswerNotRun("claiming the idempotency key failed: " +
-                 status.error_message());
+    ClaimAgain("claiming the idempotency key failed: " +
+               status.error_message());
     return;
   }
   switch (reply.state()) {
@@ -169,11 +172,28 @@
       AnswerUnknown("the idempotency key was used before: " + reply.reason());
       break;
     default:
-      AnswerNotRun("the idempotency key cannot be claimed: " + reply.reason());
+      ClaimAgain("the idempotency key cannot be claimed: " + reply.reason());
       break;
   }
 }
 
+// Repeats a claim that got no answer, as the owner may be changing. A claim of
+// the same request is granted however often it is asked for.
+void request_session::ClaimAgain(const std::string& reason) {
+  const millis left = deadline_ - MonotonicNow();
+  if (left < kClaimPause + static_cast<millis>(service_.expected_ms)) {
+    AnswerNotRun(reason);
+    return;
+  }
+  timer_.expires_after(std::chrono::milliseconds(kClaimPause));
+  timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code failure) {
+        if (!failure) {
+          self->Claim();
+        }
+      });
+}
+
 // Gives a repeated request the answer that the first one got.
 void request_session::Replay(const wire::settlement& settled) {
   if (settled.outcome() != wire::outcome_answered || !settled.body_kept()) {
--- a/src/chervilkeeld/request_session.h
+++ b/src/chervilkeeld/request_session.h
@@ -38,6 +38,7 @@
   bool ReadDeadline();
   void Claim();
   void OnClaim(const grpc::Status& status, const wire::claim_reply& reply);
+  void ClaimAgain(const std::string& reason);
   void Replay(const wire::settlement& settled);
   void Begin();
   void Do(const flight_step& step);
--- a/src/chervilkeeld/roster_keeper.cpp
+++ b/src/chervilkeeld/roster_keeper.cpp
@@ -14,8 +14,8 @@
 
 constexpr const char* kPart = "roster";
 constexpr const char* kManifestPart = "manifest";
-constexpr millis kRosterTimeout = 400;
-constexpr millis kProbeTimeout = 400;
+constexpr millis kRosterTimeout = 300;
+constexpr millis kProbeTimeout = 300;
 constexpr millis kOwnersKnownFor = 10'000;  // Until the store is asked again.
 constexpr millis kOwnersUnknownFor = 500;
 constexpr millis kWatchTime = 5'000;
@@ -38,28 +38,24 @@
 
 void roster_keeper::RosterStep() {
   const millis now = MonotonicNow();
-  const auto stale_after =
-      2 * static_cast<millis>(tables_.core.settings.heartbeat);
   std::vector<wire::cell_location> owners;
-  bool all_answer = true;
   {
     const std::lock_guard lock(tables_.mutex);
     for (const auto& [cell, owner] : tables_.owners) {
       owners.push_back(owner);
-      all_answer = all_answer && now - answered_at_[cell] <= stale_after;
     }
   }
-  all_answer = all_answer && !owners.empty();
-  if (now - looked_at_ >= (all_answer ? kOwnersKnownFor : kOwnersUnknownFor)) {
-    looked_at_ = now;
-    FindOwners();
-  }
+  bool all_answer = !owners.empty();
   for (const wire::cell_location& owner : owners) {
-    AskRoster(owner);
+    all_answer = AskRoster(owner) && all_answer;
   }
   if (!all_answer) {
     ProbeSilent();
   }
+  if (now - looked_at_ >= (all_answer ? kOwnersKnownFor : kOwnersUnknownFor)) {
+    looked_at_ = now;
+    FindOwners();
+  }
 }
 
 void roster_keeper::LearnOwner(const wire::cell_location& location) {
@@ -99,7 +95,7 @@
   }
 }
 
-void roster_keeper::AskRoster(const wire::cell_location& owner) {
+bool roster_keeper::AskRoster(const wire::cell_location& owner) {
   wire::roster_request request;
   request.set_entry(tables_.core.settings.name);
   request.set_address(tables_.core.RpcAddress());
@@ -110,12 +106,11 @@
   const grpc::Status status = call->peer->owner->GetRoster(
       &call->context, call->request, &call->reply);
   if (!status.ok() || call->reply.outcome() != wire::report_accepted) {
-    return;
+    return false;
   }
-  const millis now = MonotonicNow();
   const std::lock_guard lock(tables_.mutex);
-  answered_at_[owner.cell()] = now;
-  tables_.upstreams.TakeRoster(call->reply, now);
+  tables_.upstreams.TakeRoster(call->reply, MonotonicNow());
+  return true;
 }
 
 // Asks upstreams that were not heard lately whether they live.
--- a/src/chervilkeeld/roster_keeper.h
+++ b/src/chervilkeeld/roster_keeper.h
@@ -1,7 +1,6 @@
 // Keeps an entry's upstreams, cell owners and manifest up to date.
 #pragma once
 
-#include <map>
 #include <string>
 
 #include "entry_tables.h"
@@ -21,7 +20,7 @@
  private:
   void RosterStep();
   void FindOwners();
-  void AskRoster(const wire::cell_location& owner);
+  bool AskRoster(const wire::cell_location& owner);
   void ProbeSilent();
   void WatchManifest();
   void AskPeers();
@@ -30,7 +29,6 @@
   entry_tables& tables_;
   periodic_loop roster_loop_;
   periodic_loop manifest_loop_;
-  std::map<std::string, millis> answered_at_;  // By cell; under tables_.mutex.
   millis looked_at_ = 0;
   std::uint64_t root_version_ = 0;  // The store's version of the root key.
 };
--- a/src/include/chervilkeel/agent_core.h
+++ b/src/include/chervilkeel/agent_core.h
@@ -106,7 +106,9 @@
 // The decisions of one agent.
 class agent_core {
  public:
-  agent_core(agent_options options, decision_log& log);
+  // `now` is when the process started. Starts that an earlier process of this
+  // VM ordered may still take effect for the length of a worker lease.
+  agent_core(agent_options options, decision_log& log, millis now);
 
   // Takes the answer to a report that was sent at `sent_at`. A grant counts
   // from then; an answer of an earlier epoch or out of order grants nothing.
@@ -161,7 +163,8 @@
 
   void TakeStart(const wire::assignment& assignment);
   void TakeWithdraw(const wire::task_id& id);
-  void TakeGiveBack(const wire::task_id& id);
+  void TakeGiveBack(const wire::task_id& id, millis now);
+  void EndWithdrawnBacklog(millis now);
   void TakeAcknowledged(const wire::task_id& id);
   void Adopt(const worker_task& listed);
   void TakeWorkerTask(local_task& task, const worker_task& listed);
@@ -186,6 +189,7 @@
 
   const agent_options options_;
   decision_log& log_;
+  const millis settled_at_;  // No earlier process's start acts after this.
   std::map<std::string, local_task> tasks_;
   std::uint64_t epoch_ = 0;
   std::uint64_t last_sequence_ = 0;
--- a/src/include/chervilkeel/cell_owner.h
+++ b/src/include/chervilkeel/cell_owner.h
@@ -58,11 +58,13 @@
 class cell_owner {
  public:
   // Takes over a cell whose journal holds `state`, under `epoch`, at `now`.
+  // `former_owner` is the agent that owned it last, or empty.
   // Agents that hold assignments may still run until a hold granted by the
   // predecessor ends, or until they report here.
   cell_owner(std::string cell,
              std::uint64_t epoch,
              std::string owner,
+             std::string former_owner,
              cell_state state,
              owner_options options,
              decision_log& log,
@@ -177,6 +179,9 @@
   std::optional<wire::journal_record> in_flight_;
   std::set<task_key> changing_;         // Tasks with a change not yet durable.
   std::set<std::string> claiming_;      // Keys with a claim not yet durable.
+  // Ends of claimed requests that are not durable yet. They are told to who
+  // repeats a request: an answer that was given stays given.
+  std::map<std::string, wire::settlement> settling_;
   std::map<std::string, amount> used_by_team_;
   std::map<std::string, std::string> misfits_;  // Job to the lacking dimension.
   std::set<std::string> returning_;     // Attempts that agents must give back.
--- a/src/include/chervilkeel/cell_state.h
+++ b/src/include/chervilkeel/cell_state.h
@@ -73,6 +73,8 @@
 
   std::uint64_t Sequence() const { return sequence_; }
   std::uint64_t Epoch() const { return epoch_; }
+  // The agent whose process wrote the last record.
+  const std::string& Owner() const { return owner_; }
   std::uint64_t ManifestVersion() const { return manifest_version_; }
   const std::map<std::string, job_entry>& Jobs() const { return jobs_; }
   const std::map<std::string, wire::claim_record>& Claims() const {
@@ -108,6 +110,7 @@
   std::uint64_t sequence_ = 0;
   std::uint64_t epoch_ = 0;
   std::uint64_t manifest_version_ = 0;
+  std::string owner_;
   std::map<std::string, job_entry> jobs_;
   std::map<std::string, std::set<task_key>> assigned_to_;
   std::map<std::string, wire::claim_record> claims_;
--- a/src/include/chervilkeel/worker.h
+++ b/src/include/chervilkeel/worker.h
@@ -16,6 +16,7 @@
 // What a worker carries, as the platform describes it.
 struct worker_description {
   amount capacity;
+  std::string instance;  // New with each VM, the same for its whole life.
 };
 
 // The interface that worker plug-ins implement. A worker takes each attempt
--- a/src/libkernel/agent_core.cpp
+++ b/src/libkernel/agent_core.cpp
@@ -32,8 +32,10 @@
   return options;
 }
 
-agent_core::agent_core(agent_options options, decision_log& log)
-    : options_(std::move(options)), log_(log) {}
+agent_core::agent_core(agent_options options, decision_log& log, millis now)
+    : options_(std::move(options)),
+      log_(log),
+      settled_at_(now + options_.worker_lease) {}
 
 void agent_core::OnReply(const wire::owner_reply& reply,
                          millis sent_at,
@@ -60,7 +62,7 @@
     TakeWithdraw(id);
   }
   for (const auto& id : reply.give_back()) {
-    TakeGiveBack(id);
+    TakeGiveBack(id, now);
   }
   for (const auto& id : reply.acknowledged()) {
     TakeAcknowledged(id);
@@ -80,10 +82,6 @@
   task.assignment = assignment;
   task.need = FromWire(assignment.need());
   task.checkpoint = assignment.checkpoint();
-  if (draining_) {
-    task.phase = local_phase::kEnded;
-    task.reason = "the agent is leaving";
-  }
 }
 
 void agent_core::TakeWithdraw(const wire::task_id& id) {
@@ -91,17 +89,28 @@
   if (found == tasks_.end() || found->second.phase == local_phase::kEnded) {
     return;
   }
-  local_task& task = found->second;
-  task.withdrawn = true;
-  if (task.phase == local_phase::kBacklog) {
-    task.phase = local_phase::kEnded;
-    task.reason = "withdrawn before it started";
+  found->second.withdrawn = true;
+}
+
+// Ends tasks of the backlog that are no longer wanted, once it is certain that
+// no start of an earlier process of this VM can still take effect.
+void agent_core::EndWithdrawnBacklog(millis now) {
+  if (now < settled_at_) {
+    return;
+  }
+  for (auto& [name, task] : tasks_) {
+    if (task.phase == local_phase::kBacklog && (task.withdrawn || draining_)) {
+      task.phase = local_phase::kEnded;
+      task.reason = draining_ ? "the agent is leaving"
+                              : "withdrawn before it started";
+    }
   }
 }
 
-void agent_core::TakeGiveBack(const wire::task_id& id) {
+void agent_core::TakeGiveBack(const wire::task_id& id, millis now) {
   const auto found = tasks_.find(NameOf(id));
-  if (found == tasks_.end() || found->second.phase != local_phase::kBacklog) {
+  if (found == tasks_.end() || now < settled_at_ ||
+      found->second.phase != local_phase::kBacklog) {
     return;
   }
   found->second.phase = local_phase::kEnded;
@@ -237,6 +246,7 @@
   std::vector<worker_action> actions;
   planned_slots_ = std::min(wanted_slots, options_.slots);
   const amount allowed = BatchAllowed(planned_slots_);
+  EndWithdrawnBacklog(now);
   AddForgets(actions);
   AddRenewals(actions, now);
   RelievePressure(actions, allowed, now);
@@ -407,7 +417,7 @@
         task.phase == local_phase::kRunning) {
       room -= task.need;
     }
-    if (task.phase == local_phase::kBacklog) {
+    if (task.phase == local_phase::kBacklog && !task.withdrawn) {
       backlog.push_back(&task);
     }
   }
@@ -465,12 +475,6 @@
 
 void agent_core::Drain() {
   draining_ = true;
-  for (auto& [name, task] : tasks_) {
-    if (task.phase == local_phase::kBacklog) {
-      task.phase = local_phase::kEnded;
-      task.reason = "the agent is leaving";
-    }
-  }
 }
 
 }  // namespace chervilkeel
--- a/src/libkernel/cell_owner.cpp
+++ b/src/libkernel/cell_owner.cpp
@@ -23,6 +23,7 @@
 cell_owner::cell_owner(std::string cell,
                        std::uint64_t epoch,
                        std::string owner,
+                       std::string former_owner,
                        cell_state state,
                        owner_options options,
                        decision_log& log,
@@ -38,7 +39,12 @@
     agent_entry& agent = agents_[name];
     agent.report.set_agent(name);
     agent.heard_at = now;
-    agent.hold_until = now + WithDrift(options_.hold, options_.clock_drift);
+    // An owner never grants a hold to the agent of its own process, so that
+    // the loss of one VM is repaired after one tenure.
+    const bool was_owner = name == former_owner;
+    agent.hold_until =
+        now + WithDrift(was_owner ? options_.tenure : options_.hold,
+                        options_.clock_drift);
   }
 }
 
@@ -102,7 +108,7 @@
   if (!MayGrant(now)) {
     return;
   }
-  if (store_reachable_) {
+  if (store_reachable_ || agent.report.agent() == owner_) {
     reply.set_tenure_ms(static_cast<std::uint64_t>(options_.tenure));
     agent.tenure_until = now + WithDrift(options_.tenure, options_.clock_drift);
     return;
@@ -224,8 +230,9 @@
     const wire::task_record& task = job.tasks[key.index];
     const wire::assignment assignment = MakeAssignment(job, task);
     const bool known = reported.count(NameOf(assignment.id())) != 0;
-    const bool same_process = task.incarnation() == agent.report.incarnation();
-    if (!known && same_process && job.Wanted() && changing_.count(key) == 0) {
+    const bool same_worker =
+        task.worker_instance() == agent.report.worker_instance();
+    if (!known && same_worker && job.Wanted() && changing_.count(key) == 0) {
       *reply.add_start() = assignment;
     }
   }
@@ -280,9 +287,13 @@
   const auto known = state_.Claims().find(request.key());
   if (known != state_.Claims().end()) {
     const wire::claim_record& claim = known->second;
+    const auto settling = settling_.find(request.key());
     if (claim.has_settled()) {
       reply.set_state(wire::claim_answered);
       *reply.mutable_settled() = claim.settled();
+    } else if (settling != settling_.end()) {
+      reply.set_state(wire::claim_answered);
+      *reply.mutable_settled() = settling->second;
     } else if (claim.request_id() == request.request_id()) {
       reply.set_state(wire::claim_granted);
     } else {
@@ -324,6 +335,7 @@
     return;
   }
   *Propose().mutable_settled() = settled;
+  settling_[settled.key()] = settled;
 }
 
 std::optional<wire::journal_record> cell_owner::NextRecord() {
@@ -368,6 +380,8 @@
       id = &change.finished().id();
     } else if (change.has_claimed()) {
       claiming_.erase(change.claimed().key());
+    } else if (change.has_settled()) {
+      settling_.erase(change.settled().key());
     } else if (change.has_dropped()) {
       ClearJobMarker(change.dropped().job());
     } else if (change.has_stopped()) {
--- a/src/libkernel/cell_owner_placement.cpp
+++ b/src/libkernel/cell_owner_placement.cpp
@@ -54,7 +54,7 @@
 }
 
 // Past the end of every right the agent may hold, releases what a silent agent
-// held, and what an earlier incarnation held that this one does not know.
+// held, and what an earlier worker of its name held.
 void cell_owner::MoveTasksOf(const std::string& name,
                              const agent_entry& agent) {
   std::set<std::string> reported;
@@ -66,7 +66,7 @@
   std::size_t moved = 0;
   for (const task_key& key : state_.AssignedTo(name)) {
     const wire::task_record& task = *state_.Find(key.job, key.index);
-    const bool orphaned = task.incarnation() != agent.report.incarnation();
+    const bool orphaned = task.worker_instance() != agent.report.worker_instance();
     wire::task_id id;
     id.set_job(key.job);
     id.set_index(key.index);
@@ -325,7 +325,7 @@
   assigned->mutable_id()->set_index(index);
   assigned->mutable_id()->set_attempt(task.attempt() + 1);
   assigned->set_agent(chosen.agent);
-  assigned->set_incarnation(agent.report.incarnation());
+  assigned->set_worker_instance(agent.report.worker_instance());
   changing_.insert({job.specification.name(), index});
   log_.Add(kPart, NameOf(assigned->id()), "assigned to " + chosen.agent,
            choice.reason);
--- a/src/libkernel/cell_state.cpp
+++ b/src/libkernel/cell_state.cpp
@@ -96,6 +96,7 @@
   state.sequence_ = snapshot.sequence();
   state.epoch_ = snapshot.epoch();
   state.manifest_version_ = snapshot.manifest_version();
+  state.owner_ = snapshot.owner();
   for (const auto& record : snapshot.jobs()) {
     state.Accept(record.job(), record.attempt_base());
     job_entry& job = state.jobs_[record.job().name()];
@@ -128,6 +129,7 @@
   }
   sequence_ = record.sequence();
   epoch_ = record.epoch();
+  owner_ = record.owner();
   for (const auto& change : record.changes()) {
     ApplyChange(change);
   }
@@ -217,7 +219,7 @@
   task.set_phase(wire::phase_assigned);
   task.set_attempt(change.id().attempt());
   task.set_agent(change.agent());
-  task.set_incarnation(change.incarnation());
+  task.set_worker_instance(change.worker_instance());
   job->second.waiting.erase(task.index());
   job->second.assigned.insert(task.index());
   assigned_to_[change.agent()].insert({change.id().job(), task.index()});
@@ -311,6 +313,7 @@
   snapshot.set_sequence(sequence_);
   snapshot.set_epoch(epoch_);
   snapshot.set_manifest_version(manifest_version_);
+  snapshot.set_owner(owner_);
   for (const auto& [name, job] : jobs_) {
     auto* record = snapshot.add_jobs();
     *record->mutable_job() = job.specification;
--- a/src/standins/client_load.cpp
+++ b/src/standins/client_load.cpp
@@ -54,6 +54,7 @@
   std::string service;
   std::string outcome;  // answered, not-run, unknown, refused, unreachable
   std::string request_id;
+  std::string reason;  // Why there was no answer.
   bool whole = true;  // The answer was the whole answer to this request.
   bool repeat = false;
   bool in_crest = false;
@@ -66,6 +67,17 @@
   return view.Header(name);
 }
 
+// Reads the reason out of an answer that says why there is none.
+std::string ReasonOf(const http_response& response) {
+  boost::system::error_code failure;
+  const json::value body = json::parse(response.body, failure);
+  if (failure || !body.is_object()) {
+    return "";
+  }
+  const json::value* reason = body.as_object().if_contains("reason");
+  return reason ? std::string(reason->as_string()) : response.body;
+}
+
 // Sends the load. Runs on one thread.
 class client_load {
  public:
@@ -163,16 +175,17 @@
             Send(part, token, tries + 1, repeat);
             return;
           }
-          Take(record, answer, body);
-          if (part.keyed && !repeat && record.outcome != "answered") {
+          const std::string outcome = Take(record, answer, body);
+          if (part.keyed && !repeat && outcome != "answered") {
             Send(part, token, 0, true);  // The client's own retry.
           }
         });
   }
 
-  void Take(client_record record,
-            const result<http_response>& answer,
-            const std::string& body) {
+  // Records what the client was told, and returns the outcome.
+  std::string Take(client_record record,
+                   const result<http_response>& answer,
+                   const std::string& body) {
     if (!answer) {
       record.outcome = answer.error().code == error_code::kUnavailable
                            ? "unreachable"
@@ -180,14 +193,17 @@
     } else {
       record.outcome = HeaderOf(answer.value(), "X-Outcome");
       record.request_id = HeaderOf(answer.value(), "X-Request-Id");
-      if (record.outcome == "answered") {
+      if (record.outcome != "answered") {
+        record.reason = ReasonOf(answer.value());
+      } else {
         const std::string& text = answer.value().body;
         record.whole = text.size() >= body.size() &&
                        text.compare(text.size() - body.size(), body.size(),
                                     body) == 0;
       }
     }
-    records_.push_back(std::move(record));
+    records_.push_back(record);
+    return record.outcome;
   }
 
   asio::io_context& context_;
@@ -232,6 +248,37 @@
   }
 }
 
+// Prints the commonest reasons for requests without an answer, with figures
+// replaced so that like reasons count together.
+void PrintReasons(const std::vector<client_record>& records) {
+  constexpr std::size_t kMost = 6;
+  std::map<std::string, int> counts;
+  for (const client_record& record : records) {
+    if (record.outcome == "answered") {
+      continue;
+    }
+    std::string reason;
+    for (const char letter : record.reason) {
+      const bool digit = std::isdigit(static_cast<unsigned char>(letter)) != 0;
+      if (!digit) {
+        reason += letter;
+      } else if (reason.empty() || reason.back() != 'N') {
+        reason += 'N';
+      }
+    }
+    ++counts[record.outcome + ": " +
+             (reason.empty() ? "the connection was lost" : reason)];
+  }
+  std::vector<std::pair<int, std::string>> sorted;
+  for (const auto& [reason, count] : counts) {
+    sorted.emplace_back(count, reason);
+  }
+  std::sort(sorted.rbegin(), sorted.rend());
+  for (std::size_t i = 0; i < sorted.size() && i < kMost; ++i) {
+    std::printf("  %6d  %s\n", sorted[i].first, sorted[i].second.c_str());
+  }
+}
+
 void WriteLedger(const std::string& path,
                  const std::vector<client_record>& records) {
   json::array list;
@@ -241,6 +288,7 @@
                                 {"service", record.service},
                                 {"outcome", record.outcome},
                                 {"request_id", record.request_id},
+                                {"reason", record.reason},
                                 {"whole", record.whole},
                                 {"repeat", record.repeat},
                                 {"latency_ms", record.latency_ms}});
@@ -270,6 +318,7 @@
   if (options.crest_until > options.crest_from) {
     PrintLatencies(load.Records(), true);
   }
+  PrintReasons(load.Records());
   if (!options.ledger.empty()) {
     WriteLedger(options.ledger, load.Records());
   }
--- a/src/standins/worker_standin.cpp
+++ b/src/standins/worker_standin.cpp
@@ -64,6 +64,7 @@
 
 struct fake_worker {
   int number = 0;
+  std::string instance;
   amount capacity;
   std::uint32_t slots = 8;
   std::uint32_t busy_slots = 0;
@@ -104,6 +105,8 @@
     for (int number = 0; number < workers; ++number) {
       fake_worker worker;
       worker.number = number;
+      worker.instance = "vm-" + std::to_string(number) + "-" +
+                        std::to_string(WallNow());
       worker.capacity = capacity;
       worker.slots = slots;
       workers_.push_back(std::move(worker));
@@ -119,7 +122,9 @@
       return;  // The VM is gone: no answer ever comes.
     }
     if (request.path == "/v1/worker") {
-      respond(Json(AmountOf(worker.capacity)));
+      json::object description = AmountOf(worker.capacity);
+      description["instance"] = worker.instance;
+      respond(Json(description));
     } else if (request.path == "/v1/actions") {
       const json::object body = json::parse(request.body).as_object();
       for (const json::value& action : body.at("actions").as_array()) {
@@ -181,6 +186,7 @@
       worker.down = flag->as_bool();
       if (worker.down) {
         EndAll(worker, "VM failed");
+        worker.instance += "'";
       }
     }
     respond(Json({}));
