--- a/src/chervilkeel/main.cpp
+++ b/src/chervilkeel/main.cpp
@@ -54,7 +54,9 @@
   for (const unsigned char letter : text) {
     char code[4];
     std::snprintf(code, sizeof code, "%%%02X", letter);
-    encoded += std::isalnum(letter) != 0 ? std::string(1, static_cast<char>(letter)) : code;
+    encoded += std::isalnum(letter) != 0
+                   ? std::string(1, static_cast<char>(letter))
+                   : code;
   }
   return encoded;
 }
@@ -179,8 +181,9 @@
       list.push_back(
           json::object{{"place", entry.place}, {"message", entry.message}});
     }
-    std::printf("%s\n", json::serialize(json::object{
-                            {"findings", std::move(list)}}).c_str());
+    std::printf(
+        "%s\n",
+        json::serialize(json::object{{"findings", std::move(list)}}).c_str());
   } else if (reading.found.empty()) {
     std::printf("%s: no findings; %zu services, %zu jobs, %zu teams\n",
                 options.file.c_str(), reading.value.services.size(),
@@ -253,8 +256,9 @@
 void AddReports(CLI::App& app, command_options& options, int& code) {
   app.add_subcommand("status", "Show upstreams, workers, cells and repairs")
       ->callback([&] { code = Report(options, "/v1/status", PrintStatus); });
-  app.add_subcommand("jobs", "Show every job and how far it is")
-      ->callback([&] { code = Report(options, "/v1/jobs", PrintJobs); });
+  app.add_subcommand("jobs", "Show every job and how far it is")->callback([&] {
+    code = Report(options, "/v1/jobs", PrintJobs);
+  });
   auto* explain = app.add_subcommand(
       "explain", "Show every decision about a job, task, request or agent");
   explain->add_option("subject", options.subject, "A name, like JOB@1/3")
--- a/src/chervilkeel/print_reports.cpp
+++ b/src/chervilkeel/print_reports.cpp
@@ -56,46 +56,46 @@
 }
 
 void PrintRecord(const json::object& record) {
-  std::printf("  %s  %-14s %-9s %s: %s, because %s (manifest %llu, epoch %llu)\n",
-              Time(Number(record, "at_ms")).c_str(),
-              Text(record, "process").c_str(), Text(record, "part").c_str(),
-              Text(record, "subject").c_str(), Text(record, "what").c_str(),
-              Text(record, "why").c_str(),
-              static_cast<unsigned long long>(
-                  Number(record, "manifest_version")),
-              static_cast<unsigned long long>(Number(record, "epoch")));
+  std::printf(
+      "  %s  %-14s %-9s %s: %s, because %s (manifest %llu, epoch %llu)\n",
+      Time(Number(record, "at_ms")).c_str(), Text(record, "process").c_str(),
+      Text(record, "part").c_str(), Text(record, "subject").c_str(),
+      Text(record, "what").c_str(), Text(record, "why").c_str(),
+      static_cast<unsigned long long>(Number(record, "manifest_version")),
+      static_cast<unsigned long long>(Number(record, "epoch")));
 }
 
 void PrintUpstream(const json::object& upstream) {
   const json::object load = Object(upstream, "load");
-  std::printf("  %-14s %-12s %-8s %2llu of %llu slots busy, %llu queued, heard "
-              "%llu ms ago%s\n",
-              Text(upstream, "agent").c_str(),
-              Text(upstream, "data_centre").c_str(),
-              Flag(upstream, "draining")  ? "leaving"
-              : Flag(upstream, "usable") ? "usable"
-                                         : "silent",
-              static_cast<unsigned long long>(Number(load, "busy_slots")),
-              static_cast<unsigned long long>(Number(load, "slots")),
-              static_cast<unsigned long long>(Number(load, "queued_short") +
-                                              Number(load, "queued_long")),
-              static_cast<unsigned long long>(Number(upstream, "heard_ms_ago")),
-              Text(upstream, "cell").empty() ? " (no cell)" : "");
+  std::printf(
+      "  %-14s %-12s %-8s %2llu of %llu slots busy, %llu queued, heard "
+      "%llu ms ago%s\n",
+      Text(upstream, "agent").c_str(), Text(upstream, "data_centre").c_str(),
+      Flag(upstream, "draining") ? "leaving"
+      : Flag(upstream, "usable") ? "usable"
+                                 : "silent",
+      static_cast<unsigned long long>(Number(load, "busy_slots")),
+      static_cast<unsigned long long>(Number(load, "slots")),
+      static_cast<unsigned long long>(Number(load, "queued_short") +
+                                      Number(load, "queued_long")),
+      static_cast<unsigned long long>(Number(upstream, "heard_ms_ago")),
+      Text(upstream, "cell").empty() ? " (no cell)" : "");
 }
 
 void PrintWorker(const json::object& worker) {
   const json::object capacity = Object(worker, "capacity");
   const json::object assigned = Object(worker, "assigned");
-  std::printf("  %-14s %-8s %-12s %6.1f of %6.1f processors, %6llu of %6llu MB "
-              "assigned; %llu running, %llu waiting there\n",
-              Text(worker, "agent").c_str(), Text(worker, "rack").c_str(),
-              Text(worker, "condition").c_str(),
-              static_cast<double>(Number(assigned, "milli_processors")) / 1000,
-              static_cast<double>(Number(capacity, "milli_processors")) / 1000,
-              static_cast<unsigned long long>(Number(assigned, "memory_mb")),
-              static_cast<unsigned long long>(Number(capacity, "memory_mb")),
-              static_cast<unsigned long long>(Number(worker, "running")),
-              static_cast<unsigned long long>(Number(worker, "backlog")));
+  std::printf(
+      "  %-14s %-8s %-12s %6.1f of %6.1f processors, %6llu of %6llu MB "
+      "assigned; %llu running, %llu waiting there\n",
+      Text(worker, "agent").c_str(), Text(worker, "rack").c_str(),
+      Text(worker, "condition").c_str(),
+      static_cast<double>(Number(assigned, "milli_processors")) / 1000,
+      static_cast<double>(Number(capacity, "milli_processors")) / 1000,
+      static_cast<unsigned long long>(Number(assigned, "memory_mb")),
+      static_cast<unsigned long long>(Number(capacity, "memory_mb")),
+      static_cast<unsigned long long>(Number(worker, "running")),
+      static_cast<unsigned long long>(Number(worker, "backlog")));
 }
 
 std::string Joined(const json::array& names) {
@@ -109,10 +109,10 @@
 }  // namespace
 
 void PrintStatus(const json::object& report) {
-  std::printf("Manifest version %llu in force at entry %s\n",
-              static_cast<unsigned long long>(
-                  Number(report, "manifest_version")),
-              Text(report, "entry").c_str());
+  std::printf(
+      "Manifest version %llu in force at entry %s\n",
+      static_cast<unsigned long long>(Number(report, "manifest_version")),
+      Text(report, "entry").c_str());
   std::printf("Upstreams:\n");
   for (const json::value& upstream : List(report, "upstreams")) {
     PrintUpstream(upstream.as_object());
@@ -189,8 +189,7 @@
   std::printf("# version %llu, committed by %s: %s\n",
               static_cast<unsigned long long>(Number(root, "version")),
               Text(root, "author").c_str(), Text(root, "note").c_str());
-  std::printf("%s\n",
-              json::serialize(report.at("manifest")).c_str());
+  std::printf("%s\n", json::serialize(report.at("manifest")).c_str());
 }
 
 void PrintHistory(const json::object& report) {
@@ -214,11 +213,12 @@
     return;
   }
   if (status == 409) {
-    std::fprintf(stderr,
-                 "Nothing was changed: version %llu was committed meanwhile and "
-                 "differs in %s\n",
-                 static_cast<unsigned long long>(Number(report, "version")),
-                 Joined(List(report, "conflicts")).c_str());
+    std::fprintf(
+        stderr,
+        "Nothing was changed: version %llu was committed meanwhile and "
+        "differs in %s\n",
+        static_cast<unsigned long long>(Number(report, "version")),
+        Joined(List(report, "conflicts")).c_str());
     return;
   }
   for (const json::value& entry : List(report, "findings")) {
--- a/src/chervilkeeld/agent_process.cpp
+++ b/src/chervilkeeld/agent_process.cpp
@@ -16,8 +16,8 @@
 constexpr const char* kPart = "agent";
 constexpr millis kWorkerTimeout = 1'000;
 constexpr millis kHeartbeatTimeout = 1'000;
-constexpr int kSilentHeartbeats = 2;     // Until the owner counts as gone.
-constexpr millis kCompeteJitter = 300;   // Spreads rival candidates.
+constexpr int kSilentHeartbeats = 2;    // Until the owner counts as gone.
+constexpr millis kCompeteJitter = 300;  // Spreads rival candidates.
 constexpr millis kDrainPoll = 50;
 
 millis RandomBelow(millis limit) {
@@ -33,8 +33,8 @@
       context_(context),
       seat_(core),
       runner_(core, context),
-      peer_(core, [this](wire::manifest_reply& reply) { seat_.Locate(reply); }) {
-}
+      peer_(core,
+            [this](wire::manifest_reply& reply) { seat_.Locate(reply); }) {}
 
 result<void> agent_process::Start() {
   auto worker = MakeWorker(core_.settings.worker_kind, core_.settings.worker,
@@ -55,8 +55,8 @@
   options.executor_memory_mb =
       static_cast<std::int64_t>(core_.settings.executor_memory_mb);
   options = WithLean(options, core_.settings.lean);
-  tasks_ = std::make_unique<agent_core>(options, core_.decisions,
-                                        MonotonicNow());
+  tasks_ =
+      std::make_unique<agent_core>(options, core_.decisions, MonotonicNow());
   grpc::ServerBuilder builder;
   builder.AddListeningPort(core_.RpcAddress(),
                            grpc::InsecureServerCredentials());
@@ -91,8 +91,8 @@
   const millis asked_at = MonotonicNow();
   const auto listed = worker_->Act(actions);
   if (!listed) {
-    LogWarn(kPart, "The worker does not answer; " + ToString(listed.error()) +
-                       ".");
+    LogWarn(kPart,
+            "The worker does not answer; " + ToString(listed.error()) + ".");
     return;
   }
   bool ended = false;
@@ -172,8 +172,8 @@
   }
   const auto fetched = FetchManifest(core_, owner);
   if (!fetched) {
-    LogWarn(kPart, "Fetching the manifest failed; " +
-                       ToString(fetched.error()) + ".");
+    LogWarn(kPart,
+            "Fetching the manifest failed; " + ToString(fetched.error()) + ".");
     return;
   }
   seat_.OnManifest();
@@ -222,8 +222,7 @@
   // Entries need a moment to learn from the roster that this upstream leaves.
   const millis settled =
       MonotonicNow() + 3 * static_cast<millis>(core_.settings.heartbeat);
-  while (MonotonicNow() < until &&
-         !(Drained() && MonotonicNow() >= settled)) {
+  while (MonotonicNow() < until && !(Drained() && MonotonicNow() >= settled)) {
     std::this_thread::sleep_for(std::chrono::milliseconds(kDrainPoll));
   }
   heartbeat_loop_.Stop();
--- a/src/chervilkeeld/entry_process.cpp
+++ b/src/chervilkeeld/entry_process.cpp
@@ -23,6 +23,7 @@
 constexpr const char* kPart = "entry";
 constexpr millis kReportTimeout = 1'000;
 constexpr millis kDrainPoll = 20;
+constexpr millis kReadyLimit = 10'000;
 constexpr std::size_t kHistoryLimit = 50;
 
 http_response JsonResponse(const json::value& body, unsigned status = 200) {
@@ -96,6 +97,7 @@
                 "cannot serve gRPC on " + core_.RpcAddress());
   }
   roster_.Start();
+  AwaitUpstreams();
   http_server_options options;
   options.listen = {core_.settings.address, core_.settings.client_port};
   options.body_limit = core_.settings.body_limit;
@@ -107,6 +109,25 @@
   return clients_->Start();
 }
 
+// Waits a while for a manifest and a usable upstream, so that the balancer
+// sends no client to an entry that can't serve one yet.
+void entry_process::AwaitUpstreams() {
+  const millis until = MonotonicNow() + kReadyLimit;
+  while (MonotonicNow() < until) {
+    {
+      const std::lock_guard lock(tables_.mutex);
+      const millis now = MonotonicNow();
+      for (const auto& [name, upstream] : tables_.upstreams.All()) {
+        if (core_.manifests.Version() > 0 &&
+            tables_.upstreams.Usable(upstream, now)) {
+          return;
+        }
+      }
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(kDrainPoll));
+  }
+}
+
 void entry_process::Stop() {
   LogInfo(kPart, "Draining.");
   tables_.draining = true;
@@ -128,13 +149,13 @@
   if (request.path == "/healthz") {
     const bool well = !tables_.draining && core_.manifests.Version() > 0;
     respond(well ? JsonResponse(json::object{{"healthy", true}})
-                 : ErrorResponse(503, tables_.draining ? "leaving"
-                                                       : "no manifest yet"));
+                 : ErrorResponse(
+                       503, tables_.draining ? "leaving" : "no manifest yet"));
     return;
   }
   if (request.path.rfind("/v1/request/", 0) != 0) {
-    respond(ErrorResponse(404, "clients call /v1/request/SERVICE, not " +
-                                   request.path));
+    respond(ErrorResponse(
+        404, "clients call /v1/request/SERVICE, not " + request.path));
     return;
   }
   std::make_shared<request_session>(context_, tables_, std::move(request),
@@ -152,9 +173,8 @@
     (void)AnswerCommonCall(core_, request, respond);
     return;
   }
-  boost::asio::post(operators_, [this, request, respond] {
-    HandleSlowly(request, respond);
-  });
+  boost::asio::post(
+      operators_, [this, request, respond] { HandleSlowly(request, respond); });
 }
 
 void entry_process::HandleSlowly(const http_request& request,
@@ -164,7 +184,8 @@
     respond(Status());
   } else if (request.path == "/v1/jobs") {
     respond(Jobs());
-  } else if (request.path == "/v1/explain" && !request.Query("subject").empty()) {
+  } else if (request.path == "/v1/explain" &&
+             !request.Query("subject").empty()) {
     respond(Explain(request.Query("subject")));
   } else if (request.path == "/v1/manifest" && !post) {
     respond(ShowManifest());
@@ -175,8 +196,8 @@
   } else if (request.path == "/v1/manifest/history") {
     respond(History(request));
   } else {
-    respond(ErrorResponse(404, "an entry has no call " + request.method + " " +
-                                   request.path));
+    respond(ErrorResponse(
+        404, "an entry has no call " + request.method + " " + request.path));
   }
 }
 
@@ -192,8 +213,8 @@
   for (const wire::cell_location& owner : owners) {
     const auto call = MakeCall<wire::jobs_request, wire::jobs_reply>(
         core_.peers.At(owner.address()), {}, kReportTimeout);
-    const grpc::Status status = call->peer->owner->GetJobs(
-        &call->context, call->request, &call->reply);
+    const grpc::Status status =
+        call->peer->owner->GetJobs(&call->context, call->request, &call->reply);
     if (!status.ok() || call->reply.outcome() != wire::report_accepted) {
       call->reply.Clear();
       call->reply.set_cell(owner.cell());
@@ -301,10 +322,10 @@
   if (!sections) {
     return FailureResponse(sections.error());
   }
-  return JsonResponse(json::object{
-      {"root", WireJson(current.value().root)},
-      {"manifest", json::parse(JoinSections(sections.value()))},
-      {"in_force_here", core_.manifests.Version()}});
+  return JsonResponse(
+      json::object{{"root", WireJson(current.value().root)},
+                   {"manifest", json::parse(JoinSections(sections.value()))},
+                   {"in_force_here", core_.manifests.Version()}});
 }
 
 http_response entry_process::History(const http_request& /*request*/) {
@@ -345,8 +366,8 @@
     commit.base_version = body.at("base_version").to_number<std::uint64_t>();
     commit.rebase = body.at("rebase").as_bool();
   } catch (const std::exception& failure) {
-    return ErrorResponse(400, std::string("the commit cannot be read: ") +
-                                  failure.what());
+    return ErrorResponse(
+        400, std::string("the commit cannot be read: ") + failure.what());
   }
   manifest_store<key_value_store> manifests(*core_.store);
   const auto committed = manifests.Commit(commit);
@@ -364,13 +385,12 @@
                         "manifest@" + std::to_string(report.root.version()),
                         "committed for " + commit.author, commit.note);
   }
-  return JsonResponse(
-      json::object{{"version", report.root.version()},
-                   {"findings", FindingsJson(report.found)},
-                   {"conflicts", NamesJson(report.conflicts)},
-                   {"changed", NamesJson(report.changed)},
-                   {"rebased", report.rebased}},
-      status);
+  return JsonResponse(json::object{{"version", report.root.version()},
+                                   {"findings", FindingsJson(report.found)},
+                                   {"conflicts", NamesJson(report.conflicts)},
+                                   {"changed", NamesJson(report.changed)},
+                                   {"rebased", report.rebased}},
+                      status);
 }
 
 std::string entry_process::Dump() {
--- a/src/chervilkeeld/entry_process.h
+++ b/src/chervilkeeld/entry_process.h
@@ -29,6 +29,7 @@
   void Handle(const http_request& request, const http_responder& respond);
 
  private:
+  void AwaitUpstreams();
   void HandleClient(http_request request, http_responder respond);
   void HandleSlowly(const http_request& request, const http_responder& respond);
   http_response Status();
--- a/src/chervilkeeld/main.cpp
+++ b/src/chervilkeeld/main.cpp
@@ -42,9 +42,9 @@
   for (std::uint64_t i = 0; i < core.settings.threads; ++i) {
     pool.emplace_back([&] { context.run(); });
   }
-  auto started = role.Start();
+  auto started = operators->Start();
   if (started) {
-    started = operators->Start();
+    started = role.Start();
   }
   if (started) {
     LogInfo("process", "Started.");
@@ -71,10 +71,10 @@
   StartLogging(settings.name, settings.log_level);
   process_core core(settings);
   core.incarnation = WallNow();
-  auto store = MakeStore(settings.store_kind,
-                         {settings.store,
-                          static_cast<millis>(settings.store_timeout),
-                          settings.name});
+  auto store =
+      MakeStore(settings.store_kind,
+                {settings.store, static_cast<millis>(settings.store_timeout),
+                 settings.name});
   if (!store) {
     LogError("process", ToString(store.error()) + ".");
     return kExitBadInput;
@@ -124,8 +124,8 @@
   }
   const auto reading = chervilkeel::ReadSettingsFile(config);
   if (!reading.found.empty()) {
-    std::fputs(
-        chervilkeel::ToText(reading.found, config + ": ").c_str(), stderr);
+    std::fputs(chervilkeel::ToText(reading.found, config + ": ").c_str(),
+               stderr);
     return kExitBadInput;
   }
   if (check) {
--- a/src/chervilkeeld/owner_seat.cpp
+++ b/src/chervilkeeld/owner_seat.cpp
@@ -45,8 +45,7 @@
     return;
   }
   StepDown("the process is leaving");
-  const auto deleted =
-      core_.store->Delete(OwnerKey(cell_), owner_key_version_);
+  const auto deleted = core_.store->Delete(OwnerKey(cell_), owner_key_version_);
   if (!deleted) {
     LogWarn(kPart, "Giving up the lease of cell " + cell_ + " failed; " +
                        ToString(deleted.error()) + ".");
@@ -244,11 +243,10 @@
     return;
   }
   store_reachable_ = reachable;
-  core_.decisions.Add("repair", "cell " + cell_,
-                      reachable ? "went back to tenures"
-                                : "told agents to hold",
-                      reachable ? "the store answers again"
-                                : "the store does not answer");
+  core_.decisions.Add(
+      "repair", "cell " + cell_,
+      reachable ? "went back to tenures" : "told agents to hold",
+      reachable ? "the store answers again" : "the store does not answer");
   LogWarn(kPart, reachable ? "The store answers again."
                            : "The store does not answer; agents are to hold.");
 }
@@ -389,8 +387,8 @@
   }
   const auto fetched = FetchManifest(core_, peer);
   if (!fetched) {
-    LogWarn(kPart, "Fetching the manifest failed; " +
-                       ToString(fetched.error()) + ".");
+    LogWarn(kPart,
+            "Fetching the manifest failed; " + ToString(fetched.error()) + ".");
     return;
   }
   OnManifest();
--- a/src/chervilkeeld/request_runner.cpp
+++ b/src/chervilkeeld/request_runner.cpp
@@ -95,13 +95,9 @@
     wire::execute_reply* reply) {
   auto* reactor = context->DefaultReactor();
   reply->set_request_id(request->request_id());
-  const auto view = core_.manifests.View();
-  const auto service = view->value.services.find(request->service());
-  if (draining_ || service == view->value.services.end()) {
+  if (draining_) {
     reply->set_outcome(wire::outcome_not_run);
-    reply->set_reason(draining_ ? "the upstream is leaving"
-                                : "the upstream does not know service \"" +
-                                      request->service() + "\"");
+    reply->set_reason("the upstream is leaving");
     reactor->Finish(grpc::Status::OK);
     return reactor;
   }
@@ -112,8 +108,9 @@
   entry.request = request;
   entry.reply = reply;
   entry.arrived_us = MonotonicMicros();
-  entry.ticket.duration = service->second.duration;
-  entry.ticket.expected_ms = service->second.expected_ms;
+  entry.ticket.duration =
+      request->long_service() ? request_class::kLong : request_class::kShort;
+  entry.ticket.expected_ms = request->expected_ms();
   entry.ticket.deadline = now + request->deadline_ms();
   admission_answer answer;
   {
--- a/src/chervilkeeld/request_session.cpp
+++ b/src/chervilkeeld/request_session.cpp
@@ -16,11 +16,11 @@
 constexpr const char* kPart = "requests";
 constexpr const char* kRequestPath = "/v1/request/";
 constexpr millis kMaxDeadline = 600'000;
-constexpr millis kReplyGrace = 50;       // For a refusal at the deadline.
+constexpr millis kReplyGrace = 50;  // For a refusal at the deadline.
 constexpr millis kSettleTimeout = 2'000;
 constexpr millis kClaimPause = 200;
 constexpr millis kClaimTimeout = 1'000;
-constexpr double kHedgeFactor = 4;       // Times the expected service time.
+constexpr double kHedgeFactor = 4;           // Times the expected service time.
 constexpr std::size_t kMaxKeptBody = 1'024;  // Bytes of a settled answer.
 constexpr std::size_t kMaxKeyLength = 128;
 constexpr double kMicrosInSecond = 1e6;
@@ -66,7 +66,8 @@
 
 // Checks the request; answers it and returns false when it is not sound.
 bool request_session::ReadRequest() {
-  const std::string name = request_.path.substr(std::string(kRequestPath).size());
+  const std::string name =
+      request_.path.substr(std::string(kRequestPath).size());
   const auto view = tables_.core.manifests.View();
   const auto found = view->value.services.find(name);
   if (tables_.draining) {
@@ -78,10 +79,10 @@
     return false;
   }
   if (found == view->value.services.end()) {
-    Respond(ErrorResponse(404, "no service \"" + name +
-                                   "\" in manifest version " +
-                                   std::to_string(view->root.version())),
-            "refused");
+    Respond(
+        ErrorResponse(404, "no service \"" + name + "\" in manifest version " +
+                               std::to_string(view->root.version())),
+        "refused");
     return false;
   }
   if (request_.method != "POST") {
@@ -111,8 +112,10 @@
     const auto parsed = std::from_chars(text.data(), end, duration);
     if (parsed.ec != std::errc() || parsed.ptr != end || duration < 1 ||
         duration > kMaxDeadline) {
-      Respond(ErrorResponse(400, "X-Deadline-Ms must be a whole number from 1 "
-                                 "to " + std::to_string(kMaxDeadline)),
+      Respond(ErrorResponse(400,
+                            "X-Deadline-Ms must be a whole number from 1 "
+                            "to " +
+                                std::to_string(kMaxDeadline)),
               "refused");
       return false;
     }
@@ -261,8 +264,8 @@
     }
   }
   tables_.core.decisions.Add(
-      kPart, id_, choice.agent.empty() ? "found no upstream"
-                                       : "chose " + choice.agent,
+      kPart, id_,
+      choice.agent.empty() ? "found no upstream" : "chose " + choice.agent,
       choice.reason);
   if (choice.agent.empty()) {
     flight_step step;
@@ -284,9 +287,11 @@
   request.set_service(service_.name);
   request.set_body(request_.body);
   request.set_content_type(request_.content_type);
-  request.set_deadline_ms(static_cast<std::uint32_t>(
-      std::max<millis>(1, deadline_ - now)));
+  request.set_deadline_ms(
+      static_cast<std::uint32_t>(std::max<millis>(1, deadline_ - now)));
   request.set_idempotent(service_.idempotent);
+  request.set_long_service(service_.duration == request_class::kLong);
+  request.set_expected_ms(service_.expected_ms);
   const auto call = MakeCall<wire::execute_request, wire::execute_reply>(
       peer, std::move(request), deadline_ - now + kReplyGrace);
   call->peer->agent->async()->Execute(
@@ -340,9 +345,9 @@
     upstream_ = agent;
   }
   if (outcome != wire::outcome_answered) {
-    tables_.core.decisions.Add(kPart, id_, "attempt " +
-                               std::to_string(attempt) + " gave no answer",
-                               reason);
+    tables_.core.decisions.Add(
+        kPart, id_, "attempt " + std::to_string(attempt) + " gave no answer",
+        reason);
   }
   Do(step);
 }
@@ -353,22 +358,22 @@
   }
   timer_.expires_after(std::chrono::milliseconds(
       std::max<millis>(1, flight_->NextTime() - MonotonicNow())));
-  timer_.async_wait([self = shared_from_this()](
-                        boost::system::error_code failure) {
-    if (failure) {
-      return;
-    }
-    flight_step step;
-    {
-      const std::lock_guard lock(self->tables_.mutex);
-      step = self->flight_->OnTime(MonotonicNow());
-    }
-    if (step.action == flight_action::kWait) {
-      self->Arm();
-    } else {
-      self->Do(step);
-    }
-  });
+  timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code failure) {
+        if (failure) {
+          return;
+        }
+        flight_step step;
+        {
+          const std::lock_guard lock(self->tables_.mutex);
+          step = self->flight_->OnTime(MonotonicNow());
+        }
+        if (step.action == flight_action::kWait) {
+          self->Arm();
+        } else {
+          self->Do(step);
+        }
+      });
 }
 
 void request_session::Answer(const wire::execute_reply& reply) {
--- a/src/chervilkeeld/roster_keeper.cpp
+++ b/src/chervilkeeld/roster_keeper.cpp
@@ -103,8 +103,8 @@
   const auto call = MakeCall<wire::roster_request, wire::roster_reply>(
       tables_.core.peers.At(owner.address()), std::move(request),
       kRosterTimeout);
-  const grpc::Status status = call->peer->owner->GetRoster(
-      &call->context, call->request, &call->reply);
+  const grpc::Status status =
+      call->peer->owner->GetRoster(&call->context, call->request, &call->reply);
   if (!status.ok() || call->reply.outcome() != wire::report_accepted) {
     return false;
   }
--- a/src/http.store/http_store.cpp
+++ b/src/http.store/http_store.cpp
@@ -16,9 +16,9 @@
 constexpr millis kWatchGrace = 1'000;  // Beyond the time a watch waits.
 
 error MakeError(const http_response& response, const std::string& target) {
-  const std::string text =
-      "store call " + target + ": " + std::to_string(response.status) + " " +
-      response.body.substr(0, 200);
+  const std::string text = "store call " + target + ": " +
+                           std::to_string(response.status) + " " +
+                           response.body.substr(0, 200);
   switch (response.status) {
     case 404:
       return {error_code::kNotFound, text};
@@ -95,9 +95,9 @@
   }
 
   result<std::uint64_t> GrantLease(millis duration) override {
-    return Number(Call(client_, "/v1/lease/grant",
-                       {{"duration_ms", duration}}, timeout_),
-                  "lease");
+    return Number(
+        Call(client_, "/v1/lease/grant", {{"duration_ms", duration}}, timeout_),
+        "lease");
   }
 
   result<void> RenewLease(std::uint64_t lease) override {
--- a/src/http.worker/http_worker.cpp
+++ b/src/http.worker/http_worker.cpp
@@ -70,8 +70,8 @@
     call.method = "GET";
     call.target = "/v1/worker";
     return Read<worker_description>(call, [](const json::object& object) {
-      return worker_description{
-          ReadAmount(object), std::string(object.at("instance").as_string())};
+      return worker_description{ReadAmount(object),
+                                std::string(object.at("instance").as_string())};
     });
   }
 
--- a/src/include/chervilkeel/agent_core.h
+++ b/src/include/chervilkeel/agent_core.h
@@ -52,14 +52,20 @@
 // One order to the worker platform.
 struct worker_action {
   worker_action_kind kind = worker_action_kind::kRenew;
-  std::string task;            // The name of the attempt.
-  millis lease_until = 0;      // kStart, kRenew: on the VM's monotonic clock.
-  double share = 1.0;          // kThrottle: of the processors it needs.
-  wire::assignment assignment; // kStart.
+  std::string task;             // The name of the attempt.
+  millis lease_until = 0;       // kStart, kRenew: on the VM's monotonic clock.
+  double share = 1.0;           // kThrottle: of the processors it needs.
+  wire::assignment assignment;  // kStart.
 };
 
 // How a task stands on the worker.
-enum class worker_task_state { kRunning, kFinished, kFailed, kStopped, kLapsed };
+enum class worker_task_state {
+  kRunning,
+  kFinished,
+  kFailed,
+  kStopped,
+  kLapsed
+};
 
 struct worker_task_state_name {
   worker_task_state state;
@@ -88,16 +94,16 @@
 // The settings of an agent's decisions. Durations in milliseconds.
 struct agent_options {
   std::string name;
-  amount capacity;                    // Of the worker.
-  std::uint32_t slots = 8;            // Of the executor.
-  std::int64_t slot_milli = 1000;     // Processors of one busy slot.
+  amount capacity;                 // Of the worker.
+  std::uint32_t slots = 8;         // Of the executor.
+  std::int64_t slot_milli = 1000;  // Processors of one busy slot.
   std::int64_t executor_memory_mb = 4096;
   millis worker_lease = 5'000;
   millis checkpoint_every = 5'000;
-  millis evict_after = 3'000;         // Of unbroken pressure.
-  millis give_back_after = 2'000;     // Without pressure.
-  double lowest_share = 0.25;         // A throttled task keeps at least this.
-  double give_back_step = 0.1;        // Of a share, a tick.
+  millis evict_after = 3'000;      // Of unbroken pressure.
+  millis give_back_after = 2'000;  // Without pressure.
+  double lowest_share = 0.25;      // A throttled task keeps at least this.
+  double give_back_step = 0.1;     // Of a share, a tick.
 };
 
 // Returns the options with the durations that suit a lean.
--- a/src/include/chervilkeel/cell_journal.h
+++ b/src/include/chervilkeel/cell_journal.h
@@ -134,7 +134,8 @@
       }
       return entry.as_failure();
     }
-    const auto read = FromJson(entry.value().value, entry.value().key, snapshot);
+    const auto read =
+        FromJson(entry.value().value, entry.value().key, snapshot);
     if (!read) {
       return read.as_failure();
     }
@@ -163,9 +164,9 @@
     }
     if (found.operation() != record.operation() ||
         found.sequence() != record.sequence()) {
-      return Fail(error_code::kConflict, "journal slot " + key +
-                                             " holds operation " +
-                                             found.operation());
+      return Fail(
+          error_code::kConflict,
+          "journal slot " + key + " holds operation " + found.operation());
     }
     versions_[slot] = entry.value().version;
     return boost::outcome_v2::success();
--- a/src/include/chervilkeel/cell_owner.h
+++ b/src/include/chervilkeel/cell_owner.h
@@ -30,9 +30,9 @@
   millis forget_after = 60'000;  // Without one and without tasks: not listed.
   double clock_drift = 0.01;     // Largest difference of two clocks' rates.
   std::uint32_t assign_ahead = 2;  // Tasks a worker, beyond what fits now.
-  millis return_after = 3'000;   // A task not started is offered elsewhere.
-  std::uint32_t quarantine_failures = 3;  // In a row on one worker.
-  millis quarantine_probe = 5'000;  // Between single tasks given to it.
+  millis return_after = 3'000;     // A task not started is offered elsewhere.
+  std::uint32_t quarantine_failures = 3;   // In a row on one worker.
+  millis quarantine_probe = 5'000;         // Between single tasks given to it.
   millis claim_kept = 24LL * 3600 * 1000;  // How long a key is remembered.
   std::size_t claim_limit = 4'000;         // Keys remembered at most.
 };
@@ -177,14 +177,14 @@
   interference_model interference_;
   std::vector<wire::cell_change> proposed_;
   std::optional<wire::journal_record> in_flight_;
-  std::set<task_key> changing_;         // Tasks with a change not yet durable.
-  std::set<std::string> claiming_;      // Keys with a claim not yet durable.
+  std::set<task_key> changing_;     // Tasks with a change not yet durable.
+  std::set<std::string> claiming_;  // Keys with a claim not yet durable.
   // Ends of claimed requests that are not durable yet. They are told to who
   // repeats a request: an answer that was given stays given.
   std::map<std::string, wire::settlement> settling_;
   std::map<std::string, amount> used_by_team_;
   std::map<std::string, std::string> misfits_;  // Job to the lacking dimension.
-  std::set<std::string> returning_;     // Attempts that agents must give back.
+  std::set<std::string> returning_;  // Attempts that agents must give back.
   std::uint64_t moved_tasks_ = 0;
   std::uint64_t record_count_ = 0;
 };
--- a/src/include/chervilkeel/manifest_store.h
+++ b/src/include/chervilkeel/manifest_store.h
@@ -62,7 +62,8 @@
       return entry.as_failure();
     }
     found.store_version = entry.value().version;
-    const auto read = FromJson(entry.value().value, kManifestRootKey, found.root);
+    const auto read =
+        FromJson(entry.value().value, kManifestRootKey, found.root);
     if (!read) {
       return read.as_failure();
     }
--- a/src/include/chervilkeel/placement.h
+++ b/src/include/chervilkeel/placement.h
@@ -56,7 +56,7 @@
   amount room;                       // What batch work may still take.
   std::vector<std::string> classes;  // Of the tasks assigned to it.
   std::size_t same_job_in_rack = 0;  // Tasks of the same job in its rack.
-  bool usable = true;                // Heard lately, not leaving, no quarantine.
+  bool usable = true;  // Heard lately, not leaving, no quarantine.
 };
 
 // A task to be placed.
@@ -75,8 +75,9 @@
 // Chooses the usable candidate with room whose predicted slowdown, spread over
 // racks and left-over room score best. Cost grows with the number of
 // candidates, which is bounded by the size of a cell.
-placement_choice ChooseWorker(const placement_request& request,
-                              const std::vector<placement_candidate>& candidates,
-                              const interference_model& interference);
+placement_choice ChooseWorker(
+    const placement_request& request,
+    const std::vector<placement_candidate>& candidates,
+    const interference_model& interference);
 
 }  // namespace chervilkeel
--- a/src/include/chervilkeel/request_flight.h
+++ b/src/include/chervilkeel/request_flight.h
@@ -35,11 +35,11 @@
 };
 
 enum class flight_action {
-  kWait,    // Nothing to do until the next event.
-  kSend,    // Choose an upstream and send the attempt `attempt`.
-  kAnswer,  // Give the client the answer of the attempt `attempt`.
-  kNotRun,  // Tell the client that the request was not run.
-  kUnknown, // Tell the client that the request may have run.
+  kWait,     // Nothing to do until the next event.
+  kSend,     // Choose an upstream and send the attempt `attempt`.
+  kAnswer,   // Give the client the answer of the attempt `attempt`.
+  kNotRun,   // Tell the client that the request was not run.
+  kUnknown,  // Tell the client that the request may have run.
 };
 
 struct flight_step {
--- a/src/include/chervilkeel/slot_admission.h
+++ b/src/include/chervilkeel/slot_admission.h
@@ -96,7 +96,7 @@
   std::uint32_t busy_long_ = 0;
   std::deque<admission_ticket> short_queue_;
   std::deque<admission_ticket> long_queue_;
-  double short_ms_ = 50;   // Learned service times.
+  double short_ms_ = 50;  // Learned service times.
   double long_ms_ = 1000;
   bool short_learned_ = false;
   bool long_learned_ = false;
--- a/src/include/chervilkeel/store.h
+++ b/src/include/chervilkeel/store.h
@@ -29,11 +29,15 @@
 // kUnavailable when the call certainly had no effect, kUnknown when it may
 // have had one.
 template <class type>
-concept store_like = requires(type& store, const std::string& text,
-                              std::uint64_t number, millis time) {
+concept store_like = requires(type& store,
+                              const std::string& text,
+                              std::uint64_t number,
+                              millis time) {
   { store.Get(text) } -> std::same_as<result<store_entry>>;
   { store.List(text) } -> std::same_as<result<std::vector<store_entry>>>;
-  { store.Put(text, text, number, number) } -> std::same_as<result<std::uint64_t>>;
+  {
+    store.Put(text, text, number, number)
+    } -> std::same_as<result<std::uint64_t>>;
   { store.Delete(text, number) } -> std::same_as<result<void>>;
   { store.GrantLease(time) } -> std::same_as<result<std::uint64_t>>;
   { store.RenewLease(number) } -> std::same_as<result<void>>;
--- a/src/include/chervilkeel/upstream_table.h
+++ b/src/include/chervilkeel/upstream_table.h
@@ -29,9 +29,9 @@
   std::string cell;
   millis heard_at = 0;
   millis failed_until = 0;
-  std::uint32_t in_flight = 0;       // Of this entry.
-  std::uint32_t since_report = 0;    // Sent since the load was reported.
-  double short_ms = 0;               // Learned service time; 0 until learned.
+  std::uint32_t in_flight = 0;     // Of this entry.
+  std::uint32_t since_report = 0;  // Sent since the load was reported.
+  double short_ms = 0;             // Learned service time; 0 until learned.
   double long_ms = 0;
 };
 
--- a/src/libkernel/agent_core.cpp
+++ b/src/libkernel/agent_core.cpp
@@ -101,8 +101,8 @@
   for (auto& [name, task] : tasks_) {
     if (task.phase == local_phase::kBacklog && (task.withdrawn || draining_)) {
       task.phase = local_phase::kEnded;
-      task.reason = draining_ ? "the agent is leaving"
-                              : "withdrawn before it started";
+      task.reason =
+          draining_ ? "the agent is leaving" : "withdrawn before it started";
     }
   }
 }
@@ -329,9 +329,9 @@
   if (pressure_since_ == 0) {
     pressure_since_ = now;
   }
-  const double factor = static_cast<double>(
-                            std::max<std::int64_t>(allowed.milli_processors, 0)) /
-                        static_cast<double>(used);
+  const double factor =
+      static_cast<double>(std::max<std::int64_t>(allowed.milli_processors, 0)) /
+      static_cast<double>(used);
   Throttle(actions, factor);
   if (now - pressure_since_ >= options_.evict_after) {
     EvictCheapest(actions, now);
@@ -381,16 +381,14 @@
 // Raises throttled shares a step, while the sum stays within what is allowed.
 void agent_core::GiveBack(std::vector<worker_action>& actions,
                           const amount& allowed) {
-  std::int64_t room =
-      allowed.milli_processors - BatchInUse().milli_processors;
+  std::int64_t room = allowed.milli_processors - BatchInUse().milli_processors;
   for (auto& [name, task] : tasks_) {
     if (task.phase != local_phase::kRunning || task.share >= 1.0) {
       continue;
     }
     const double share = std::min(1.0, task.share + options_.give_back_step);
     const auto more = static_cast<std::int64_t>(
-        (share - task.share) *
-            static_cast<double>(task.need.milli_processors) +
+        (share - task.share) * static_cast<double>(task.need.milli_processors) +
         1);
     if (more > room) {
       continue;
--- a/src/libkernel/cell_owner.cpp
+++ b/src/libkernel/cell_owner.cpp
@@ -100,8 +100,9 @@
 void cell_owner::GrantRight(agent_entry& agent,
                             wire::owner_reply& reply,
                             millis now) {
-  const bool right_is_newer = agent.report.epoch() == epoch_ &&
-                              agent.report.right_sequence() > agent.hold_sequence;
+  const bool right_is_newer =
+      agent.report.epoch() == epoch_ &&
+      agent.report.right_sequence() > agent.hold_sequence;
   if (right_is_newer) {
     agent.hold_until = 0;
   }
@@ -125,13 +126,13 @@
   const std::string name = NameOf(task.id());
   const wire::task_record* record =
       state_.Find(task.id().job(), task.id().index());
-  const bool current = state_.IsAssigned(task.id()) &&
-                       record->agent() == agent.report.agent();
+  const bool current =
+      state_.IsAssigned(task.id()) && record->agent() == agent.report.agent();
   if (!current) {
     agent.backlog_since.erase(name);
     returning_.erase(name);
-    *(IsEnded(task.phase()) ? reply.add_acknowledged()
-                            : reply.add_withdraw()) = task.id();
+    *(IsEnded(task.phase()) ? reply.add_acknowledged() : reply.add_withdraw()) =
+        task.id();
     return;
   }
   if (IsEnded(task.phase())) {
@@ -176,8 +177,8 @@
       break;
     default: {
       const job_entry& job = state_.Jobs().at(task.id().job());
-      const auto cause = job.Wanted() ? wire::release_returned
-                                      : wire::release_cancelled;
+      const auto cause =
+          job.Wanted() ? wire::release_returned : wire::release_cancelled;
       ProposeRelease(task.id(), cause, &task, agent.report.agent());
       break;
     }
@@ -188,9 +189,9 @@
   ++agent.failures_in_row;
   if (agent.failures_in_row == options_.quarantine_failures) {
     agent.probe_at = now + options_.quarantine_probe;
-    log_.Add(kPart, agent.report.agent(), "quarantined the worker",
-             std::to_string(agent.failures_in_row) +
-                 " tasks in a row failed on it");
+    log_.Add(
+        kPart, agent.report.agent(), "quarantined the worker",
+        std::to_string(agent.failures_in_row) + " tasks in a row failed on it");
   }
 }
 
--- a/src/libkernel/cell_owner_placement.cpp
+++ b/src/libkernel/cell_owner_placement.cpp
@@ -43,9 +43,9 @@
     const bool silent = now - agent.heard_at > options_.silent_after;
     if (silent && !agent.silent) {
       agent.silent = true;
-      log_.Add(kRepairPart, name, "stopped giving work to the agent",
-               "no heartbeat for " + std::to_string(now - agent.heard_at) +
-                   " ms");
+      log_.Add(
+          kRepairPart, name, "stopped giving work to the agent",
+          "no heartbeat for " + std::to_string(now - agent.heard_at) + " ms");
     }
     if (now >= agent.MayRunUntil()) {
       MoveTasksOf(name, agent);
@@ -66,7 +66,8 @@
   std::size_t moved = 0;
   for (const task_key& key : state_.AssignedTo(name)) {
     const wire::task_record& task = *state_.Find(key.job, key.index);
-    const bool orphaned = task.worker_instance() != agent.report.worker_instance();
+    const bool orphaned =
+        task.worker_instance() != agent.report.worker_instance();
     wire::task_id id;
     id.set_job(key.job);
     id.set_index(key.index);
@@ -154,11 +155,10 @@
   }
   for (const auto& [name, job] : state_.Jobs()) {
     const amount need = FromWire(job.specification.need());
-    const bool fits =
-        sizes.empty() || std::any_of(sizes.begin(), sizes.end(),
-                                     [&](const amount& size) {
-                                       return Fits(need, size);
-                                     });
+    const bool fits = sizes.empty() || std::any_of(sizes.begin(), sizes.end(),
+                                                   [&](const amount& size) {
+                                                     return Fits(need, size);
+                                                   });
     if (fits || !job.Wanted()) {
       misfits_.erase(name);
       continue;
@@ -249,9 +249,11 @@
     }
   }
   std::stable_sort(
-      jobs.begin(), jobs.end(), [&](const job_entry* left, const job_entry* right) {
+      jobs.begin(), jobs.end(),
+      [&](const job_entry* left, const job_entry* right) {
         if (left->specification.priority() != right->specification.priority()) {
-          return left->specification.priority() > right->specification.priority();
+          return left->specification.priority() >
+                 right->specification.priority();
         }
         return ShareOfQuota(left->specification.team()) <
                ShareOfQuota(right->specification.team());
@@ -409,11 +411,10 @@
     worker->set_rack(agent.report.rack());
     *worker->mutable_capacity() = agent.report.capacity();
     worker->set_condition(
-        agent.silent                       ? "silent"
-        : agent.report.draining()          ? "leaving"
-        : agent.failures_in_row >= options_.quarantine_failures
-            ? "quarantined"
-            : "in use");
+        agent.silent                                            ? "silent"
+        : agent.report.draining()                               ? "leaving"
+        : agent.failures_in_row >= options_.quarantine_failures ? "quarantined"
+                                                                : "in use");
     amount assigned;
     for (const task_key& key : state_.AssignedTo(name)) {
       assigned += FromWire(state_.Jobs().at(key.job).specification.need());
--- a/src/libkernel/cell_state.cpp
+++ b/src/libkernel/cell_state.cpp
@@ -86,8 +86,7 @@
   if (task.phase() == wire::phase_assigned) {
     job.waiting.erase(task.index());
     job.assigned.insert(task.index());
-    assigned_to_[task.agent()].insert(
-        {job.specification.name(), task.index()});
+    assigned_to_[task.agent()].insert({job.specification.name(), task.index()});
   }
 }
 
@@ -209,7 +208,8 @@
 
 void cell_state::Assign(const wire::task_assigned& change) {
   const auto job = jobs_.find(change.id().job());
-  if (job == jobs_.end() || job->second.waiting.count(change.id().index()) == 0) {
+  if (job == jobs_.end() ||
+      job->second.waiting.count(change.id().index()) == 0) {
     return;
   }
   wire::task_record& task = job->second.tasks[change.id().index()];
--- a/src/libkernel/decision_log.cpp
+++ b/src/libkernel/decision_log.cpp
@@ -56,10 +56,9 @@
     const std::string& subject) const {
   const std::lock_guard lock(mutex_);
   std::vector<wire::decision_record> found;
-  std::copy_if(records_.begin(), records_.end(), std::back_inserter(found),
-               [&](const auto& record) {
-                 return IsAbout(record.subject(), subject);
-               });
+  std::copy_if(
+      records_.begin(), records_.end(), std::back_inserter(found),
+      [&](const auto& record) { return IsAbout(record.subject(), subject); });
   return found;
 }
 
--- a/src/libkernel/manifest.cpp
+++ b/src/libkernel/manifest.cpp
@@ -4,8 +4,8 @@
 #include <cstdio>
 #include <set>
 
-#include <boost/json.hpp>
 #include <xxhash.h>
+#include <boost/json.hpp>
 
 #include "manifest_reader.h"
 
--- a/src/libkernel/placement.cpp
+++ b/src/libkernel/placement.cpp
@@ -7,12 +7,12 @@
 
 namespace {
 
-constexpr double kPriorWeight = 4.0;         // Reports that the prior counts as.
-constexpr double kMaxWeight = 200.0;         // Old reports fade beyond this.
-constexpr double kSlowdownCost = 4.0;        // Per unit of predicted slowdown.
-constexpr double kRackRepeatCost = 0.05;     // Per task of the job in the rack.
-constexpr double kFailedThereCost = 10.0;    // The task failed on the worker.
-constexpr std::size_t kReportNeighbours = 8; // Pairs that one report teaches.
+constexpr double kPriorWeight = 4.0;       // Reports that the prior counts as.
+constexpr double kMaxWeight = 200.0;       // Old reports fade beyond this.
+constexpr double kSlowdownCost = 4.0;      // Per unit of predicted slowdown.
+constexpr double kRackRepeatCost = 0.05;   // Per task of the job in the rack.
+constexpr double kFailedThereCost = 10.0;  // The task failed on the worker.
+constexpr std::size_t kReportNeighbours = 8;  // Pairs that one report teaches.
 
 double PredictedSlowdown(const placement_request& request,
                          const placement_candidate& candidate,
@@ -69,7 +69,8 @@
     return;
   }
   const std::size_t taught = std::min(neighbours.size(), kReportNeighbours);
-  const double share = (slowdown - 1.0) / static_cast<double>(neighbours.size());
+  const double share =
+      (slowdown - 1.0) / static_cast<double>(neighbours.size());
   for (std::size_t i = 0; i < taught; ++i) {
     pair_estimate& pair = pairs_[{task_class, neighbours[i]}];
     pair.weight = std::min(pair.weight + 1.0, kMaxWeight);
--- a/src/libkernel/slot_admission.cpp
+++ b/src/libkernel/slot_admission.cpp
@@ -49,9 +49,8 @@
 
 admission_answer slot_admission::Offer(const admission_ticket& ticket,
                                        millis now) {
-  const bool learned = ticket.duration == request_class::kShort
-                           ? short_learned_
-                           : long_learned_;
+  const bool learned =
+      ticket.duration == request_class::kShort ? short_learned_ : long_learned_;
   if (!learned) {
     ServiceOf(ticket.duration) = ticket.expected_ms;
   }
@@ -60,8 +59,7 @@
     LearnDemand(now);
     return {admission_verdict::kRun, ""};
   }
-  const std::size_t inside =
-      Busy() + short_queue_.size() + long_queue_.size();
+  const std::size_t inside = Busy() + short_queue_.size() + long_queue_.size();
   if (inside >= options_.connections) {
     return {admission_verdict::kRefused,
             "all " + std::to_string(options_.connections) +
@@ -84,8 +82,8 @@
 
 void slot_admission::Done(const admission_ticket& ticket, double service_ms) {
   --(ticket.duration == request_class::kShort ? busy_short_ : busy_long_);
-  bool& learned = ticket.duration == request_class::kShort ? short_learned_
-                                                           : long_learned_;
+  bool& learned =
+      ticket.duration == request_class::kShort ? short_learned_ : long_learned_;
   double& mean = ServiceOf(ticket.duration);
   mean = learned ? mean + kServiceWeight * (service_ms - mean) : service_ms;
   learned = true;
@@ -123,8 +121,7 @@
   const double faded = std::exp2(-static_cast<double>(now - learned_at_) /
                                  static_cast<double>(options_.demand_memory));
   learned_at_ = now;
-  const auto short_now =
-      static_cast<double>(busy_short_ + short_queue_.size());
+  const auto short_now = static_cast<double>(busy_short_ + short_queue_.size());
   const double total_now =
       short_now + static_cast<double>(busy_long_ + long_queue_.size());
   short_peak_ = std::max(short_now, short_peak_ * faded);
--- a/src/libkernel/upstream_table.cpp
+++ b/src/libkernel/upstream_table.cpp
@@ -63,16 +63,15 @@
 double upstream_table::CostMs(const upstream_entry& upstream,
                               request_class duration,
                               double expected_ms) const {
-  const double learned = duration == request_class::kShort ? upstream.short_ms
-                                                           : upstream.long_ms;
+  const double learned =
+      duration == request_class::kShort ? upstream.short_ms : upstream.long_ms;
   const double service = learned > 0 ? learned : expected_ms;
   const auto& load = upstream.member.load();
   const double slots = std::max(1U, load.slots());
   const std::uint32_t queued = duration == request_class::kShort
                                    ? load.queued_short()
                                    : load.queued_short() + load.queued_long();
-  const double outstanding =
-      load.busy_slots() + queued + upstream.since_report;
+  const double outstanding = load.busy_slots() + queued + upstream.since_report;
   const double waiting = std::max(0.0, outstanding + 1 - slots);
   const double crowding = outstanding / slots;
   return service * (1 + waiting / slots) + crowding +
@@ -121,8 +120,9 @@
     }
   }
   if (!best) {
-    return {"", "", "none of " + std::to_string(upstreams_.size()) +
-                        " known upstreams may take the request"};
+    return {"", "",
+            "none of " + std::to_string(upstreams_.size()) +
+                " known upstreams may take the request"};
   }
   char reason[120];
   std::snprintf(reason, sizeof reason,
--- a/src/libshell/http_client.cpp
+++ b/src/libshell/http_client.cpp
@@ -78,18 +78,17 @@
   parser.body_limit(kClientBodyLimit);
   beast::error_code failure;
   stream_->expires_after(std::chrono::milliseconds(timeout));
-  http::async_write(*stream_, request,
-                    [&](beast::error_code code, std::size_t) {
-                      failure = code;
-                      if (code) {
-                        return;
-                      }
-                      http::async_read(*stream_, buffer_, parser,
-                                       [&](beast::error_code read_code,
-                                           std::size_t) {
-                                         failure = read_code;
-                                       });
-                    });
+  http::async_write(
+      *stream_, request, [&](beast::error_code code, std::size_t) {
+        failure = code;
+        if (code) {
+          return;
+        }
+        http::async_read(*stream_, buffer_, parser,
+                         [&](beast::error_code read_code, std::size_t) {
+                           failure = read_code;
+                         });
+      });
   context_.restart();
   context_.run();
   if (failure) {
@@ -102,8 +101,7 @@
   return TakeResponse(parser.get());
 }
 
-result<http_response> http_client::Call(const http_call& call,
-                                        millis timeout) {
+result<http_response> http_client::Call(const http_call& call, millis timeout) {
   const std::lock_guard lock(mutex_);
   // A kept connection that the peer closed since would look like a lost call.
   if (stream_) {
@@ -146,21 +144,20 @@
       Write();
       return;
     }
-    stream_ = std::make_unique<beast::tcp_stream>(
-        asio::make_strand(pool_->context_));
+    stream_ =
+        std::make_unique<beast::tcp_stream>(asio::make_strand(pool_->context_));
     stream_->expires_after(std::chrono::milliseconds(timeout_));
-    stream_->async_connect(
-        ToTcp(pool_->peer_),
-        [self = shared_from_this()](beast::error_code failure) {
-          if (failure) {
-            self->End(Fail(error_code::kUnavailable,
-                           Describe(self->pool_->peer_, failure)));
-            return;
-          }
-          beast::error_code ignored;
-          self->stream_->socket().set_option(tcp::no_delay(true), ignored);
-          self->Write();
-        });
+    stream_->async_connect(ToTcp(pool_->peer_), [self = shared_from_this()](
+                                                    beast::error_code failure) {
+      if (failure) {
+        self->End(Fail(error_code::kUnavailable,
+                       Describe(self->pool_->peer_, failure)));
+        return;
+      }
+      beast::error_code ignored;
+      self->stream_->socket().set_option(tcp::no_delay(true), ignored);
+      self->Write();
+    });
   }
 
  private:
--- a/src/libshell/http_server.cpp
+++ b/src/libshell/http_server.cpp
@@ -40,8 +40,8 @@
   for (std::size_t i = 0; i < text.size(); ++i) {
     if (text[i] == '%' && i + 2 < text.size() && HexDigit(text[i + 1]) >= 0 &&
         HexDigit(text[i + 2]) >= 0) {
-      decoded += static_cast<char>(HexDigit(text[i + 1]) * 16 +
-                                   HexDigit(text[i + 2]));
+      decoded +=
+          static_cast<char>(HexDigit(text[i + 1]) * 16 + HexDigit(text[i + 2]));
       i += 2;
     } else {
       decoded += text[i] == '+' ? ' ' : text[i];
@@ -105,8 +105,7 @@
   void Read() {
     parser_.emplace();
     parser_->body_limit(server_->options_.body_limit);
-    stream_.expires_after(
-        std::chrono::milliseconds(server_->options_.idle_ms));
+    stream_.expires_after(std::chrono::milliseconds(server_->options_.idle_ms));
     http::async_read(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](beast::error_code failure, std::size_t) {
@@ -120,8 +119,8 @@
                       std::to_string(server_->options_.body_limit) + " bytes");
       return;
     }
-    if (failure.category() == http::make_error_code(http::error::end_of_stream)
-                                  .category() &&
+    if (failure.category() ==
+            http::make_error_code(http::error::end_of_stream).category() &&
         failure != http::error::end_of_stream &&
         failure != http::error::partial_message) {
       Refuse(400, "the request is not HTTP: " + failure.message());
@@ -176,8 +175,7 @@
     response_->keep_alive(!close_after_);
     response_->body() = std::move(answer.body);
     response_->prepare_payload();
-    stream_.expires_after(
-        std::chrono::milliseconds(server_->options_.idle_ms));
+    stream_.expires_after(std::chrono::milliseconds(server_->options_.idle_ms));
     http::async_write(
         stream_, *response_,
         [self = shared_from_this()](beast::error_code failure, std::size_t) {
--- a/src/libshell/manifest_holder.cpp
+++ b/src/libshell/manifest_holder.cpp
@@ -42,8 +42,8 @@
   for (const auto& reference : root.sections()) {
     const auto found = available.find(reference.hash());
     if (found == available.end()) {
-      return Fail(error_code::kInvalid, "manifest section \"" +
-                                            reference.name() + "\" is missing");
+      return Fail(error_code::kInvalid,
+                  "manifest section \"" + reference.name() + "\" is missing");
     }
     needed[reference.hash()] = found->second;
     whole.push_back(found->second);
@@ -51,9 +51,9 @@
   }
   manifest_reading reading = ReadManifest(JoinSections(whole));
   if (!reading.found.empty()) {
-    return Fail(error_code::kInvalid,
-                "manifest version " + std::to_string(root.version()) + ": " +
-                    ToText(reading.found, ""));
+    return Fail(error_code::kInvalid, "manifest version " +
+                                          std::to_string(root.version()) +
+                                          ": " + ToText(reading.found, ""));
   }
   auto view = std::make_shared<manifest_view>();
   view->root = root;
--- a/src/libshell/plugins.cpp
+++ b/src/libshell/plugins.cpp
@@ -23,8 +23,9 @@
   return Stores().Add(kind, std::move(factory));
 }
 
-result<std::unique_ptr<key_value_store>> MakeStore(const std::string& kind,
-                                                   store_connection connection) {
+result<std::unique_ptr<key_value_store>> MakeStore(
+    const std::string& kind,
+    store_connection connection) {
   const auto factory = Stores().Find(kind);
   if (!factory) {
     return factory.as_failure();
--- a/src/libshell/settings.cpp
+++ b/src/libshell/settings.cpp
@@ -9,8 +9,8 @@
 #include <set>
 #include <sstream>
 
-#include <boost/asio/ip/address.hpp>
 #include <ini.h>
+#include <boost/asio/ip/address.hpp>
 
 namespace chervilkeel {
 
@@ -41,7 +41,11 @@
              needed_by needed,
              std::string process_settings::*member,
              const char* meaning) {
-  return {section, key, needed, "", meaning,
+  return {section,
+          key,
+          needed,
+          "",
+          meaning,
           [member](process_settings& out, const std::string& text) {
             out.*member = text;
             return text.empty() ? std::string("must not be empty")
@@ -57,7 +61,11 @@
                std::uint64_t high,
                const char* unit,
                const char* meaning) {
-  return {section, key, needed_by::kNobody, unit, meaning,
+  return {section,
+          key,
+          needed_by::kNobody,
+          unit,
+          meaning,
           [=](process_settings& out, const std::string& text) {
             std::uint64_t number = 0;
             if (!ParseWhole(text, number) || number < low || number > high) {
@@ -77,7 +85,11 @@
              needed_by needed,
              std::uint16_t process_settings::*member,
              const char* meaning) {
-  return {section, key, needed, "port", meaning,
+  return {section,
+          key,
+          needed,
+          "port",
+          meaning,
           [member](process_settings& out, const std::string& text) {
             std::uint64_t number = 0;
             if (!ParseWhole(text, number) || number < 1 || number > 65535) {
@@ -94,12 +106,17 @@
                  needed_by needed,
                  endpoint process_settings::*member,
                  const char* meaning) {
-  return {section, key, needed, "IP:PORT", meaning,
+  return {section,
+          key,
+          needed,
+          "IP:PORT",
+          meaning,
           [member](process_settings& out, const std::string& text) {
             return ParseEndpoint(text, out.*member)
                        ? std::string()
-                       : std::string("must be an IP number and a port, "
-                                     "like 127.0.0.1:7000");
+                       : std::string(
+                             "must be an IP number and a port, "
+                             "like 127.0.0.1:7000");
           },
           [](const process_settings&) { return std::string(); }};
 }
@@ -111,7 +128,11 @@
                const table_type& table,
                value_type process_settings::*member,
                const char* meaning) {
-  return {section, key, needed, "", meaning,
+  return {section,
+          key,
+          needed,
+          "",
+          meaning,
           [&table, member](process_settings& out, const std::string& text) {
             std::string names;
             for (const auto& [value, name] : table) {
--- a/src/standins/client_load.cpp
+++ b/src/standins/client_load.cpp
@@ -39,7 +39,7 @@
   std::vector<endpoint> entries;
   std::vector<load_part> parts;
   double seconds = 10;
-  double crest_from = 0;    // Seconds after the start.
+  double crest_from = 0;  // Seconds after the start.
   double crest_until = 0;
   double crest_factor = 1;  // Of the rates during the crest.
   std::size_t body_bytes = 200;
@@ -55,7 +55,7 @@
   std::string outcome;  // answered, not-run, unknown, refused, unreachable
   std::string request_id;
   std::string reason;  // Why there was no answer.
-  bool whole = true;  // The answer was the whole answer to this request.
+  bool whole = true;   // The answer was the whole answer to this request.
   bool repeat = false;
   bool in_crest = false;
   double latency_ms = 0;
@@ -197,9 +197,9 @@
         record.reason = ReasonOf(answer.value());
       } else {
         const std::string& text = answer.value().body;
-        record.whole = text.size() >= body.size() &&
-                       text.compare(text.size() - body.size(), body.size(),
-                                    body) == 0;
+        record.whole =
+            text.size() >= body.size() &&
+            text.compare(text.size() - body.size(), body.size(), body) == 0;
       }
     }
     records_.push_back(record);
@@ -221,8 +221,8 @@
   if (sorted.empty()) {
     return 0;
   }
-  const auto index = static_cast<std::size_t>(
-      share * static_cast<double>(sorted.size() - 1));
+  const auto index =
+      static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1));
   return sorted[index];
 }
 
@@ -240,11 +240,12 @@
   for (auto& [service, counts] : outcomes) {
     std::vector<double>& sorted = latencies[service];
     std::sort(sorted.begin(), sorted.end());
-    std::printf("  %-10s %-8s %6zu answered, p50 %7.1f ms, p99 %7.1f ms;"
-                " %d not run, %d unknown, %d unreachable\n",
-                service.c_str(), crest ? "crest" : "steady", sorted.size(),
-                Percentile(sorted, 0.5), Percentile(sorted, 0.99),
-                counts["not-run"], counts["unknown"], counts["unreachable"]);
+    std::printf(
+        "  %-10s %-8s %6zu answered, p50 %7.1f ms, p99 %7.1f ms;"
+        " %d not run, %d unknown, %d unreachable\n",
+        service.c_str(), crest ? "crest" : "steady", sorted.size(),
+        Percentile(sorted, 0.5), Percentile(sorted, 0.99), counts["not-run"],
+        counts["unknown"], counts["unreachable"]);
   }
 }
 
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -363,8 +363,8 @@
   options.listen = listen;
   options.body_limit = 4U << 20U;
   const auto server = std::make_shared<http_server>(
-      context, options, [&](const http_request& request,
-                            const http_responder& respond) {
+      context, options,
+      [&](const http_request& request, const http_responder& respond) {
         store.Handle(request, respond);
       });
   const auto started = server->Start();
--- a/src/standins/worker_standin.cpp
+++ b/src/standins/worker_standin.cpp
@@ -105,8 +105,8 @@
     for (int number = 0; number < workers; ++number) {
       fake_worker worker;
       worker.number = number;
-      worker.instance = "vm-" + std::to_string(number) + "-" +
-                        std::to_string(WallNow());
+      worker.instance =
+          "vm-" + std::to_string(number) + "-" + std::to_string(WallNow());
       worker.capacity = capacity;
       worker.slots = slots;
       workers_.push_back(std::move(worker));
@@ -155,20 +155,20 @@
     requests_.push_back({id, service, number, MonotonicNow(), 0});
     const double duration = ServiceMs(worker, service);
     auto timer = std::make_shared<asio::steady_timer>(
-        context_, std::chrono::microseconds(
-                      static_cast<std::int64_t>(duration * 1000)));
-    timer->async_wait([this, timer, &worker, index, request, id,
-                       respond](auto) {
-      --worker.busy_slots;
-      requests_[index].until = MonotonicNow();
-      if (worker.down) {
-        return;
-      }
-      http_response response;
-      response.content_type = request.content_type;
-      response.body = "answer to " + id + ": " + request.body;
-      respond(std::move(response));
-    });
+        context_,
+        std::chrono::microseconds(static_cast<std::int64_t>(duration * 1000)));
+    timer->async_wait(
+        [this, timer, &worker, index, request, id, respond](auto) {
+          --worker.busy_slots;
+          requests_[index].until = MonotonicNow();
+          if (worker.down) {
+            return;
+          }
+          http_response response;
+          response.content_type = request.content_type;
+          response.body = "answer to " + id + ": " + request.body;
+          respond(std::move(response));
+        });
   }
 
   void HandleControl(const http_request& request,
@@ -178,7 +178,8 @@
       return;
     }
     const json::object body = json::parse(request.body).as_object();
-    fake_worker& worker = workers_.at(body.at("worker").to_number<std::size_t>());
+    fake_worker& worker =
+        workers_.at(body.at("worker").to_number<std::size_t>());
     if (const json::value* flag = body.if_contains("fail_starts")) {
       worker.fail_starts = flag->as_bool();
     }
@@ -471,11 +472,11 @@
       {options.milli_processors, options.memory_mb, options.accelerators},
       options.slots, options.seed);
   std::vector<std::shared_ptr<http_server>> servers;
-  bool listening = Listen(
-      context, options.address, options.control_port, servers,
-      [&](const http_request& request, const http_responder& respond) {
-        standin.HandleControl(request, respond);
-      });
+  bool listening =
+      Listen(context, options.address, options.control_port, servers,
+             [&](const http_request& request, const http_responder& respond) {
+               standin.HandleControl(request, respond);
+             });
   for (int number = 0; listening && number < options.workers; ++number) {
     listening =
         Listen(context, options.address, options.worker_port + number, servers,
