--- a/src/chervilkeel/print_reports.cpp
+++ b/src/chervilkeel/print_reports.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::uint64_t kMillisInSecond = 1000;
+constexpr double kMilli = 1000.0;
 
 std::string Text(const json::object& object, const char* key) {
   const json::value* value = object.if_contains(key);
@@ -67,6 +68,8 @@
 
 void PrintUpstream(const json::object& upstream) {
   const json::object load = Object(upstream, "load");
+  const std::uint64_t queued =
+      Number(load, "queued_short") + Number(load, "queued_long");
   std::printf(
       "  %-14s %-12s %-8s %2llu of %llu slots busy, %llu queued, heard "
       "%llu ms ago%s\n",
@@ -76,8 +79,7 @@
                                  : "silent",
       static_cast<unsigned long long>(Number(load, "busy_slots")),
       static_cast<unsigned long long>(Number(load, "slots")),
-      static_cast<unsigned long long>(Number(load, "queued_short") +
-                                      Number(load, "queued_long")),
+      static_cast<unsigned long long>(queued),
       static_cast<unsigned long long>(Number(upstream, "heard_ms_ago")),
       Text(upstream, "cell").empty() ? " (no cell)" : "");
 }
@@ -90,8 +92,8 @@
       "assigned; %llu running, %llu waiting there\n",
       Text(worker, "agent").c_str(), Text(worker, "rack").c_str(),
       Text(worker, "condition").c_str(),
-      static_cast<double>(Number(assigned, "milli_processors")) / 1000,
-      static_cast<double>(Number(capacity, "milli_processors")) / 1000,
+      static_cast<double>(Number(assigned, "milli_processors")) / kMilli,
+      static_cast<double>(Number(capacity, "milli_processors")) / kMilli,
       static_cast<unsigned long long>(Number(assigned, "memory_mb")),
       static_cast<unsigned long long>(Number(capacity, "memory_mb")),
       static_cast<unsigned long long>(Number(worker, "running")),
--- a/src/chervilkeeld/request_runner.cpp
+++ b/src/chervilkeeld/request_runner.cpp
@@ -163,7 +163,7 @@
     FinishNotRun(id, "the entry gave the request up before it started");
     return;
   }
-  executor_->Call(std::move(call), kExecutionLimit, core_.settings.body_limit,
+  executor_->Call(call, kExecutionLimit, core_.settings.body_limit,
                   [this, id](result<http_response> answer) {
                     OnExecutorAnswer(id, std::move(answer));
                   });
--- a/src/chervilkeeld/request_session.cpp
+++ b/src/chervilkeeld/request_session.cpp
@@ -147,7 +147,7 @@
       std::min(kClaimTimeout, deadline_ - MonotonicNow()));
   call->peer->owner->async()->ClaimRequest(
       &call->context, &call->request, &call->reply,
-      [self = shared_from_this(), call](grpc::Status status) {
+      [self = shared_from_this(), call](const grpc::Status& status) {
         boost::asio::post(self->strand_, [self, call, status] {
           self->OnClaim(status, call->reply);
         });
@@ -297,7 +297,7 @@
   call->peer->agent->async()->Execute(
       &call->context, &call->request, &call->reply,
       [self = shared_from_this(), call, attempt,
-       agent = choice.agent](grpc::Status status) {
+       agent = choice.agent](const grpc::Status& status) {
         boost::asio::post(self->strand_, [self, call, attempt, agent, status] {
           self->OnReply(attempt, agent, status, call->reply);
         });
--- a/src/chervilkeeld/roster_keeper.cpp
+++ b/src/chervilkeeld/roster_keeper.cpp
@@ -128,7 +128,8 @@
         kProbeTimeout);
     call->peer->agent->async()->Probe(
         &call->context, &call->request, &call->reply,
-        [this, call, agent = upstream.member.agent()](grpc::Status status) {
+        [this, call,
+         agent = upstream.member.agent()](const grpc::Status& status) {
           if (status.ok()) {
             const std::lock_guard lock(tables_.mutex);
             tables_.upstreams.TakeProbe(agent, call->reply, MonotonicNow());
--- a/src/chervilkeeld/rpc_peers.h
+++ b/src/chervilkeeld/rpc_peers.h
@@ -43,9 +43,9 @@
 
 template <class request_type, class reply_type>
 std::shared_ptr<rpc_call<request_type, reply_type>>
-MakeCall(std::shared_ptr<rpc_peer> peer, request_type request, millis timeout) {
+MakeCall(const std::shared_ptr<rpc_peer>& peer, request_type request, millis timeout) {
   auto call = std::make_shared<rpc_call<request_type, reply_type>>();
-  call->peer = std::move(peer);
+  call->peer = peer;
   call->request = std::move(request);
   call->context.set_deadline(std::chrono::system_clock::now() +
                              std::chrono::milliseconds(timeout));
--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -10,7 +10,7 @@
 target_include_directories(chervilkeel_options INTERFACE
   "${CMAKE_SOURCE_DIR}/src/include" "${CMAKE_SOURCE_DIR}/src")
 target_compile_options(chervilkeel_options INTERFACE
-  -Wall -Wextra -Wshadow -Wno-deprecated-declarations -fpch-preprocess)
+  -Wall -Wextra -Wshadow -Wno-deprecated-declarations)
 if(CHERVILKEEL_SANITIZE)
   target_compile_options(chervilkeel_options INTERFACE
     -fsanitize=${CHERVILKEEL_SANITIZE} -fno-omit-frame-pointer)
--- a/src/include/chervilkeel/http_client.h
+++ b/src/include/chervilkeel/http_client.h
@@ -64,7 +64,7 @@
             std::size_t idle_limit);
 
   // Sends a call; `callback` runs on the pool's io_context.
-  void Call(http_call call,
+  void Call(const http_call& call,
             millis timeout,
             std::uint64_t body_limit,
             http_callback callback);
--- a/src/include/chervilkeel/placement.h
+++ b/src/include/chervilkeel/placement.h
@@ -63,7 +63,7 @@
 struct placement_request {
   std::string task_class;
   amount need;
-  std::string avoid;  // An agent on which the task failed before.
+  std::vector<std::string> avoid;  // Agents on which the task failed before.
 };
 
 // The choice and its reason.
--- a/src/include/chervilkeel/result.h
+++ b/src/include/chervilkeel/result.h
@@ -46,9 +46,9 @@
 }
 
 // Either a value or an error; reading the wrong one ends the process.
-template <class T>
+template <class value_type>
 using result = boost::outcome_v2::
-    basic_result<T, error, boost::outcome_v2::policy::terminate>;
+    basic_result<value_type, error, boost::outcome_v2::policy::terminate>;
 
 // Makes a failed result.
 inline auto Fail(error_code code, std::string message) {
--- a/src/libkernel/cell_owner.cpp
+++ b/src/libkernel/cell_owner.cpp
@@ -23,7 +23,7 @@
 cell_owner::cell_owner(std::string cell,
                        std::uint64_t epoch,
                        std::string owner,
-                       std::string former_owner,
+                       const std::string& former_owner,
                        cell_state state,
                        owner_options options,
                        decision_log& log,
--- a/src/libkernel/cell_owner_placement.cpp
+++ b/src/libkernel/cell_owner_placement.cpp
@@ -13,6 +13,33 @@
 constexpr std::size_t kMaxPlacementsInTick = 200;
 constexpr std::uint64_t kStragglerFactor = 4;  // Times the declared run time.
 
+// Takes room for a need from a candidate other than the named one; false when
+// none has it.
+bool TakeRoomElsewhere(const amount& need,
+                       const std::string& name,
+                       std::vector<placement_candidate>& candidates) {
+  for (placement_candidate& candidate : candidates) {
+    if (candidate.usable && candidate.agent != name &&
+        Fits(need, candidate.room)) {
+      candidate.room -= need;
+      return true;
+    }
+  }
+  return false;
+}
+
+// Counts the tasks of one size by which a worker is assigned more than fits.
+std::size_t TasksAhead(const amount& need, const amount& room) {
+  const auto count = [](std::int64_t needed, std::int64_t left) {
+    return left >= 0 || needed <= 0 ? 0 : (needed - 1 - left) / needed;
+  };
+  const std::int64_t most =
+      std::max({count(need.milli_processors, room.milli_processors),
+                count(need.memory_mb, room.memory_mb),
+                count(need.accelerators, room.accelerators)});
+  return static_cast<std::size_t>(most);
+}
+
 }  // namespace
 
 void cell_owner::Tick(millis now) {
@@ -307,9 +334,7 @@
   placement_request request;
   request.task_class = job.specification.task_class();
   request.need = FromWire(job.specification.need());
-  if (task.failed_on_size() > 0) {
-    request.avoid = task.failed_on(task.failed_on_size() - 1);
-  }
+  request.avoid = {task.failed_on().begin(), task.failed_on().end()};
   if (!WithinQuota(job, request.need)) {
     return false;
   }
@@ -350,16 +375,9 @@
   std::size_t fewest = options_.assign_ahead;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const placement_candidate& candidate = candidates[i];
-    const auto agent = agents_.find(candidate.agent);
-    std::size_t running = 0;
-    for (const auto& task : agent->second.report.tasks()) {
-      running += task.phase() == wire::phase_running ? 1 : 0;
-    }
-    const std::size_t ahead = candidate.classes.size() > running
-                                  ? candidate.classes.size() - running
-                                  : 0;
-    const bool probing =
-        agent->second.failures_in_row >= options_.quarantine_failures;
+    const agent_entry& agent = agents_.at(candidate.agent);
+    const std::size_t ahead = TasksAhead(request.need, candidate.room);
+    const bool probing = agent.failures_in_row >= options_.quarantine_failures;
     if (candidate.usable && !probing && ahead < fewest &&
         Fits(request.need, candidate.capacity)) {
       choice.index = static_cast<int>(i);
@@ -375,22 +393,21 @@
 
 // Asks for tasks back that wait on a worker while another has room for them.
 void cell_owner::TakeBackBacklog(millis now) {
-  const std::vector<placement_candidate> candidates = Candidates(now);
-  for (auto& [name, agent] : agents_) {
+  std::vector<placement_candidate> candidates;
+  for (const auto& [name, agent] : agents_) {
     for (const auto& [task_name, since] : agent.backlog_since) {
       const auto id = ParseTaskId(task_name);
       if (now - since < options_.return_after || !id.has_value() ||
-          !state_.IsAssigned(id.value())) {
+          !state_.IsAssigned(id.value()) || returning_.count(task_name) != 0) {
         continue;
       }
+      if (candidates.empty()) {
+        candidates = Candidates(now);
+      }
       const job_entry& job = state_.Jobs().at(id.value().job());
       const amount need = FromWire(job.specification.need());
-      const bool elsewhere = std::any_of(
-          candidates.begin(), candidates.end(), [&](const auto& candidate) {
-            return candidate.usable && candidate.agent != name &&
-                   Fits(need, candidate.room);
-          });
-      if (elsewhere && returning_.insert(task_name).second) {
+      if (TakeRoomElsewhere(need, name, candidates)) {
+        returning_.insert(task_name);
         log_.Add(kPart, task_name, "asked the task back from " + name,
                  "it has not started and another worker has room");
       }
--- /dev/null
+++ b/src/libkernel/cell_owner_test.cpp
@@ -0,0 +1,635 @@
+// The owner and the agents of a cell together, without sockets: what moves,
+// when, and what never happens.
+#include <boost/test/unit_test.hpp>
+
+#include "chervilkeel/agent_core.h"
+#include "chervilkeel/cell_owner.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr millis kTenure = 10'000;
+constexpr millis kHold = 1'800'000;
+
+manifest OneJob(std::uint32_t tasks, std::uint32_t milli = 1'000) {
+  manifest value;
+  value.house = "h";
+  value.cells = {"cell"};
+  wire::job_specification job;
+  job.set_name("job@1");
+  job.set_tasks(tasks);
+  job.mutable_need()->set_milli_processors(milli);
+  job.mutable_need()->set_memory_mb(100);
+  job.set_run_ms(1'000);
+  job.set_max_failures(3);
+  job.set_task_class("job");
+  value.jobs["job@1"] = job;
+  return value;
+}
+
+// An owner with hand-made agents and a journal that always succeeds.
+struct owner_fixture {
+  owner_fixture() { Own(cell_state(), 1, ""); }
+
+  void Own(cell_state state, std::uint64_t epoch, const std::string& former) {
+    wire::journal_record fence;
+    fence.set_sequence(state.Sequence() + 1);
+    fence.set_epoch(epoch);
+    fence.set_owner("a0");
+    BOOST_TEST_REQUIRE(state.Apply(fence).has_value());
+    owner = std::make_unique<cell_owner>("cell", epoch, "a0", former,
+                                         std::move(state), owner_options(), log,
+                                         now);
+    owner->SetLeaseUntil(now + 5'000);
+  }
+
+  wire::agent_report Report(const std::string& name) {
+    wire::agent_report report;
+    report.set_agent(name);
+    report.set_incarnation(1);
+    report.set_worker_instance("vm-" + name);
+    report.set_address(name + ":1");
+    report.mutable_capacity()->set_milli_processors(4'000);
+    report.mutable_capacity()->set_memory_mb(10'000);
+    *report.mutable_batch_room() = report.capacity();
+    return report;
+  }
+
+  wire::owner_reply Hear(const wire::agent_report& report) {
+    owner->SetLeaseUntil(now + 5'000);
+    return owner->OnReport(report, now);
+  }
+
+  void Commit() {
+    while (owner->NextRecord()) {
+      BOOST_TEST_REQUIRE(owner->OnCommitted(now).has_value());
+    }
+  }
+
+  void Settle() {
+    owner->SetLeaseUntil(now + 5'000);
+    for (int i = 0; i < 4; ++i) {
+      owner->Tick(now);
+      Commit();
+    }
+  }
+
+  static wire::task_report Task(const wire::task_id& id,
+                                wire::task_phase phase) {
+    wire::task_report task;
+    *task.mutable_id() = id;
+    task.set_phase(phase);
+    return task;
+  }
+
+  millis now = 1'000;
+  decision_log log{"test", 1'000};
+  std::unique_ptr<cell_owner> owner;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(cell_owner_suite, owner_fixture)
+
+BOOST_AUTO_TEST_CASE(start_before_the_record_is_durable_is_never_given) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  Hear(Report("a1"));
+  owner->Tick(now);
+  BOOST_TEST(Hear(Report("a1")).start_size() == 0);
+  Commit();
+  BOOST_TEST(Hear(Report("a1")).start_size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(silent_agent_keeps_its_tasks_until_its_tenure_has_ended) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  BOOST_TEST_REQUIRE(owner->State().AssignedTo("a1").size() == 1U);
+  now += kTenure;
+  Hear(Report("a2"));
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a1").size() == 1U);
+  now += kTenure / 100 + 1;
+  Hear(Report("a2"));
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a1").empty());
+  BOOST_TEST(owner->State().AssignedTo("a2").size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(agent_told_to_hold_keeps_its_tasks_past_its_tenure) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  owner->SetStoreReachable(false);
+  BOOST_TEST(Hear(Report("a1")).hold_ms() == static_cast<std::uint64_t>(kHold));
+  owner->SetStoreReachable(true);
+  now += 10 * kTenure;
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a1").size() == 1U);
+  now += kHold;
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a1").empty());
+}
+
+BOOST_AUTO_TEST_CASE(hold_is_over_once_the_agent_confirms_a_later_tenure) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  owner->SetStoreReachable(false);
+  Hear(Report("a1"));
+  owner->SetStoreReachable(true);
+  const wire::owner_reply tenure = Hear(Report("a1"));
+  wire::agent_report confirmed = Report("a1");
+  confirmed.set_epoch(1);
+  confirmed.set_right_sequence(tenure.sequence());
+  Hear(confirmed);
+  now += kTenure + kTenure / 100 + 1;
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a1").empty());
+}
+
+BOOST_AUTO_TEST_CASE(
+    new_owner_waits_the_hold_out_for_an_agent_it_cannot_reach) {
+  owner->OnManifest(OneJob(2), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  Own(owner->State(), 2, "a9");
+  now += 2 * kTenure;
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a1").size() == 2U);
+  now += kHold + kHold / 100;
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a1").empty());
+}
+
+BOOST_AUTO_TEST_CASE(new_owner_waits_one_tenure_for_the_former_owners_agent) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  Own(owner->State(), 2, "a1");
+  now += kTenure - 1;
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a1").size() == 1U);
+  now += kTenure / 100 + 2;
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a1").empty());
+}
+
+BOOST_AUTO_TEST_CASE(owner_grants_itself_no_hold) {
+  owner->SetStoreReachable(false);
+  const wire::owner_reply reply = Hear(Report("a0"));
+  BOOST_TEST(reply.hold_ms() == 0U);
+  BOOST_TEST(reply.tenure_ms() == static_cast<std::uint64_t>(kTenure));
+}
+
+BOOST_AUTO_TEST_CASE(owner_past_its_lease_grants_nothing) {
+  Hear(Report("a1"));
+  now += 5'000;
+  const wire::owner_reply reply = owner->OnReport(Report("a1"), now);
+  BOOST_TEST(reply.tenure_ms() == 0U);
+  BOOST_TEST(reply.hold_ms() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(replaced_vm_does_not_get_what_the_old_one_may_still_run) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  wire::agent_report replaced = Report("a1");
+  replaced.set_incarnation(2);
+  replaced.set_worker_instance("another");
+  BOOST_TEST(Hear(replaced).start_size() == 0);
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a1").size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(restarted_agent_on_the_same_vm_gets_its_backlog_again) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  wire::agent_report restarted = Report("a1");
+  restarted.set_incarnation(2);
+  BOOST_TEST(Hear(restarted).start_size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(finish_reported_by_another_agent_is_ignored) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  const wire::task_id id = Hear(Report("a1")).start(0).id();
+  wire::agent_report other = Report("a2");
+  *other.add_tasks() = Task(id, wire::phase_finished);
+  BOOST_TEST(Hear(other).acknowledged_size() == 1);
+  Settle();
+  BOOST_TEST(owner->State().Jobs().at("job@1").finished == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(finish_is_acknowledged_only_when_it_is_durable) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  wire::agent_report report = Report("a1");
+  *report.add_tasks() = Task(Hear(report).start(0).id(), wire::phase_finished);
+  BOOST_TEST(Hear(report).acknowledged_size() == 0);
+  BOOST_TEST(Hear(report).acknowledged_size() == 0);
+  Commit();
+  BOOST_TEST(Hear(report).acknowledged_size() == 1);
+  BOOST_TEST(owner->State().Jobs().at("job@1").Ended());
+}
+
+BOOST_AUTO_TEST_CASE(evicted_task_resumes_once_from_its_checkpoint) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  wire::agent_report report = Report("a1");
+  wire::task_report evicted =
+      Task(Hear(report).start(0).id(), wire::phase_evicted);
+  evicted.set_checkpoint("c1");
+  *report.add_tasks() = evicted;
+  Hear(report);
+  Hear(report);
+  Settle();
+  const wire::owner_reply next = Hear(Report("a1"));
+  BOOST_TEST_REQUIRE(next.start_size() == 1);
+  BOOST_TEST(next.start(0).checkpoint() == "c1");
+  BOOST_TEST(next.start(0).id().attempt() == evicted.id().attempt() + 1);
+}
+
+BOOST_AUTO_TEST_CASE(job_gone_from_the_manifest_is_cancelled_and_dropped) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  wire::agent_report report = Report("a1");
+  const wire::task_id id = Hear(report).start(0).id();
+  manifest empty = OneJob(1);
+  empty.jobs.clear();
+  owner->OnManifest(empty, 2);
+  Settle();
+  *report.add_tasks() = Task(id, wire::phase_running);
+  BOOST_TEST(Hear(report).withdraw_size() == 1);
+  *report.mutable_tasks(0) = Task(id, wire::phase_stopped);
+  Hear(report);
+  Settle();
+  Settle();
+  BOOST_TEST(owner->State().Jobs().empty());
+}
+
+BOOST_AUTO_TEST_CASE(older_manifest_changes_nothing) {
+  owner->OnManifest(OneJob(1), 2);
+  Commit();
+  manifest empty = OneJob(1);
+  empty.jobs.clear();
+  owner->OnManifest(empty, 1);
+  Commit();
+  BOOST_TEST(!owner->State().Jobs().at("job@1").cancelled);
+}
+
+BOOST_AUTO_TEST_CASE(worker_that_fails_everything_is_quarantined) {
+  owner->OnManifest(OneJob(6), 1);
+  Commit();
+  wire::agent_report report = Report("a1");
+  Hear(report);
+  Settle();
+  const wire::owner_reply reply = Hear(report);
+  for (const auto& start : reply.start()) {
+    *report.add_tasks() = Task(start.id(), wire::phase_failed);
+  }
+  Hear(report);
+  Hear(Report("a2"));
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a1").empty());
+  BOOST_TEST(!owner->State().AssignedTo("a2").empty());
+}
+
+BOOST_AUTO_TEST_CASE(job_that_fails_on_every_worker_is_stopped) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  for (int round = 0; round < 3; ++round) {
+    for (const char* name : {"a1", "a2", "a3"}) {
+      wire::agent_report report = Report(name);
+      const wire::owner_reply reply = Hear(report);
+      for (const auto& start : reply.start()) {
+        *report.add_tasks() = Task(start.id(), wire::phase_failed);
+      }
+      Hear(report);
+      Settle();
+    }
+  }
+  BOOST_TEST(!owner->State().Jobs().at("job@1").stopped.empty());
+}
+
+BOOST_AUTO_TEST_CASE(job_that_fits_nowhere_names_the_lacking_dimension) {
+  owner->OnManifest(OneJob(1, 5'000), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  wire::jobs_reply jobs;
+  owner->FillJobs(jobs, now);
+  BOOST_TEST(jobs.jobs(0).state() == "fits nowhere");
+  BOOST_TEST(jobs.jobs(0).reason().find("milli-processors") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(assignments_never_exceed_a_worker_but_for_those_ahead) {
+  owner->OnManifest(OneJob(40), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a1").size() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(claim_of_a_key_is_granted_once_and_answered_after) {
+  wire::claim_request first;
+  first.set_key("k");
+  first.set_request_id("r1");
+  BOOST_TEST(!owner->Claim(first, 1'000).has_value());
+  wire::claim_request second = first;
+  second.set_request_id("r2");
+  BOOST_TEST(owner->Claim(second, 1'000)->state() == wire::claim_in_progress);
+  Commit();
+  BOOST_TEST(owner->Claim(first, 1'000)->state() == wire::claim_granted);
+  wire::settlement settled;
+  settled.set_key("k");
+  settled.set_request_id("r1");
+  settled.set_outcome(wire::outcome_answered);
+  owner->Settle(settled);
+  BOOST_TEST(owner->Claim(second, 1'000)->state() == wire::claim_answered);
+  Commit();
+  BOOST_TEST(owner->Claim(second, 1'000)->state() == wire::claim_answered);
+}
+
+BOOST_AUTO_TEST_CASE(claim_proved_not_run_can_be_claimed_again) {
+  wire::claim_request request;
+  request.set_key("k");
+  request.set_request_id("r1");
+  (void)owner->Claim(request, 1'000);
+  Commit();
+  wire::settlement settled;
+  settled.set_key("k");
+  settled.set_request_id("r1");
+  settled.set_outcome(wire::outcome_not_run);
+  owner->Settle(settled);
+  Commit();
+  request.set_request_id("r2");
+  BOOST_TEST(!owner->Claim(request, 1'000).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(snapshot_restored_gives_the_same_snapshot) {
+  owner->OnManifest(OneJob(20), 1);
+  Commit();
+  wire::agent_report report = Report("a1");
+  Hear(report);
+  Settle();
+  const wire::owner_reply reply = Hear(report);
+  for (const auto& start : reply.start()) {
+    *report.add_tasks() = Task(start.id(), wire::phase_finished);
+  }
+  Hear(report);
+  Settle();
+  const wire::cell_snapshot snapshot = owner->State().Snapshot();
+  BOOST_TEST(cell_state::Restore(snapshot).Snapshot().SerializeAsString() ==
+             snapshot.SerializeAsString());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// An agent with a worker that does as it is told.
+struct agent_fixture {
+  agent_fixture() {
+    options.capacity = {4'000, 10'000, 0};
+    options.executor_memory_mb = 1'000;
+    core = std::make_unique<agent_core>(options, log, now);
+  }
+
+  wire::owner_reply Grant(std::uint64_t tenure, std::uint64_t hold = 0) {
+    wire::owner_reply reply;
+    reply.set_epoch(epoch);
+    reply.set_sequence(++sequence);
+    reply.set_tenure_ms(tenure);
+    reply.set_hold_ms(hold);
+    return reply;
+  }
+
+  static void AddStart(wire::owner_reply& reply, std::uint32_t index) {
+    auto* start = reply.add_start();
+    start->mutable_id()->set_job("job@1");
+    start->mutable_id()->set_index(index);
+    start->mutable_id()->set_attempt(1);
+    start->mutable_need()->set_milli_processors(1'000);
+    start->mutable_need()->set_memory_mb(100);
+  }
+
+  // Carries the actions out on the fake worker and reports back.
+  std::vector<worker_action> Step(std::uint32_t slots) {
+    auto actions = core->Tick(slots, now);
+    for (const worker_action& action : actions) {
+      worker_task& task = worker[action.task];
+      switch (action.kind) {
+        case worker_action_kind::kStart:
+          task.task = action.task;
+          task.need = FromWire(action.assignment.need());
+          break;
+        case worker_action_kind::kThrottle:
+          task.share = action.share;
+          break;
+        case worker_action_kind::kEvict:
+        case worker_action_kind::kStop:
+          task.state = worker_task_state::kStopped;
+          break;
+        case worker_action_kind::kForget:
+          worker.erase(action.task);
+          break;
+        default:
+          break;
+      }
+    }
+    std::vector<worker_task> listed;
+    for (const auto& [name, task] : worker) {
+      listed.push_back(task);
+    }
+    core->OnWorkerTasks(listed, now);
+    return actions;
+  }
+
+  static std::size_t Count(const std::vector<worker_action>& actions,
+                           worker_action_kind kind) {
+    return static_cast<std::size_t>(std::count_if(
+        actions.begin(), actions.end(),
+        [&](const worker_action& action) { return action.kind == kind; }));
+  }
+
+  millis now = 100'000;
+  std::uint64_t epoch = 1;
+  std::uint64_t sequence = 0;
+  agent_options options;
+  decision_log log{"test", 1'000};
+  std::unique_ptr<agent_core> core;
+  std::map<std::string, worker_task> worker;
+};
+
+BOOST_FIXTURE_TEST_SUITE(agent_core_suite, agent_fixture)
+
+BOOST_AUTO_TEST_CASE(task_without_a_right_to_run_does_not_start) {
+  wire::owner_reply reply = Grant(0);
+  AddStart(reply, 0);
+  core->OnReply(reply, now, now);
+  BOOST_TEST(Count(Step(1), worker_action_kind::kStart) == 0U);
+  core->OnReply(Grant(kTenure), now, now);
+  BOOST_TEST(Count(Step(1), worker_action_kind::kStart) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(grant_counts_from_before_the_report_was_sent) {
+  core->OnReply(Grant(kTenure), now - 9'000, now);
+  BOOST_TEST(core->RightUntil() == now + 1'000);
+}
+
+BOOST_AUTO_TEST_CASE(answer_that_comes_after_its_grant_ended_grants_nothing) {
+  core->OnReply(Grant(kTenure), now - kTenure, now);
+  BOOST_TEST(!core->MayRun(now));
+}
+
+BOOST_AUTO_TEST_CASE(answer_of_an_older_epoch_or_sequence_is_ignored) {
+  core->OnReply(Grant(kTenure), now, now);
+  wire::owner_reply older = Grant(kTenure, kHold);
+  older.set_epoch(0);
+  core->OnReply(older, now, now);
+  BOOST_TEST(core->RightUntil() == now + kTenure);
+  wire::owner_reply late = Grant(kTenure, kHold);
+  late.set_sequence(1);
+  core->OnReply(late, now, now);
+  BOOST_TEST(core->RightUntil() == now + kTenure);
+}
+
+BOOST_AUTO_TEST_CASE(lease_never_reaches_beyond_the_right) {
+  wire::owner_reply reply = Grant(2'000);
+  AddStart(reply, 0);
+  core->OnReply(reply, now, now);
+  for (const worker_action& action : Step(1)) {
+    BOOST_TEST(action.lease_until <= now + 2'000);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(task_is_evicted_before_the_right_ends) {
+  wire::owner_reply reply = Grant(kTenure);
+  AddStart(reply, 0);
+  core->OnReply(reply, now, now);
+  Step(1);
+  now += kTenure - 500;
+  BOOST_TEST(Count(Step(1), worker_action_kind::kEvict) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(backlog_and_slots_never_exceed_the_worker) {
+  wire::owner_reply reply = Grant(kTenure);
+  for (std::uint32_t i = 0; i < 6; ++i) {
+    AddStart(reply, i);
+  }
+  core->OnReply(reply, now, now);
+  BOOST_TEST(Count(Step(2), worker_action_kind::kStart) == 2U);
+  BOOST_TEST(core->GrantedSlots() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(demand_of_requests_throttles_first_and_evicts_later) {
+  wire::owner_reply reply = Grant(kHold);
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    AddStart(reply, i);
+  }
+  core->OnReply(reply, now, now);
+  Step(1);
+  const auto first = Step(3);
+  BOOST_TEST(Count(first, worker_action_kind::kThrottle) == 3U);
+  BOOST_TEST(Count(first, worker_action_kind::kEvict) == 0U);
+  BOOST_TEST(core->GrantedSlots() >= 3U);
+}
+
+BOOST_AUTO_TEST_CASE(pressure_that_throttling_relieves_evicts_nothing) {
+  wire::owner_reply reply = Grant(kHold);
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    AddStart(reply, i);
+  }
+  core->OnReply(reply, now, now);
+  Step(1);
+  for (int i = 0; i < 100; ++i) {
+    now += 200;
+    BOOST_TEST(Count(Step(2), worker_action_kind::kEvict) == 0U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(pressure_beyond_throttling_evicts_the_cheapest) {
+  wire::owner_reply reply = Grant(kHold);
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    AddStart(reply, i);
+  }
+  core->OnReply(reply, now, now);
+  Step(1);
+  std::size_t evicted = 0;
+  for (int i = 0; i < 100; ++i) {
+    now += 200;
+    evicted += Count(Step(4), worker_action_kind::kEvict);
+  }
+  BOOST_TEST(evicted >= 1U);
+  BOOST_TEST(core->GrantedSlots() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(restarted_agent_adopts_what_the_worker_runs) {
+  worker_task running;
+  running.task = "job@1/4#2";
+  running.need = {1'000, 100, 0};
+  worker[running.task] = running;
+  Step(0);
+  wire::agent_report report;
+  core->FillReport(report);
+  BOOST_TEST_REQUIRE(report.tasks_size() == 1);
+  BOOST_TEST(report.tasks(0).phase() == wire::phase_running);
+  BOOST_TEST(NameOf(report.tasks(0).id()) == "job@1/4#2");
+}
+
+BOOST_AUTO_TEST_CASE(task_given_back_soon_after_a_restart_is_kept) {
+  wire::owner_reply reply = Grant(0);
+  AddStart(reply, 0);
+  core->OnReply(reply, now, now);
+  const wire::task_id id = reply.start(0).id();
+  wire::owner_reply back = Grant(0);
+  *back.add_give_back() = id;
+  core->OnReply(back, now, now);
+  wire::agent_report report;
+  core->FillReport(report);
+  BOOST_TEST(report.tasks(0).phase() == wire::phase_backlog);
+  now += options.worker_lease;
+  wire::owner_reply again = Grant(0);
+  *again.add_give_back() = id;
+  core->OnReply(again, now, now);
+  report.Clear();
+  core->FillReport(report);
+  BOOST_TEST(report.tasks(0).phase() == wire::phase_stopped);
+}
+
+BOOST_AUTO_TEST_CASE(draining_evicts_and_reports_until_acknowledged) {
+  wire::owner_reply reply = Grant(kTenure);
+  AddStart(reply, 0);
+  core->OnReply(reply, now, now);
+  Step(1);
+  core->Drain();
+  Step(1);
+  BOOST_TEST(!core->Drained());
+  wire::owner_reply acknowledged = Grant(kTenure);
+  *acknowledged.add_acknowledged() = reply.start(0).id();
+  core->OnReply(acknowledged, now, now);
+  Step(1);
+  Step(1);
+  BOOST_TEST(core->Drained());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chervilkeel
--- a/src/libkernel/manifest.cpp
+++ b/src/libkernel/manifest.cpp
@@ -255,7 +255,9 @@
   std::string home;
   std::uint64_t highest = 0;
   for (const std::string& cell : cells) {
-    const std::string text = cell + "\n" + key;
+    std::string text = cell;
+    text += "\n";
+    text += key;
     const std::uint64_t weight = XXH64(text.data(), text.size(), 0);
     if (home.empty() || weight > highest) {
       home = cell;
--- a/src/libkernel/manifest_reader.h
+++ b/src/libkernel/manifest_reader.h
@@ -184,7 +184,7 @@
       Add(key, "must be a string");
       return {};
     }
-    const std::string name(value.as_string());
+    std::string name(value.as_string());
     if (name.empty() || name.size() > kMaxNameLength ||
         name.find_first_not_of(kAllowed) != std::string::npos) {
       Add(key, "must be 1 to 64 letters, digits, '.', '_' or '-'");
--- a/src/libkernel/placement.cpp
+++ b/src/libkernel/placement.cpp
@@ -41,7 +41,8 @@
       kSlowdownCost * PredictedSlowdown(request, candidate, interference);
   cost += kRackRepeatCost * static_cast<double>(candidate.same_job_in_rack);
   cost += UnusedShare(candidate);
-  if (!request.avoid.empty() && request.avoid == candidate.agent) {
+  if (std::count(request.avoid.begin(), request.avoid.end(), candidate.agent) !=
+      0) {
     cost += kFailedThereCost;
   }
   return cost;
--- /dev/null
+++ b/src/libkernel/requests_test.cpp
@@ -0,0 +1,295 @@
+// Admission, choice of upstream, and the life of a request.
+#include <rapidcheck.h>
+#include <boost/test/unit_test.hpp>
+
+#include "chervilkeel/request_flight.h"
+#include "chervilkeel/slot_admission.h"
+#include "chervilkeel/upstream_table.h"
+
+namespace chervilkeel {
+
+namespace {
+
+admission_ticket Ticket(std::uint64_t id,
+                        request_class duration,
+                        millis deadline) {
+  admission_ticket ticket;
+  ticket.id = id;
+  ticket.duration = duration;
+  ticket.deadline = deadline;
+  return ticket;
+}
+
+wire::roster_reply Roster(int own, int other) {
+  wire::roster_reply roster;
+  roster.set_cell("c");
+  for (int i = 0; i < own + other; ++i) {
+    auto* member = roster.add_members();
+    member->set_agent("a" + std::to_string(i));
+    member->set_address("127.0.0.1:" + std::to_string(i + 1));
+    member->set_data_centre(i < own ? "dc1" : "dc2");
+    member->mutable_load()->set_slots(8);
+  }
+  return roster;
+}
+
+upstream_options InFirstDataCentre() {
+  upstream_options options;
+  options.data_centre = "dc1";
+  return options;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(slot_admission_suite)
+
+BOOST_AUTO_TEST_CASE(long_requests_never_take_the_last_slot) {
+  slot_admission admission({});
+  int running = 0;
+  for (std::uint64_t i = 0; i < 20; ++i) {
+    const auto answer =
+        admission.Offer(Ticket(i, request_class::kLong, 1'000'000), 0);
+    running += answer.verdict == admission_verdict::kRun ? 1 : 0;
+  }
+  BOOST_TEST(running == 7);
+  BOOST_TEST(
+      (admission.Offer(Ticket(99, request_class::kShort, 10'000), 0).verdict ==
+       admission_verdict::kRun));
+}
+
+BOOST_AUTO_TEST_CASE(request_past_its_deadline_is_refused_with_the_wait) {
+  slot_admission admission({});
+  admission.SetGrantedSlots(1);
+  (void)admission.Offer(Ticket(1, request_class::kShort, 10'000), 0);
+  const auto answer = admission.Offer(Ticket(2, request_class::kShort, 60), 0);
+  BOOST_TEST((answer.verdict == admission_verdict::kRefused));
+  BOOST_TEST(answer.reason.find("expected wait of 50 ms") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(connections_bound_what_is_inside) {
+  admission_options options;
+  options.connections = 10;
+  slot_admission admission(options);
+  int inside = 0;
+  for (std::uint64_t i = 0; i < 30; ++i) {
+    const auto answer =
+        admission.Offer(Ticket(i, request_class::kShort, 1'000'000), 0);
+    inside += answer.verdict != admission_verdict::kRefused ? 1 : 0;
+  }
+  BOOST_TEST(inside == 10);
+}
+
+BOOST_AUTO_TEST_CASE(queued_requests_start_in_order_when_slots_come_free) {
+  slot_admission admission({});
+  admission.SetGrantedSlots(1);
+  const auto first = Ticket(1, request_class::kShort, 100'000);
+  (void)admission.Offer(first, 0);
+  (void)admission.Offer(Ticket(2, request_class::kShort, 100'000), 0);
+  (void)admission.Offer(Ticket(3, request_class::kShort, 100'000), 0);
+  admission.Done(first, 5);
+  const admission_step step = admission.Advance(10);
+  BOOST_TEST_REQUIRE(step.start.size() == 1U);
+  BOOST_TEST(step.start[0] == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(busy_slots_never_exceed_the_granted_ones) {
+  const bool held = rc::check("busy <= granted, whatever comes", [] {
+    slot_admission admission({});
+    std::map<std::uint64_t, admission_ticket> running;
+    std::uint64_t next = 1;
+    millis now = 0;
+    std::uint32_t granted = 8;
+    for (const int event :
+         *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5))) {
+      now += 7;
+      std::vector<std::uint64_t> started;
+      if (event <= 2) {
+        const auto ticket = Ticket(
+            next++, event == 0 ? request_class::kLong : request_class::kShort,
+            now + 5'000);
+        const auto answer = admission.Offer(ticket, now);
+        running[ticket.id] = ticket;
+        if (answer.verdict == admission_verdict::kRun) {
+          started.push_back(ticket.id);
+        }
+      } else if (event == 3 && admission.Busy() > 0) {
+        for (const auto& [id, ticket] : running) {
+          if (ticket.expected_ms < 0) {
+            admission.Done(ticket, 10);
+            running.erase(id);
+            break;
+          }
+        }
+      } else {
+        granted = std::max<std::uint32_t>(admission.Busy(), now % 9);
+        admission.SetGrantedSlots(granted);
+      }
+      for (const std::uint64_t id : admission.Advance(now).start) {
+        started.push_back(id);
+      }
+      for (const std::uint64_t id : started) {
+        running[id].expected_ms = -1;  // Marks it as running.
+      }
+      RC_ASSERT(admission.Busy() <= granted);
+    }
+  });
+  BOOST_TEST(held);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(upstream_table_suite)
+
+BOOST_AUTO_TEST_CASE(own_data_centre_is_chosen_while_it_is_quicker) {
+  upstream_table table(InFirstDataCentre(), 1);
+  table.TakeRoster(Roster(3, 3), 1'000);
+  for (int i = 0; i < 100; ++i) {
+    const auto choice = table.Choose(request_class::kShort, 20, {}, 1'000);
+    BOOST_TEST(
+        (choice.agent == "a0" || choice.agent == "a1" || choice.agent == "a2"));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(busy_data_centre_spills_over) {
+  upstream_table table(InFirstDataCentre(), 1);
+  wire::roster_reply roster = Roster(2, 2);
+  for (int i = 0; i < 2; ++i) {
+    roster.mutable_members(i)->mutable_load()->set_busy_slots(8);
+    roster.mutable_members(i)->mutable_load()->set_queued_short(10);
+  }
+  table.TakeRoster(roster, 1'000);
+  const auto choice = table.Choose(request_class::kShort, 20, {}, 1'000);
+  BOOST_TEST((choice.agent == "a2" || choice.agent == "a3"));
+}
+
+BOOST_AUTO_TEST_CASE(silent_or_draining_upstream_gets_nothing) {
+  upstream_table table(InFirstDataCentre(), 1);
+  wire::roster_reply roster = Roster(2, 0);
+  roster.mutable_members(0)->set_draining(true);
+  table.TakeRoster(roster, 1'000);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(table.Choose(request_class::kShort, 20, {}, 1'000).agent ==
+               "a1");
+  }
+  BOOST_TEST(table.Choose(request_class::kShort, 20, {}, 2'501).agent.empty());
+}
+
+BOOST_AUTO_TEST_CASE(several_entries_on_stale_views_do_not_herd) {
+  constexpr int kEntries = 12;
+  std::vector<upstream_table> entries;
+  for (int i = 0; i < kEntries; ++i) {
+    entries.emplace_back(InFirstDataCentre(), i);
+    entries.back().TakeRoster(Roster(11, 0), 1'000);
+  }
+  std::map<std::string, int> counts;
+  for (int round = 0; round < 20; ++round) {
+    for (upstream_table& table : entries) {
+      const auto choice = table.Choose(request_class::kShort, 20, {}, 1'000);
+      table.Begin(choice.agent);
+      ++counts[choice.agent];
+    }
+  }
+  int most = 0;
+  for (const auto& [agent, count] : counts) {
+    most = std::max(most, count);
+  }
+  BOOST_TEST(most < 2 * 20 * kEntries / 11);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(request_flight_suite)
+
+BOOST_AUTO_TEST_CASE(non_idempotent_request_is_not_repeated_after_unknown) {
+  retry_budget budget(0.1, 10);
+  flight_options options;
+  options.idempotent = false;
+  options.deadline = 1'000;
+  request_flight flight(options, budget);
+  flight.Begin(0);
+  const auto step = flight.OnOutcome(1, wire::outcome_unknown, "lost", 10);
+  BOOST_TEST((step.action == flight_action::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(request_proved_not_run_is_repeated) {
+  retry_budget budget(0.1, 10);
+  flight_options options;
+  options.idempotent = false;
+  options.deadline = 1'000;
+  request_flight flight(options, budget);
+  flight.Begin(0);
+  BOOST_TEST((flight.OnOutcome(1, wire::outcome_not_run, "full", 10).action ==
+              flight_action::kSend));
+}
+
+BOOST_AUTO_TEST_CASE(retries_stop_when_the_budget_is_spent) {
+  retry_budget budget(0.1, 2);
+  int retries = 0;
+  for (int i = 0; i < 100; ++i) {
+    flight_options options;
+    options.deadline = 1'000;
+    request_flight flight(options, budget);
+    flight.Begin(0);
+    retries += flight.OnOutcome(1, wire::outcome_not_run, "", 1).action ==
+                       flight_action::kSend
+                   ? 1
+                   : 0;
+  }
+  BOOST_TEST(retries <= 12);
+}
+
+// Any order of late, lost, repeated and crossed messages.
+BOOST_AUTO_TEST_CASE(outcomes_are_truthful_under_any_order_of_messages) {
+  const bool held = rc::check("truthful", [] {
+    retry_budget budget(0.5, 5);
+    flight_options options;
+    options.idempotent = *rc::gen::arbitrary<bool>();
+    options.deadline = 1'000;
+    options.hedge_after = *rc::gen::element<millis>(0, 100);
+    request_flight flight(options, budget);
+    std::map<std::uint32_t, bool> ran;  // By attempt: whether it truly ran.
+    int ended = 0;
+    flight_step end;
+    const auto take = [&](const flight_step& step) {
+      if (step.action == flight_action::kSend) {
+        ran[step.attempt] = *rc::gen::arbitrary<bool>();
+      } else if (step.action != flight_action::kWait) {
+        ++ended;
+        end = step;
+      }
+    };
+    millis now = 0;
+    take(flight.Begin(now));
+    for (const int event :
+         *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6))) {
+      now += 60;
+      const auto attempt =
+          static_cast<std::uint32_t>(*rc::gen::inRange<int>(1, 5));
+      const bool sent = ran.count(attempt) != 0;
+      if (event == 0) {
+        take(flight.OnTime(now));
+      } else if (sent && event <= 2 && ran[attempt]) {
+        take(flight.OnOutcome(attempt, wire::outcome_answered, "", now));
+      } else if (sent && event <= 2) {
+        take(flight.OnOutcome(attempt, wire::outcome_not_run, "", now));
+      } else if (event == 3) {
+        take(flight.OnOutcome(attempt, wire::outcome_unknown, "", now));
+      }
+    }
+    take(flight.OnTime(options.deadline));
+    RC_ASSERT(ended == 1);
+    const auto runs = std::count_if(ran.begin(), ran.end(),
+                                    [](auto entry) { return entry.second; });
+    if (end.action == flight_action::kNotRun) {
+      RC_ASSERT(runs == 0);
+    }
+    if (!options.idempotent) {
+      RC_ASSERT(runs <= 1);
+    }
+  });
+  BOOST_TEST(held);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chervilkeel
--- a/src/libshell/http_client.cpp
+++ b/src/libshell/http_client.cpp
@@ -215,7 +215,7 @@
                      std::size_t idle_limit)
     : context_(context), peer_(std::move(peer)), idle_limit_(idle_limit) {}
 
-void http_pool::Call(http_call call,
+void http_pool::Call(const http_call& call,
                      millis timeout,
                      std::uint64_t body_limit,
                      http_callback callback) {
--- a/src/standins/client_load.cpp
+++ b/src/standins/client_load.cpp
@@ -159,7 +159,7 @@
     const std::string body = call.body;
     constexpr millis kTimeout = 30'000;
     pools_[entry]->Call(
-        std::move(call), kTimeout, 64U << 20U,
+        call, kTimeout, 64U << 20U,
         [=, this, &part](result<http_response> answer) {
           client_record record;
           record.token = token;
@@ -345,6 +345,7 @@
   app.add_option("--seed", options.seed, "Of the arrival times");
   app.add_option("--ledger", options.ledger, "File for the clients' ledger");
   CLI11_PARSE(app, argc, argv);
+  options.entries.reserve(entries.size());
   for (const std::string& entry : entries) {
     chervilkeel::endpoint parsed;
     if (!chervilkeel::ParseEndpoint(entry, parsed)) {
@@ -353,13 +354,15 @@
     }
     options.entries.push_back(parsed);
   }
+  options.parts.reserve(parts.size());
   for (const std::string& part : parts) {
-    options.parts.emplace_back();
-    if (!chervilkeel::ParsePart(part, options.parts.back())) {
+    chervilkeel::load_part parsed;
+    if (!chervilkeel::ParsePart(part, parsed)) {
       std::fprintf(stderr, "--load %s is not SERVICE:PER_SECOND\n",
                    part.c_str());
       return 2;
     }
+    options.parts.push_back(parsed);
   }
   return chervilkeel::Run(options);
 }
