Ask a silent agent's worker how its tasks ended before moving them

Change: past the end of every right the owner asks the worker itself; finished tasks are recorded, checkpoints taken, running ones left alone. Refusals of large bodies linger, so that the client reads them. Conclusion: only a worker that is lost with its VM can still hide a finish.

--- a/src/chervilkeeld/owner_seat.cpp
+++ b/src/chervilkeeld/owner_seat.cpp
@@ -1,7 +1,10 @@
 #include "owner_seat.h"
 
+#include <boost/asio/post.hpp>
+
 #include "chervilkeel/log.h"
 #include "chervilkeel/wire_json.h"
+#include "chervilkeel/worker.h"
 #include "owner_key.h"
 
 namespace chervilkeel {
@@ -13,6 +16,7 @@
 constexpr int kRecoverTries = 10;
 constexpr millis kRetryPause = 100;
 constexpr int kRenewalsInLease = 4;
+constexpr millis kInquiryTimeout = 500;
 
 grpc::ServerUnaryReactor* FinishNow(grpc::CallbackServerContext* context) {
   auto* reactor = context->DefaultReactor();
@@ -41,6 +45,7 @@
 
 void owner_seat::Stop() {
   loop_.Stop();
+  inquiries_.join();
   if (!IsOwner()) {
     return;
   }
@@ -109,9 +114,44 @@
     owner_->SetStoreReachable(store_reachable_);
     owner_->Tick(now);
   }
+  AskWorkers();
   CommitPending(MonotonicNow());
 }
 
+// Asks the workers of silent agents how their tasks ended, off this thread, so
+// that the loss of a rack doesn't hold up the lease.
+void owner_seat::AskWorkers() {
+  std::vector<worker_inquiry> inquiries;
+  std::uint64_t epoch = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    inquiries = owner_->TakeInquiries();
+    epoch = owner_->Epoch();
+  }
+  for (const worker_inquiry& inquiry : inquiries) {
+    boost::asio::post(inquiries_,
+                      [this, inquiry, epoch] { AskWorker(inquiry, epoch); });
+  }
+}
+
+void owner_seat::AskWorker(const worker_inquiry& inquiry, std::uint64_t epoch) {
+  std::optional<std::vector<worker_task>> tasks;
+  endpoint peer;
+  if (ParseEndpoint(inquiry.worker_address, peer)) {
+    auto worker = MakeWorker(core_.settings.worker_kind, peer, kInquiryTimeout);
+    if (worker) {
+      auto listed = worker.value()->Act({});
+      if (listed) {
+        tasks = std::move(listed.value());
+      }
+    }
+  }
+  const std::lock_guard lock(mutex_);
+  if (owner_ && owner_->Epoch() == epoch) {
+    owner_->OnWorkerAnswer(inquiry.agent, std::move(tasks));
+  }
+}
+
 void owner_seat::TryTakeOver() {
   const auto acquired = Acquire();
   if (!acquired) {
--- a/src/chervilkeeld/owner_seat.h
+++ b/src/chervilkeeld/owner_seat.h
@@ -11,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include <boost/asio/thread_pool.hpp>
+
 #include "chervilkeel/cell_journal.h"
 #include "chervilkeel/cell_owner.h"
 #include "periodic_loop.h"
@@ -81,6 +83,8 @@
   void SaveSnapshotIfDue();
   void StepDown(const std::string& why);
   void NoteStore(bool reachable);
+  void AskWorkers();
+  void AskWorker(const worker_inquiry& inquiry, std::uint64_t epoch);
   void FetchWantedManifest();
   bool IsOwner() const;
   owner_options Options() const;
@@ -89,6 +93,7 @@
   const std::string cell_;
   cell_journal<key_value_store> journal_;
   periodic_loop loop_;
+  boost::asio::thread_pool inquiries_{2};
   std::atomic<bool> compete_{true};
 
   // Of the loop's thread only.
--- a/src/include/chervilkeel/cell_owner.h
+++ b/src/include/chervilkeel/cell_owner.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "chervilkeel/agent_core.h"
 #include "chervilkeel/cell_state.h"
 #include "chervilkeel/clock.h"
 #include "chervilkeel/decision_log.h"
@@ -37,6 +38,15 @@
   std::size_t claim_limit = 4'000;         // Keys remembered at most.
 };
 
+// How far the owner is in asking a worker whose agent is silent.
+enum class inquiry_state { kNone, kWanted, kAsked, kAnswered };
+
+// A worker to be asked for its list of tasks.
+struct worker_inquiry {
+  std::string agent;
+  std::string worker_address;
+};
+
 // What the owner knows of one agent.
 struct agent_entry {
   wire::agent_report report;
@@ -48,6 +58,8 @@
   std::uint32_t failures_in_row = 0;
   millis probe_at = 0;
   bool silent = false;
+  inquiry_state inquiry = inquiry_state::kNone;
+  std::vector<worker_task> worker_word;  // The worker's answer, if any.
   std::map<std::string, millis> backlog_since;
 
   // The instant from which the agent certainly runs nothing on its own right.
@@ -87,6 +99,14 @@
   // Places waiting tasks and moves those of agents whose right has ended.
   void Tick(millis now);
 
+  // Returns the workers to ask now, each once. Their tasks move only after the
+  // answer: what a worker finished while its agent was dead is not run again.
+  std::vector<worker_inquiry> TakeInquiries();
+
+  // Takes a worker's list of tasks, or nothing if it could not be reached.
+  void OnWorkerAnswer(const std::string& agent,
+                      std::optional<std::vector<worker_task>> tasks);
+
   // Answers a claim at once, or returns nothing and proposes it: the answer
   // follows when a record that holds the claim is durable.
   std::optional<wire::claim_reply> Claim(const wire::claim_request& request,
@@ -140,7 +160,12 @@
   void ProposeFinish(const wire::task_id& id);
   void CountFailure(agent_entry& agent, millis now);
   void MoveLostTasks(millis now);
-  void MoveTasksOf(const std::string& name, const agent_entry& agent);
+  void MoveTasksOf(const std::string& name, agent_entry& agent);
+  bool MoveTask(const std::string& name,
+                const agent_entry& agent,
+                const wire::task_id& id);
+  std::vector<wire::task_id> TasksToMove(const std::string& name,
+                                         const agent_entry& agent) const;
   void DropEndedJobs();
   void StopFailingJobs();
   void ReportMisfits(millis now);
--- a/src/libkernel/cell_owner.cpp
+++ b/src/libkernel/cell_owner.cpp
@@ -87,6 +87,8 @@
   agent.report = report;
   agent.heard_at = now;
   agent.silent = false;
+  agent.inquiry = inquiry_state::kNone;
+  agent.worker_word.clear();
   reply.set_sequence(++agent.reply_sequence);
   reply.set_manifest_version(manifest_version_);
   for (const auto& task : report.tasks()) {
@@ -198,7 +200,8 @@
 void cell_owner::ProposeFinish(const wire::task_id& id) {
   *Propose().mutable_finished()->mutable_id() = id;
   changing_.insert({id.job(), id.index()});
-  log_.Add(kPart, NameOf(id), "recorded the end", "the agent says it finished");
+  log_.Add(kPart, NameOf(id), "recorded the end",
+           "the agent or its worker says it finished");
 }
 
 void cell_owner::ProposeRelease(const wire::task_id& id,
--- a/src/libkernel/cell_owner_placement.cpp
+++ b/src/libkernel/cell_owner_placement.cpp
@@ -80,17 +80,17 @@
   }
 }
 
-// Past the end of every right the agent may hold, releases what a silent agent
-// held, and what an earlier worker of its name held.
-void cell_owner::MoveTasksOf(const std::string& name,
-                             const agent_entry& agent) {
+// Lists what a silent agent held, and what an earlier worker of its name held.
+std::vector<wire::task_id> cell_owner::TasksToMove(
+    const std::string& name,
+    const agent_entry& agent) const {
   std::set<std::string> reported;
   if (!agent.silent) {
     for (const auto& task : agent.report.tasks()) {
       reported.insert(NameOf(task.id()));
     }
   }
-  std::size_t moved = 0;
+  std::vector<wire::task_id> ids;
   for (const task_key& key : state_.AssignedTo(name)) {
     const wire::task_record& task = *state_.Find(key.job, key.index);
     const bool orphaned =
@@ -99,19 +99,33 @@
     id.set_job(key.job);
     id.set_index(key.index);
     id.set_attempt(task.attempt());
-    if (changing_.count(key) != 0 || reported.count(NameOf(id)) != 0 ||
-        !(agent.silent || orphaned)) {
-      continue;
+    if ((agent.silent || orphaned) && changing_.count(key) == 0 &&
+        reported.count(NameOf(id)) == 0) {
+      ids.push_back(id);
     }
-    const wire::task_report* last = nullptr;
-    for (const auto& report : agent.report.tasks()) {
-      if (NameOf(report.id()) == NameOf(id)) {
-        last = &report;
-      }
+  }
+  return ids;
+}
+
+// Past the end of every right the agent may hold, asks its worker how its
+// tasks ended, and then releases them.
+void cell_owner::MoveTasksOf(const std::string& name, agent_entry& agent) {
+  const std::vector<wire::task_id> ids = TasksToMove(name, agent);
+  if (ids.empty()) {
+    return;
+  }
+  if (agent.inquiry != inquiry_state::kAnswered) {
+    if (agent.inquiry == inquiry_state::kNone) {
+      agent.inquiry = inquiry_state::kWanted;
     }
-    ProposeRelease(id, wire::release_lost, last, name);
-    ++moved;
+    return;
   }
+  std::size_t moved = 0;
+  for (const wire::task_id& id : ids) {
+    moved += MoveTask(name, agent, id) ? 1 : 0;
+  }
+  agent.inquiry = inquiry_state::kNone;
+  agent.worker_word.clear();
   if (moved > 0) {
     moved_tasks_ += moved;
     log_.Add(kRepairPart, name,
@@ -120,6 +134,72 @@
   }
 }
 
+// Releases one task by the worker's own word, or else as lost. A task that the
+// worker still runs is left where it is.
+bool cell_owner::MoveTask(const std::string& name,
+                          const agent_entry& agent,
+                          const wire::task_id& id) {
+  wire::task_report last;
+  for (const auto& report : agent.report.tasks()) {
+    if (NameOf(report.id()) == NameOf(id)) {
+      last = report;
+    }
+  }
+  last.set_reason("its agent died");
+  wire::release_cause cause = wire::release_lost;
+  for (const worker_task& task : agent.worker_word) {
+    if (task.task != NameOf(id)) {
+      continue;
+    }
+    if (task.state == worker_task_state::kRunning) {
+      return false;
+    }
+    if (task.state == worker_task_state::kFinished) {
+      ProposeFinish(id);
+      return false;
+    }
+    if (task.state == worker_task_state::kFailed) {
+      cause = wire::release_failed;
+      last.set_reason(task.reason);
+    }
+    if (!task.checkpoint.empty()) {
+      last.set_checkpoint(task.checkpoint);
+      last.set_progress_ms(static_cast<std::uint64_t>(task.progress_ms));
+    }
+  }
+  ProposeRelease(id, cause, &last, name);
+  return true;
+}
+
+std::vector<worker_inquiry> cell_owner::TakeInquiries() {
+  std::vector<worker_inquiry> inquiries;
+  for (auto& [name, agent] : agents_) {
+    if (agent.inquiry != inquiry_state::kWanted) {
+      continue;
+    }
+    agent.inquiry = inquiry_state::kAsked;
+    for (const wire::task_id& id : TasksToMove(name, agent)) {
+      const wire::task_record& task = *state_.Find(id.job(), id.index());
+      inquiries.push_back({name, task.worker_address()});
+      break;
+    }
+  }
+  return inquiries;
+}
+
+void cell_owner::OnWorkerAnswer(const std::string& name,
+                                std::optional<std::vector<worker_task>> tasks) {
+  const auto agent = agents_.find(name);
+  if (agent == agents_.end() ||
+      agent->second.inquiry != inquiry_state::kAsked) {
+    return;
+  }
+  agent->second.inquiry = inquiry_state::kAnswered;
+  if (tasks) {
+    agent->second.worker_word = std::move(*tasks);
+  }
+}
+
 void cell_owner::StopFailingJobs() {
   std::size_t heard = 0;
   for (const auto& [name, agent] : agents_) {
@@ -353,6 +433,7 @@
   assigned->mutable_id()->set_attempt(task.attempt() + 1);
   assigned->set_agent(chosen.agent);
   assigned->set_worker_instance(agent.report.worker_instance());
+  assigned->set_worker_address(agent.report.worker_address());
   changing_.insert({job.specification.name(), index});
   log_.Add(kPart, NameOf(assigned->id()), "assigned to " + chosen.agent,
            choice.reason);
--- a/src/libkernel/cell_owner_test.cpp
+++ b/src/libkernel/cell_owner_test.cpp
@@ -71,6 +71,9 @@
     owner->SetLeaseUntil(now + 5'000);
     for (int i = 0; i < 4; ++i) {
       owner->Tick(now);
+      for (const worker_inquiry& inquiry : owner->TakeInquiries()) {
+        owner->OnWorkerAnswer(inquiry.agent, worker_word);
+      }
       Commit();
     }
   }
@@ -84,6 +87,7 @@
   }
 
   millis now = 1'000;
+  std::optional<std::vector<worker_task>> worker_word;  // Of asked workers.
   decision_log log{"test", 1'000};
   std::unique_ptr<cell_owner> owner;
 };
@@ -182,6 +186,39 @@
   BOOST_TEST(owner->State().AssignedTo("a1").empty());
 }
 
+BOOST_AUTO_TEST_CASE(
+    task_finished_while_its_agent_was_dead_does_not_run_again) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  worker_task finished;
+  finished.task = NameOf(Hear(Report("a1")).start(0).id());
+  finished.state = worker_task_state::kFinished;
+  worker_word = {finished};
+  now += kTenure + kTenure / 100 + 1;
+  Settle();
+  BOOST_TEST(owner->State().Jobs().at("job@1").Ended());
+}
+
+BOOST_AUTO_TEST_CASE(task_that_its_worker_still_runs_is_not_moved) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  worker_task running;
+  running.task = NameOf(Hear(Report("a1")).start(0).id());
+  worker_word = {running};
+  now += kTenure + kTenure / 100 + 1;
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a1").size() == 1U);
+  worker_word->front().state = worker_task_state::kLapsed;
+  worker_word->front().checkpoint = "c9";
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a1").empty());
+  BOOST_TEST(owner->State().Find("job@1", 0)->checkpoint() == "c9");
+}
+
 BOOST_AUTO_TEST_CASE(owner_grants_itself_no_hold) {
   owner->SetStoreReachable(false);
   const wire::owner_reply reply = Hear(Report("a0"));
--- a/src/libkernel/cell_state.cpp
+++ b/src/libkernel/cell_state.cpp
@@ -220,6 +220,7 @@
   task.set_attempt(change.id().attempt());
   task.set_agent(change.agent());
   task.set_worker_instance(change.worker_instance());
+  task.set_worker_address(change.worker_address());
   job->second.waiting.erase(task.index());
   job->second.assigned.insert(task.index());
   assigned_to_[change.agent()].insert({change.id().job(), task.index()});
@@ -240,6 +241,8 @@
   }
   job.assigned.erase(task.index());
   task.clear_agent();
+  task.clear_worker_instance();
+  task.clear_worker_address();
 }
 
 void cell_state::Release(const wire::task_released& change) {
--- a/src/libshell/http_server.cpp
+++ b/src/libshell/http_server.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr const char* kPart = "http";
+constexpr std::chrono::seconds kLinger(5);
+constexpr std::size_t kDiscardBytes = 65'536;
 
 int HexDigit(char digit) {
   if (digit >= '0' && digit <= '9') {
@@ -135,6 +137,7 @@
 
   void Refuse(unsigned status, const std::string& message) {
     close_after_ = true;
+    linger_ = true;
     ++server_->in_flight_;
     Write(ErrorResponse(status, message));
   }
@@ -185,11 +188,31 @@
 
   void OnWritten(beast::error_code failure) {
     --server_->in_flight_;
-    if (failure || close_after_) {
+    if (!failure && linger_) {
+      beast::error_code ignored;
+      stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+      stream_.expires_after(kLinger);
+      Discard();
+    } else if (failure || close_after_) {
       Close();
-      return;
+    } else {
+      Read();
     }
-    Read();
+  }
+
+  // Reads what the peer still sends: closing with unread bytes would reset the
+  // connection and take the refusal with it.
+  void Discard() {
+    buffer_.clear();
+    stream_.async_read_some(
+        buffer_.prepare(kDiscardBytes),
+        [self = shared_from_this()](beast::error_code failure, std::size_t) {
+          if (failure) {
+            self->Close();
+          } else {
+            self->Discard();
+          }
+        });
   }
 
   void Close() {
@@ -204,6 +227,7 @@
   std::optional<http::request_parser<http::string_body>> parser_;
   std::optional<http::response<http::string_body>> response_;
   bool close_after_ = false;
+  bool linger_ = false;
 };
 
 http_server::http_server(asio::io_context& context,
