Let agents and entries look for another owner once the lease has lapsed

Cause: testsuite owner_cut_off: an owner that alone lost the store went on answering heartbeats, so nobody competed for the free lease; 190 of 218 claims were refused. Ruled out: the lease itself, which had lapsed in the store. Change: past its lease an owner says so in heartbeats and rosters; agents and entries then look into the store, and the roster goes on meanwhile. Conclusion: isolation of an owner is repaired like its death.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -68,7 +68,8 @@
   fleet_run workers "$FLEET_BIN/src/standins/worker_standin" --workers "$FLEET_AGENTS" \
     --control-port "$(fleet_port 1)" --worker-port "$(fleet_port 100)" \
     --executor-port "$(fleet_port 200)" --milli-processors "$FLEET_MILLI" \
-    --memory-mb "$FLEET_MEMORY" --seed "${FLEET_SEED:-1}"
+    --memory-mb "$FLEET_MEMORY" --seed "${FLEET_SEED:-1}" \
+    --straggler-share "${FLEET_STRAGGLERS:-0.02}"
 }
 
 fleet_start_entry() { # number
--- a/src/chervilkeeld/agent_process.cpp
+++ b/src/chervilkeeld/agent_process.cpp
@@ -149,9 +149,11 @@
       call->peer->owner->Heartbeat(&call->context, call->request, &call->reply);
   core_.metrics.CountEvent("heartbeats");
   if (status.ok() && call->reply.outcome() == wire::report_accepted) {
-    failed_heartbeats_ = 0;
     TakeReply(call->reply, owner, sent_at);
-    return;
+    if (!call->reply.lease_lapsed()) {
+      failed_heartbeats_ = 0;
+      return;
+    }
   }
   if (++failed_heartbeats_ >= kSilentHeartbeats) {
     failed_heartbeats_ = 0;
--- a/src/chervilkeeld/roster_keeper.cpp
+++ b/src/chervilkeeld/roster_keeper.cpp
@@ -110,7 +110,7 @@
   }
   const std::lock_guard lock(tables_.mutex);
   tables_.upstreams.TakeRoster(call->reply, MonotonicNow());
-  return true;
+  return !call->reply.lease_lapsed();
 }
 
 // Asks upstreams that were not heard lately whether they live.
--- a/src/libkernel/cell_owner.cpp
+++ b/src/libkernel/cell_owner.cpp
@@ -109,6 +109,7 @@
     agent.hold_until = 0;
   }
   if (!MayGrant(now)) {
+    reply.set_lease_lapsed(true);
     return;
   }
   if (store_reachable_ || agent.report.agent() == owner_) {
@@ -402,6 +403,7 @@
   reply.set_cell(cell_);
   reply.set_epoch(epoch_);
   reply.set_manifest_version(manifest_version_);
+  reply.set_lease_lapsed(!MayGrant(now));
   for (const auto& [name, agent] : agents_) {
     if (agent.report.address().empty() ||
         now - agent.heard_at > options_.forget_after) {
--- a/src/libkernel/cell_owner_test.cpp
+++ b/src/libkernel/cell_owner_test.cpp
@@ -232,6 +232,7 @@
   const wire::owner_reply reply = owner->OnReport(Report("a1"), now);
   BOOST_TEST(reply.tenure_ms() == 0U);
   BOOST_TEST(reply.hold_ms() == 0U);
+  BOOST_TEST(reply.lease_lapsed());
 }
 
 BOOST_AUTO_TEST_CASE(replaced_vm_does_not_get_what_the_old_one_may_still_run) {
--- a/src/standins/worker_standin.cpp
+++ b/src/standins/worker_standin.cpp
@@ -100,8 +100,12 @@
                  int workers,
                  const amount& capacity,
                  std::uint32_t slots,
+                 double straggler_share,
                  std::uint64_t seed)
-      : context_(context), timer_(context), random_(seed) {
+      : context_(context),
+        timer_(context),
+        straggler_share_(straggler_share),
+        random_(seed) {
     for (int number = 0; number < workers; ++number) {
       fake_worker worker;
       worker.number = number;
@@ -327,7 +331,7 @@
       return known->second;
     }
     std::lognormal_distribution<double> spread(0.0, 0.3);
-    std::bernoulli_distribution straggler(0.02);
+    std::bernoulli_distribution straggler(straggler_share_);
     const double factor = spread(random_) * (straggler(random_) ? 6 : 1);
     const auto run_ms =
         static_cast<millis>(static_cast<double>(declared) * factor);
@@ -426,6 +430,7 @@
 
   asio::io_context& context_;
   asio::steady_timer timer_;
+  const double straggler_share_;
   std::mt19937_64 random_;
   millis stepped_at_ = 0;
   std::vector<fake_worker> workers_;
@@ -445,6 +450,7 @@
   std::int64_t memory_mb = 60'000;
   std::int64_t accelerators = 0;
   std::uint32_t slots = 8;
+  double straggler_share = 0.02;
   std::uint64_t seed = 1;
 };
 
@@ -470,7 +476,7 @@
   worker_standin standin(
       context, options.workers,
       {options.milli_processors, options.memory_mb, options.accelerators},
-      options.slots, options.seed);
+      options.slots, options.straggler_share, options.seed);
   std::vector<std::shared_ptr<http_server>> servers;
   bool listening =
       Listen(context, options.address, options.control_port, servers,
@@ -516,6 +522,8 @@
   app.add_option("--memory-mb", options.memory_mb, "Of a worker");
   app.add_option("--accelerators", options.accelerators, "Of a worker");
   app.add_option("--slots", options.slots, "Of an executor");
+  app.add_option("--straggler-share", options.straggler_share,
+                 "Share of tasks that run six times longer");
   app.add_option("--seed", options.seed, "Of the fake durations");
   CLI11_PARSE(app, argc, argv);
   chervilkeel::StartLogging("workers", "warn");
