--- a/src/standins/worker_standin.cpp
+++ b/src/standins/worker_standin.cpp
@@ -325,7 +325,8 @@
 
   // Declared run times are off: some tasks are shorter, a few are stragglers.
   millis TrueRunMs(const std::string& name, millis declared) {
-    const std::string task = name.substr(0, name.rfind('#'));
+    const std::string task =
+        name.substr(0, name.rfind('#')) + "=" + std::to_string(declared);
     const auto known = true_run_ms_.find(task);
     if (known != true_run_ms_.end()) {
       return known->second;
