--- a/src/chervilkeeld/agent_process.cpp
+++ b/src/chervilkeeld/agent_process.cpp
@@ -95,7 +95,7 @@
             "The worker does not answer; " + ToString(listed.error()) + ".");
     return;
   }
-  bool ended = false;
+  std::size_t ended = 0;
   {
     const std::lock_guard lock(mutex_);
     tasks_->OnWorkerTasks(listed.value(), asked_at);
@@ -106,11 +106,13 @@
                            static_cast<double>(tasks_->Evictions()));
   }
   for (const worker_task& task : listed.value()) {
-    ended = ended || task.state != worker_task_state::kRunning;
+    ended += task.state != worker_task_state::kRunning ? 1 : 0;
   }
-  if (!worker_listed_.exchange(true) || ended) {
+  // An end is reported at once; what waits for its acknowledgement is not.
+  if (!worker_listed_.exchange(true) || ended > ended_tasks_) {
     heartbeat_loop_.Wake();
   }
+  ended_tasks_ = ended;
 }
 
 void agent_process::HeartbeatStep() {
--- a/src/chervilkeeld/agent_process.h
+++ b/src/chervilkeeld/agent_process.h
@@ -56,6 +56,7 @@
   std::unique_ptr<grpc::Server> server_;
   periodic_loop worker_loop_;
   periodic_loop heartbeat_loop_;
+  std::size_t ended_tasks_ = 0;        // Of the worker loop only.
   std::uint64_t report_sequence_ = 0;  // Of the heartbeat loop only.
   int failed_heartbeats_ = 0;          // Of the heartbeat loop only.
   std::atomic<bool> worker_listed_{false};
--- a/src/chervilkeeld/owner_seat.cpp
+++ b/src/chervilkeeld/owner_seat.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr const char* kPart = "owner";
-constexpr millis kStepInterval = 50;
+constexpr millis kStepInterval = 50;   // Between looks at the journal.
+constexpr millis kTickInterval = 200;  // Between placements.
 constexpr int kRecoverTries = 10;
 constexpr millis kRetryPause = 100;
 constexpr int kRenewalsInLease = 4;
@@ -112,7 +113,10 @@
     const std::lock_guard lock(mutex_);
     owner_->SetLeaseUntil(lease_until_);
     owner_->SetStoreReachable(store_reachable_);
-    owner_->Tick(now);
+    if (now - ticked_at_ >= kTickInterval) {
+      ticked_at_ = now;
+      owner_->Tick(now);
+    }
   }
   AskWorkers();
   CommitPending(MonotonicNow());
--- a/src/chervilkeeld/owner_seat.h
+++ b/src/chervilkeeld/owner_seat.h
@@ -102,6 +102,7 @@
   millis lease_until_ = 0;
   millis renewed_at_ = 0;
   millis committed_at_ = 0;
+  millis ticked_at_ = 0;
   std::optional<wire::journal_record> record_;
   std::uint64_t operations_ = 0;
   bool store_reachable_ = true;
