Take a shorter right only when no worker's lease reaches beyond it

Cause: model/check with an outage found an error in 46 million states: told to hold, an agent renews its worker's leases; the store comes back, the agent takes a tenure, which shrinks its right, and the owner may move the task one tenure later while the longer lease still runs. In the code it takes a tenure shorter than a worker lease, as the testsuite's settings have, or an answer taken late. Ruled out: the epoch check and the wait of a new owner. Change: such a grant is not taken, and so not confirmed, until the leases fit; worker leases are at most half a tenure. Unit test, model, and a variant.

--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -14,12 +14,13 @@
  *   NO_READ_BACK      an append that met a conflict is taken for a success
  *   NO_CLOCK_READ     a start is ordered on a clock read before a pause
  *   NO_DURABLE_FIRST  a task is given out before its record is durable
+ *   NO_LEASE_CHECK    a shorter right is taken while a worker's lease is longer
  *   LATE_GRANT        a grant counts from the answer, not from the question
  */
 /* Each search allows one kind of fault besides the loss of the owner, pauses,
  * isolation, and late or lost heartbeats, which are always possible:
  * -DOUTAGE an outage of the store, -DLOST_ANSWER an append whose answer is lost,
- * -DAGENT_FAULTS an eviction and a restart of an agent. */
+ * -DEVICTION an eviction, -DRESTART a restart of an agent. */
 #ifdef OUTAGE
 #define OUTAGE_LEFT true
 #else
@@ -30,10 +31,15 @@
 #else
 #define LOST_ANSWER_LEFT false
 #endif
-#ifdef AGENT_FAULTS
-#define AGENT_FAULTS_LEFT true
+#ifdef EVICTION
+#define EVICTION_LEFT true
 #else
-#define AGENT_FAULTS_LEFT false
+#define EVICTION_LEFT false
+#endif
+#ifdef RESTART
+#define RESTART_LEFT true
+#else
+#define RESTART_LEFT false
 #endif
 
 #define TENURE 1
@@ -44,6 +50,8 @@
 #ifndef END
 #define END    4      /* ticks until the model ends */
 #endif
+#define TASK_LEASE 1  /* of the worker; at most half a tenure in the code */
+#define LEASE_END(a) (right_until[a] < now + TASK_LEASE -> right_until[a] : now + TASK_LEASE)
 #define AGENTS 2
 #define OWNERS 2
 #define NOBODY 255
@@ -69,8 +77,8 @@
 bool store_up = true;
 bool outage_used = !OUTAGE_LEFT;
 bool lost_answer_used = !LOST_ANSWER_LEFT;
-bool eviction_used = !AGENT_FAULTS_LEFT;
-bool restart_used = !AGENT_FAULTS_LEFT;
+bool eviction_used = !EVICTION_LEFT;
+bool restart_used = !RESTART_LEFT;
 
 /* Agents and their workers. */
 byte right_until[AGENTS];      /* exclusive: may run while now < right_until */
@@ -263,7 +271,14 @@
 #endif
     agent_epoch[a] = epoch;
     if
+    /* A right that shrinks from a hold to a tenure is taken, and so confirmed,
+     * only when no lease on the worker reaches beyond it. */
+#ifndef NO_LEASE_CHECK
+    :: running[a] != 0 && run_until[a] > GRANT_BASE + TENURE -> goto owner
+    :: (running[a] == 0 || run_until[a] <= GRANT_BASE + TENURE) && GRANT_BASE + TENURE > now ->
+#else
     :: GRANT_BASE + TENURE > now ->
+#endif
          right_until[a] = GRANT_BASE + TENURE;
          /* The next heartbeat confirms it, which ends what a hold allowed. */
          if
@@ -326,13 +341,13 @@
      }
 #else
   :: atomic { now < END && backlog[me] != 0 && running[me] == 0 && now < right_until[me] ->
-       run_until[me] = right_until[me];
+       run_until[me] = LEASE_END(me);
        start_task(me)
      }
 #endif
   /* Renewal of the worker's lease, never beyond the right. */
-  :: atomic { now < END && running[me] != 0 && now < right_until[me] && run_until[me] < right_until[me] ->
-       run_until[me] = right_until[me] }
+  :: atomic { now < END && running[me] != 0 && now < right_until[me] && run_until[me] < right_until[me] && run_until[me] < now + TASK_LEASE ->
+       run_until[me] = LEASE_END(me) }
   /* The task ends by itself; only while its lease holds. */
   :: atomic { running[me] != 0 ->
        running[me] = 0; finished_here[me] = true; runs_finished++ ;
--- a/src/chervilkeeld/agent_process.cpp
+++ b/src/chervilkeeld/agent_process.cpp
@@ -1,5 +1,6 @@
 #include "agent_process.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -54,6 +55,9 @@
   options.slots = static_cast<std::uint32_t>(core_.settings.slots);
   options.executor_memory_mb =
       static_cast<std::int64_t>(core_.settings.executor_memory_mb);
+  // Leases well below a tenure let a hold shrink back to tenures.
+  options.worker_lease = std::min(
+      options.worker_lease, static_cast<millis>(core_.settings.tenure) / 2);
   options = WithLean(options, core_.settings.lean);
   tasks_ =
       std::make_unique<agent_core>(options, core_.decisions, MonotonicNow());
--- a/src/include/chervilkeel/agent_core.h
+++ b/src/include/chervilkeel/agent_core.h
@@ -98,7 +98,7 @@
   std::uint32_t slots = 8;         // Of the executor.
   std::int64_t slot_milli = 1000;  // Processors of one busy slot.
   std::int64_t executor_memory_mb = 4096;
-  millis worker_lease = 5'000;
+  millis worker_lease = 5'000;  // At most half of a tenure.
   millis checkpoint_every = 5'000;
   millis evict_after = 3'000;      // Of unbroken pressure.
   millis give_back_after = 2'000;  // Without pressure.
@@ -191,6 +191,7 @@
   void Evict(std::vector<worker_action>& actions,
              local_task& task,
              const std::string& why);
+  millis LeaseEnd(millis now);
   amount BatchAllowed(std::uint32_t wanted_slots) const;
 
   const agent_options options_;
@@ -201,6 +202,7 @@
   std::uint64_t last_sequence_ = 0;
   std::uint64_t right_sequence_ = 0;
   millis right_until_ = 0;
+  millis latest_lease_end_ = 0;  // Of all leases ever ordered.
   std::uint32_t granted_slots_ = 0;
   std::uint32_t planned_slots_ = 0;
   millis pressure_since_ = 0;  // 0 while there is none.
--- a/src/libkernel/agent_core.cpp
+++ b/src/libkernel/agent_core.cpp
@@ -54,7 +54,10 @@
   last_sequence_ = reply.sequence();
   const auto granted = static_cast<millis>(
       reply.hold_ms() > 0 ? reply.hold_ms() : reply.tenure_ms());
-  if (granted > 0 && sent_at + granted > now) {
+  // A right that shrinks is taken, and so confirmed to the owner, only when no
+  // lease that the worker was given reaches beyond it.
+  if (granted > 0 && sent_at + granted > now &&
+      sent_at + granted >= latest_lease_end_) {
     right_until_ = sent_at + granted;
     right_sequence_ = reply.sequence();
   }
@@ -285,7 +288,7 @@
       Evict(actions, task, "the right to run it ends");
     } else if (MayRun(now)) {
       action.kind = worker_action_kind::kRenew;
-      action.lease_until = std::min(now + options_.worker_lease, right_until_);
+      action.lease_until = LeaseEnd(now);
       actions.push_back(action);
       if (now - task.checkpoint_at >= options_.checkpoint_every) {
         task.checkpoint_at = now;
@@ -296,6 +299,13 @@
   }
 }
 
+// Returns where a lease on the worker may end that is ordered now.
+millis agent_core::LeaseEnd(millis now) {
+  const millis end = std::min(now + options_.worker_lease, right_until_);
+  latest_lease_end_ = std::max(latest_lease_end_, end);
+  return end;
+}
+
 void agent_core::Evict(std::vector<worker_action>& actions,
                        local_task& task,
                        const std::string& why) {
@@ -434,7 +444,7 @@
     worker_action action;
     action.kind = worker_action_kind::kStart;
     action.task = NameOf(task->id);
-    action.lease_until = std::min(now + options_.worker_lease, right_until_);
+    action.lease_until = LeaseEnd(now);
     action.assignment = task->assignment;
     task->start_until = action.lease_until;
     actions.push_back(std::move(action));
--- a/src/libkernel/cell_owner_test.cpp
+++ b/src/libkernel/cell_owner_test.cpp
@@ -558,6 +558,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(right_shorter_than_a_given_lease_is_not_taken) {
+  wire::owner_reply reply = Grant(kTenure, kHold);
+  AddStart(reply, 0);
+  core->OnReply(reply, now, now);
+  Step(1);
+  // A tenure whose answer was taken so late that the lease reaches beyond it.
+  core->OnReply(Grant(kTenure), now - kTenure + 1'000, now);
+  BOOST_TEST(core->RightUntil() == now + kHold);
+  wire::agent_report report;
+  core->FillReport(report);
+  BOOST_TEST(report.right_sequence() == 1U);
+  core->OnReply(Grant(kTenure), now, now);
+  BOOST_TEST(core->RightUntil() == now + kTenure);
+}
+
 BOOST_AUTO_TEST_CASE(task_is_evicted_before_the_right_ends) {
   wire::owner_reply reply = Grant(kTenure);
   AddStart(reply, 0);
