--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -106,15 +106,24 @@
        expire_workers();
        assert(!(running[0] && running[1]))
      }
-  :: atomic { !outage_used && store_up && now < END -> store_up = false; outage_used = true }
+  :: atomic { !outage_used && store_up && now < 2 -> store_up = false; outage_used = true }
   :: atomic { !store_up -> store_up = true }
   od
 }
 
+/* What every answer holds: the attempt to start, or that none is wanted. */
+inline take_orders() {
+  if
+  :: agent == a && running[a] == 0 && ended[a] != attempt && !finished_here[a] -> backlog[a] = attempt
+  :: agent != a -> backlog[a] = 0; if :: running[a] != 0 -> ended[a] = running[a]; running[a] = 0 :: else fi
+  :: else
+  fi
+}
+
 /* An owner's view, which it loses when it gives the cell up. */
 proctype Owner(byte me) {
   byte epoch, seq, agent, attempt, valid_until, a;
-  byte asked;
+  byte asked, granted;
   byte may_run_until[AGENTS];
   bool fin;
 
@@ -158,7 +167,7 @@
   }
 
 owner:
-  asked = 0;
+  asked = 0; granted = 0;
   do
   /* Renew. When the store is down the lease just runs on to its end. */
   :: atomic { now < END && store_up && lease_holder == me && valid_until < now + LEASE ->
@@ -186,6 +195,7 @@
      atomic {
        if
        :: now < valid_until ->
+            granted = now;
             if
             :: store_up ->
                  /* Taken back once the agent holds this tenure; it does below. */
@@ -210,8 +220,10 @@
 
   /* Assign: durable first, by append at the next sequence. */
   :: atomic { now < END && agent == NOBODY && !fin && epoch != 0 && attempt < MAX_ATTEMPTS ->
+#ifndef NO_DURABLE_FIRST
        if :: a = 0 :: journal_attempt != 0 -> a = 1 fi;   /* the agents are alike */
-#ifdef NO_DURABLE_FIRST
+#else
+       if :: a = 0 :: a = 1 fi;
        if
        :: backlog[a] == 0 && agent_epoch[a] == epoch -> backlog[a] = attempt + 1
        :: else
@@ -282,16 +294,12 @@
          right_until[a] = GRANT_BASE + TENURE;
          /* The next heartbeat confirms it, which ends what a hold allowed. */
          if
-         :: may_run_until[a] = now + TENURE
-         :: may_run_until[a] > now + TENURE -> skip
+         :: may_run_until[a] = granted + TENURE
+         :: may_run_until[a] > granted + TENURE -> skip
          fi
     :: else
     fi;
-    if
-    :: agent == a && running[a] == 0 && ended[a] != attempt && !finished_here[a] -> backlog[a] = attempt
-    :: agent != a -> backlog[a] = 0; if :: running[a] != 0 -> ended[a] = running[a]; running[a] = 0 :: else fi
-    :: else
-    fi
+    take_orders()
   }
   goto owner;
 
@@ -304,7 +312,8 @@
     if
     :: GRANT_BASE + HOLD > now -> right_until[a] = GRANT_BASE + HOLD
     :: else
-    fi
+    fi;
+    take_orders()
   }
   goto owner;
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,6 +4,7 @@
 # FLEET_DIR holds settings and logs, FLEET_BASE is the first port, FLEET_BIN is
 # the build folder. Processes are kept by name in FLEET_PIDS.
 declare -A FLEET_PIDS=()
+FLEET_EVER=() # Every process started, those that others replaced included.
 FLEET_AGENTS=${FLEET_AGENTS:-11}
 FLEET_ENTRIES=${FLEET_ENTRIES:-3}
 FLEET_BASE=${FLEET_BASE:-21000}
@@ -59,6 +60,7 @@
   shift
   "$@" >>"$FLEET_DIR/$name.log" 2>&1 &
   FLEET_PIDS[$name]=$!
+  FLEET_EVER+=("$!")
   disown "$!"
 }
 
@@ -142,9 +144,12 @@
 
 # Ends everything that was started, whatever state it is in.
 fleet_stop_all() {
-  for name in "${!FLEET_PIDS[@]}"; do
-    kill -CONT "${FLEET_PIDS[$name]}" 2>/dev/null || true
-    kill -KILL "${FLEET_PIDS[$name]}" 2>/dev/null || true
+  for pid in "${FLEET_EVER[@]}" "${FLEET_PIDS[@]}"; do
+    # A number may have passed to a process of somebody else.
+    grep -q "^$FLEET_BIN/" "/proc/$pid/cmdline" 2>/dev/null || continue
+    kill -CONT "$pid" 2>/dev/null || true
+    kill -KILL "$pid" 2>/dev/null || true
   done
   FLEET_PIDS=()
+  FLEET_EVER=()
 }
--- a/src/chervilkeeld/rpc_peers.h
+++ b/src/chervilkeeld/rpc_peers.h
@@ -42,8 +42,10 @@
 };
 
 template <class request_type, class reply_type>
-std::shared_ptr<rpc_call<request_type, reply_type>>
-MakeCall(const std::shared_ptr<rpc_peer>& peer, request_type request, millis timeout) {
+std::shared_ptr<rpc_call<request_type, reply_type>> MakeCall(
+    const std::shared_ptr<rpc_peer>& peer,
+    request_type request,
+    millis timeout) {
   auto call = std::make_shared<rpc_call<request_type, reply_type>>();
   call->peer = peer;
   call->request = std::move(request);
--- a/src/include/chervilkeel/cell_owner.h
+++ b/src/include/chervilkeel/cell_owner.h
@@ -36,6 +36,7 @@
   millis quarantine_probe = 5'000;         // Between single tasks given to it.
   millis claim_kept = 24LL * 3600 * 1000;  // How long a key is remembered.
   std::size_t claim_limit = 4'000;         // Keys remembered at most.
+  std::size_t kept_answers = 100'000;      // Bytes of answers kept with them.
 };
 
 // How far the owner is in asking a worker whose agent is silent.
--- a/src/include/chervilkeel/cell_state.h
+++ b/src/include/chervilkeel/cell_state.h
@@ -81,6 +81,9 @@
     return claims_;
   }
 
+  // Sums up the answers kept with claims, in bytes.
+  std::size_t KeptAnswerBytes() const { return kept_answer_bytes_; }
+
   // Returns the tasks assigned to one agent.
   const std::set<task_key>& AssignedTo(const std::string& agent) const;
 
@@ -103,6 +106,7 @@
   void Finish(const wire::task_finished& change);
   void Drop(const std::string& job);
   void Settle(const wire::settlement& settled);
+  void EraseClaim(const std::string& key);
   void ExpireClaims(std::uint64_t before_ms);
   wire::task_record* FindAttempt(const wire::task_id& id);
   void Unassign(job_entry& job, wire::task_record& task);
@@ -114,6 +118,7 @@
   std::map<std::string, job_entry> jobs_;
   std::map<std::string, std::set<task_key>> assigned_to_;
   std::map<std::string, wire::claim_record> claims_;
+  std::size_t kept_answer_bytes_ = 0;
 };
 
 }  // namespace chervilkeel
--- a/src/libkernel/cell_owner.cpp
+++ b/src/libkernel/cell_owner.cpp
@@ -339,8 +339,14 @@
     Propose().mutable_unclaimed()->set_key(settled.key());
     return;
   }
-  *Propose().mutable_settled() = settled;
-  settling_[settled.key()] = settled;
+  wire::settlement kept = settled;
+  if (state_.KeptAnswerBytes() + settled.body().size() >
+      options_.kept_answers) {
+    kept.clear_body();
+    kept.set_body_kept(false);
+  }
+  settling_[settled.key()] = kept;
+  *Propose().mutable_settled() = std::move(kept);
 }
 
 std::optional<wire::journal_record> cell_owner::NextRecord() {
--- a/src/libkernel/cell_owner_test.cpp
+++ b/src/libkernel/cell_owner_test.cpp
@@ -407,6 +407,31 @@
   BOOST_TEST(owner->Claim(second, 1'000)->state() == wire::claim_answered);
 }
 
+BOOST_AUTO_TEST_CASE(answers_kept_with_claims_stay_within_their_bound) {
+  for (int i = 0; i < 500; ++i) {
+    wire::claim_request request;
+    request.set_key("k" + std::to_string(i));
+    request.set_request_id("r" + std::to_string(i));
+    (void)owner->Claim(request, 1'000);
+    Commit();
+    wire::settlement settled;
+    settled.set_key(request.key());
+    settled.set_request_id(request.request_id());
+    settled.set_outcome(wire::outcome_answered);
+    settled.set_body(std::string(1'000, 'x'));
+    settled.set_body_kept(true);
+    owner->Settle(settled);
+    Commit();
+  }
+  BOOST_TEST(owner->State().KeptAnswerBytes() == 100'000U);
+  wire::claim_request again;
+  again.set_key("k499");
+  again.set_request_id("other");
+  BOOST_TEST(owner->Claim(again, 1'000)->state() == wire::claim_answered);
+  BOOST_TEST(!owner->Claim(again, 1'000)->settled().body_kept());
+  BOOST_TEST(owner->State().Snapshot().ByteSizeLong() < 1'000'000U);
+}
+
 BOOST_AUTO_TEST_CASE(claim_proved_not_run_can_be_claimed_again) {
   wire::claim_request request;
   request.set_key("k");
--- a/src/libkernel/cell_state.cpp
+++ b/src/libkernel/cell_state.cpp
@@ -110,6 +110,7 @@
   }
   for (const auto& claim : snapshot.claims()) {
     state.claims_[claim.key()] = claim;
+    state.kept_answer_bytes_ += claim.settled().body().size();
   }
   return state;
 }
@@ -177,7 +178,7 @@
       Settle(change.settled());
       break;
     case wire::cell_change::kUnclaimed:
-      claims_.erase(change.unclaimed().key());
+      EraseClaim(change.unclaimed().key());
       break;
     case wire::cell_change::kExpired:
       ExpireClaims(change.expired().before_ms());
@@ -301,14 +302,30 @@
   const auto claim = claims_.find(settled.key());
   if (claim != claims_.end() &&
       claim->second.request_id() == settled.request_id()) {
+    kept_answer_bytes_ -= claim->second.settled().body().size();
+    kept_answer_bytes_ += settled.body().size();
     *claim->second.mutable_settled() = settled;
   }
 }
 
+void cell_state::EraseClaim(const std::string& key) {
+  const auto claim = claims_.find(key);
+  if (claim != claims_.end()) {
+    kept_answer_bytes_ -= claim->second.settled().body().size();
+    claims_.erase(claim);
+  }
+}
+
 void cell_state::ExpireClaims(std::uint64_t before_ms) {
-  std::erase_if(claims_, [&](const auto& claim) {
-    return claim.second.at_ms() < before_ms;
-  });
+  std::vector<std::string> expired;
+  for (const auto& [key, claim] : claims_) {
+    if (claim.at_ms() < before_ms) {
+      expired.push_back(key);
+    }
+  }
+  for (const std::string& key : expired) {
+    EraseClaim(key);
+  }
 }
 
 wire::cell_snapshot cell_state::Snapshot() const {
