--- a/src/include/chervilkeel/cell_owner.h
+++ b/src/include/chervilkeel/cell_owner.h
@@ -185,6 +185,23 @@
   double ShareOfQuota(const std::string& team) const;
   bool WithinQuota(const job_entry& job, const amount& need) const;
   void TakeBackBacklog(millis now);
+  // Counts of one job's tasks by the agents' reports.
+  struct running_counts {
+    std::uint32_t running = 0;
+    std::uint32_t stragglers = 0;
+  };
+
+  const char* ConditionOf(const agent_entry& agent) const;
+  void CountTasks(const agent_entry& agent,
+                  wire::worker_report& worker,
+                  std::map<std::string, running_counts>& jobs) const;
+  void FillWorker(const std::string& name,
+                  const agent_entry& agent,
+                  wire::worker_report& worker) const;
+  void FillJob(const std::string& name,
+               const job_entry& job,
+               const running_counts& counts,
+               wire::job_report& report) const;
   void ClearJobMarker(const std::string& name);
   wire::cell_change& Propose();
 
--- /dev/null
+++ b/src/libkernel/agent_core_test.cpp
@@ -0,0 +1,259 @@
+// One agent's decisions about its worker: rights, leases, throttling, draining.
+#include <boost/test/unit_test.hpp>
+
+#include "chervilkeel/agent_core.h"
+#include "chervilkeel/cell_state.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr millis kTenure = 10'000;
+constexpr millis kHold = 1'800'000;
+
+// An agent with a worker that does as it is told.
+struct agent_fixture {
+  agent_fixture() {
+    options.capacity = {4'000, 10'000, 0};
+    options.executor_memory_mb = 1'000;
+    core = std::make_unique<agent_core>(options, log, now);
+  }
+
+  wire::owner_reply Grant(std::uint64_t tenure, std::uint64_t hold = 0) {
+    wire::owner_reply reply;
+    reply.set_epoch(epoch);
+    reply.set_sequence(++sequence);
+    reply.set_tenure_ms(tenure);
+    reply.set_hold_ms(hold);
+    return reply;
+  }
+
+  static void AddStart(wire::owner_reply& reply, std::uint32_t index) {
+    auto* start = reply.add_start();
+    start->mutable_id()->set_job("job@1");
+    start->mutable_id()->set_index(index);
+    start->mutable_id()->set_attempt(1);
+    start->mutable_need()->set_milli_processors(1'000);
+    start->mutable_need()->set_memory_mb(100);
+  }
+
+  // Carries the actions out on the fake worker and reports back.
+  std::vector<worker_action> Step(std::uint32_t slots) {
+    auto actions = core->Tick(slots, now);
+    for (const worker_action& action : actions) {
+      worker_task& task = worker[action.task];
+      switch (action.kind) {
+        case worker_action_kind::kStart:
+          task.task = action.task;
+          task.need = FromWire(action.assignment.need());
+          break;
+        case worker_action_kind::kThrottle:
+          task.share = action.share;
+          break;
+        case worker_action_kind::kEvict:
+        case worker_action_kind::kStop:
+          task.state = worker_task_state::kStopped;
+          break;
+        case worker_action_kind::kForget:
+          worker.erase(action.task);
+          break;
+        default:
+          break;
+      }
+    }
+    std::vector<worker_task> listed;
+    for (const auto& [name, task] : worker) {
+      listed.push_back(task);
+    }
+    core->OnWorkerTasks(listed, now);
+    return actions;
+  }
+
+  static std::size_t Count(const std::vector<worker_action>& actions,
+                           worker_action_kind kind) {
+    return static_cast<std::size_t>(std::count_if(
+        actions.begin(), actions.end(),
+        [&](const worker_action& action) { return action.kind == kind; }));
+  }
+
+  millis now = 100'000;
+  std::uint64_t epoch = 1;
+  std::uint64_t sequence = 0;
+  agent_options options;
+  decision_log log{"test", 1'000};
+  std::unique_ptr<agent_core> core;
+  std::map<std::string, worker_task> worker;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(agent_core_suite, agent_fixture)
+
+BOOST_AUTO_TEST_CASE(task_without_a_right_to_run_does_not_start) {
+  wire::owner_reply reply = Grant(0);
+  AddStart(reply, 0);
+  core->OnReply(reply, now, now);
+  BOOST_TEST(Count(Step(1), worker_action_kind::kStart) == 0U);
+  core->OnReply(Grant(kTenure), now, now);
+  BOOST_TEST(Count(Step(1), worker_action_kind::kStart) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(grant_counts_from_before_the_report_was_sent) {
+  core->OnReply(Grant(kTenure), now - 9'000, now);
+  BOOST_TEST(core->RightUntil() == now + 1'000);
+}
+
+BOOST_AUTO_TEST_CASE(answer_that_comes_after_its_grant_ended_grants_nothing) {
+  core->OnReply(Grant(kTenure), now - kTenure, now);
+  BOOST_TEST(!core->MayRun(now));
+}
+
+BOOST_AUTO_TEST_CASE(answer_of_an_older_epoch_or_sequence_is_ignored) {
+  core->OnReply(Grant(kTenure), now, now);
+  wire::owner_reply older = Grant(kTenure, kHold);
+  older.set_epoch(0);
+  core->OnReply(older, now, now);
+  BOOST_TEST(core->RightUntil() == now + kTenure);
+  wire::owner_reply late = Grant(kTenure, kHold);
+  late.set_sequence(1);
+  core->OnReply(late, now, now);
+  BOOST_TEST(core->RightUntil() == now + kTenure);
+}
+
+BOOST_AUTO_TEST_CASE(lease_never_reaches_beyond_the_right) {
+  wire::owner_reply reply = Grant(2'000);
+  AddStart(reply, 0);
+  core->OnReply(reply, now, now);
+  for (const worker_action& action : Step(1)) {
+    BOOST_TEST(action.lease_until <= now + 2'000);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(right_shorter_than_a_given_lease_is_not_taken) {
+  wire::owner_reply reply = Grant(kTenure, kHold);
+  AddStart(reply, 0);
+  core->OnReply(reply, now, now);
+  Step(1);
+  // A tenure whose answer was taken so late that the lease reaches beyond it.
+  core->OnReply(Grant(kTenure), now - kTenure + 1'000, now);
+  BOOST_TEST(core->RightUntil() == now + kHold);
+  wire::agent_report report;
+  core->FillReport(report);
+  BOOST_TEST(report.right_sequence() == 1U);
+  core->OnReply(Grant(kTenure), now, now);
+  BOOST_TEST(core->RightUntil() == now + kTenure);
+}
+
+BOOST_AUTO_TEST_CASE(task_is_evicted_before_the_right_ends) {
+  wire::owner_reply reply = Grant(kTenure);
+  AddStart(reply, 0);
+  core->OnReply(reply, now, now);
+  Step(1);
+  now += kTenure - 500;
+  BOOST_TEST(Count(Step(1), worker_action_kind::kEvict) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(backlog_and_slots_never_exceed_the_worker) {
+  wire::owner_reply reply = Grant(kTenure);
+  for (std::uint32_t i = 0; i < 6; ++i) {
+    AddStart(reply, i);
+  }
+  core->OnReply(reply, now, now);
+  BOOST_TEST(Count(Step(2), worker_action_kind::kStart) == 2U);
+  BOOST_TEST(core->GrantedSlots() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(demand_of_requests_throttles_first_and_evicts_later) {
+  wire::owner_reply reply = Grant(kHold);
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    AddStart(reply, i);
+  }
+  core->OnReply(reply, now, now);
+  Step(1);
+  const auto first = Step(3);
+  BOOST_TEST(Count(first, worker_action_kind::kThrottle) == 3U);
+  BOOST_TEST(Count(first, worker_action_kind::kEvict) == 0U);
+  BOOST_TEST(core->GrantedSlots() >= 3U);
+}
+
+BOOST_AUTO_TEST_CASE(pressure_that_throttling_relieves_evicts_nothing) {
+  wire::owner_reply reply = Grant(kHold);
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    AddStart(reply, i);
+  }
+  core->OnReply(reply, now, now);
+  Step(1);
+  for (int i = 0; i < 100; ++i) {
+    now += 200;
+    BOOST_TEST(Count(Step(2), worker_action_kind::kEvict) == 0U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(pressure_beyond_throttling_evicts_the_cheapest) {
+  wire::owner_reply reply = Grant(kHold);
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    AddStart(reply, i);
+  }
+  core->OnReply(reply, now, now);
+  Step(1);
+  std::size_t evicted = 0;
+  for (int i = 0; i < 100; ++i) {
+    now += 200;
+    evicted += Count(Step(4), worker_action_kind::kEvict);
+  }
+  BOOST_TEST(evicted >= 1U);
+  BOOST_TEST(core->GrantedSlots() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(restarted_agent_adopts_what_the_worker_runs) {
+  worker_task running;
+  running.task = "job@1/4#2";
+  running.need = {1'000, 100, 0};
+  worker[running.task] = running;
+  Step(0);
+  wire::agent_report report;
+  core->FillReport(report);
+  BOOST_TEST_REQUIRE(report.tasks_size() == 1);
+  BOOST_TEST(report.tasks(0).phase() == wire::phase_running);
+  BOOST_TEST(NameOf(report.tasks(0).id()) == "job@1/4#2");
+}
+
+BOOST_AUTO_TEST_CASE(task_given_back_soon_after_a_restart_is_kept) {
+  wire::owner_reply reply = Grant(0);
+  AddStart(reply, 0);
+  core->OnReply(reply, now, now);
+  const wire::task_id id = reply.start(0).id();
+  wire::owner_reply back = Grant(0);
+  *back.add_give_back() = id;
+  core->OnReply(back, now, now);
+  wire::agent_report report;
+  core->FillReport(report);
+  BOOST_TEST(report.tasks(0).phase() == wire::phase_backlog);
+  now += options.worker_lease;
+  wire::owner_reply again = Grant(0);
+  *again.add_give_back() = id;
+  core->OnReply(again, now, now);
+  report.Clear();
+  core->FillReport(report);
+  BOOST_TEST(report.tasks(0).phase() == wire::phase_stopped);
+}
+
+BOOST_AUTO_TEST_CASE(draining_evicts_and_reports_until_acknowledged) {
+  wire::owner_reply reply = Grant(kTenure);
+  AddStart(reply, 0);
+  core->OnReply(reply, now, now);
+  Step(1);
+  core->Drain();
+  Step(1);
+  BOOST_TEST(!core->Drained());
+  wire::owner_reply acknowledged = Grant(kTenure);
+  *acknowledged.add_acknowledged() = reply.start(0).id();
+  core->OnReply(acknowledged, now, now);
+  Step(1);
+  Step(1);
+  BOOST_TEST(core->Drained());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chervilkeel
--- a/src/libkernel/cell_owner.cpp
+++ b/src/libkernel/cell_owner.cpp
@@ -405,26 +405,4 @@
   return state_.Apply(record);
 }
 
-void cell_owner::FillRoster(wire::roster_reply& reply, millis now) const {
-  reply.set_cell(cell_);
-  reply.set_epoch(epoch_);
-  reply.set_manifest_version(manifest_version_);
-  reply.set_lease_lapsed(!MayGrant(now));
-  for (const auto& [name, agent] : agents_) {
-    if (agent.report.address().empty() ||
-        now - agent.heard_at > options_.forget_after) {
-      continue;
-    }
-    auto* member = reply.add_members();
-    member->set_agent(name);
-    member->set_address(agent.report.address());
-    member->set_data_centre(agent.report.data_centre());
-    member->set_rack(agent.report.rack());
-    member->set_incarnation(agent.report.incarnation());
-    member->set_heard_ms_ago(static_cast<std::uint64_t>(now - agent.heard_at));
-    member->set_draining(agent.report.draining());
-    *member->mutable_load() = agent.report.load();
-  }
-}
-
 }  // namespace chervilkeel
--- a/src/libkernel/cell_owner_placement.cpp
+++ b/src/libkernel/cell_owner_placement.cpp
@@ -11,7 +11,6 @@
 constexpr const char* kPart = "owner";
 constexpr const char* kRepairPart = "repair";
 constexpr std::size_t kMaxPlacementsInTick = 200;
-constexpr std::uint64_t kStragglerFactor = 4;  // Times the declared run time.
 
 // Takes room for a need from a candidate other than the named one; false when
 // none has it.
@@ -496,79 +495,4 @@
   }
 }
 
-void cell_owner::FillJobs(wire::jobs_reply& reply, millis now) const {
-  reply.set_cell(cell_);
-  reply.set_epoch(epoch_);
-  reply.set_owner(owner_);
-  std::map<std::string, std::uint32_t> running;
-  std::map<std::string, std::uint32_t> stragglers;
-  for (const auto& [name, agent] : agents_) {
-    auto* worker = reply.add_workers();
-    worker->set_agent(name);
-    worker->set_data_centre(agent.report.data_centre());
-    worker->set_rack(agent.report.rack());
-    *worker->mutable_capacity() = agent.report.capacity();
-    worker->set_condition(
-        agent.silent                                            ? "silent"
-        : agent.report.draining()                               ? "leaving"
-        : agent.failures_in_row >= options_.quarantine_failures ? "quarantined"
-                                                                : "in use");
-    amount assigned;
-    for (const task_key& key : state_.AssignedTo(name)) {
-      assigned += FromWire(state_.Jobs().at(key.job).specification.need());
-    }
-    *worker->mutable_assigned() = ToWire(assigned);
-    if (now - agent.heard_at > options_.silent_after) {
-      continue;
-    }
-    for (const auto& task : agent.report.tasks()) {
-      if (task.phase() == wire::phase_backlog) {
-        worker->set_backlog(worker->backlog() + 1);
-      }
-      if (task.phase() != wire::phase_running) {
-        continue;
-      }
-      worker->set_running(worker->running() + 1);
-      ++running[task.id().job()];
-      const auto job = state_.Jobs().find(task.id().job());
-      if (job != state_.Jobs().end() &&
-          task.progress_ms() >
-              kStragglerFactor * job->second.specification.run_ms()) {
-        ++stragglers[task.id().job()];
-      }
-    }
-  }
-  for (const auto& [name, job] : state_.Jobs()) {
-    auto* report = reply.add_jobs();
-    report->set_job(name);
-    report->set_tasks(static_cast<std::uint32_t>(job.tasks.size()));
-    report->set_waiting(static_cast<std::uint32_t>(job.waiting.size()));
-    report->set_assigned(static_cast<std::uint32_t>(job.assigned.size()));
-    report->set_running(running[name]);
-    report->set_finished(job.finished);
-    report->set_stragglers(stragglers[name]);
-    const trouble_counts troubles = job.Troubles();
-    report->set_evictions(troubles.evictions);
-    report->set_failures(troubles.failures);
-    report->set_losses(troubles.losses);
-    const auto misfit = misfits_.find(name);
-    if (job.Ended()) {
-      report->set_state("finished");
-    } else if (job.cancelled) {
-      report->set_state("cancelled");
-    } else if (!job.stopped.empty()) {
-      report->set_state("stopped");
-      report->set_reason(job.stopped);
-    } else if (misfit != misfits_.end()) {
-      report->set_state("fits nowhere");
-      report->set_reason(misfit->second);
-    } else {
-      report->set_state(job.assigned.empty() ? "waiting" : "running");
-    }
-  }
-  for (const auto& record : log_.Latest(kRepairPart, 50)) {
-    *reply.add_repairs() = record;
-  }
-}
-
 }  // namespace chervilkeel
