--- a/src/standins/client_load.cpp
+++ b/src/standins/client_load.cpp
@@ -271,6 +271,7 @@
              (reason.empty() ? "the connection was lost" : reason)];
   }
   std::vector<std::pair<int, std::string>> sorted;
+  sorted.reserve(counts.size());
   for (const auto& [reason, count] : counts) {
     sorted.emplace_back(count, reason);
   }
