--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -46,7 +46,9 @@
 #ifndef HOLD
 #define HOLD   2
 #endif
-#define LEASE  1      /* the owner's lease in the store */
+#ifndef LEASE
+#define LEASE  1      /* of the owner in the store */
+#endif
 #ifndef END
 #define END    4      /* ticks until the model ends */
 #endif
