Let a leaving entry serve on until the balancer has noticed

An entry closed its acceptor at once and ended when nothing was in flight, so connections that the kernel had taken already were reset with the requests in them, and the balancer had no time to see that /healthz fails. Ruled out: agents and owners (the client's record names no request id, so no entry had read it). A request whose body was still arriving did not count as in flight either.

Change: an entry fails /healthz, serves on for leave_notice_ms (2 s) and closes each connection after its answer; stopping takes what waits in the kernel first; a request is in flight from its header on. The client stand-in checks /healthz as a balancer does.

--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -42,7 +42,9 @@
 #define RESTART_LEFT false
 #endif
 
+#ifndef TENURE
 #define TENURE 1
+#endif
 #ifndef HOLD
 #define HOLD   2
 #endif
@@ -52,7 +54,9 @@
 #ifndef END
 #define END    4      /* ticks until the model ends */
 #endif
+#ifndef TASK_LEASE
 #define TASK_LEASE 1  /* of the worker; at most half a tenure in the code */
+#endif
 #define LEASE_END(a) (right_until[a] < now + TASK_LEASE -> right_until[a] : now + TASK_LEASE)
 #define AGENTS 2
 #define OWNERS 2
--- a/src/chervilkeeld/entry_process.cpp
+++ b/src/chervilkeeld/entry_process.cpp
@@ -130,6 +130,11 @@
 
 void entry_process::Stop() {
   LogInfo(kPart, "Draining.");
+  tables_.leaving = true;
+  clients_->Drain();
+  // Serves on until the balancer has seen that /healthz fails.
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(core_.settings.leave_notice));
   tables_.draining = true;
   clients_->Stop();
   const millis until =
@@ -147,10 +152,10 @@
 
 void entry_process::HandleClient(http_request request, http_responder respond) {
   if (request.path == "/healthz") {
-    const bool well = !tables_.draining && core_.manifests.Version() > 0;
+    const bool well = !tables_.leaving && core_.manifests.Version() > 0;
     respond(well ? JsonResponse(json::object{{"healthy", true}})
                  : ErrorResponse(
-                       503, tables_.draining ? "leaving" : "no manifest yet"));
+                       503, tables_.leaving ? "leaving" : "no manifest yet"));
     return;
   }
   if (request.path.rfind("/v1/request/", 0) != 0) {
@@ -396,7 +401,7 @@
 std::string entry_process::Dump() {
   json::object dump = DumpProcess(core_);
   dump["requests_in_flight"] = tables_.in_flight.load();
-  dump["draining"] = tables_.draining.load();
+  dump["draining"] = tables_.leaving.load();
   const std::lock_guard lock(tables_.mutex);
   dump["retry_tokens"] = tables_.budget.Tokens();
   json::array owners;
--- a/src/chervilkeeld/entry_process.h
+++ b/src/chervilkeeld/entry_process.h
@@ -21,7 +21,8 @@
   // Begins to serve; the error names what failed.
   result<void> Start();
 
-  // Drains: refuses new requests and waits for those in flight.
+  // Drains: fails /healthz, serves on for the notice that the balancer needs,
+  // then refuses new requests and waits for those in flight.
   void Stop();
 
   // Answers an operator's call; calls to the store or to owners run on a
--- a/src/chervilkeeld/entry_tables.h
+++ b/src/chervilkeeld/entry_tables.h
@@ -33,7 +33,8 @@
   process_core& core;
   std::atomic<std::uint64_t> sequence{0};   // Of requests.
   std::atomic<std::uint64_t> in_flight{0};  // Requests not yet answered.
-  std::atomic<bool> draining{false};
+  std::atomic<bool> leaving{false};         // /healthz says so.
+  std::atomic<bool> draining{false};        // New requests are refused.
 
   std::mutex mutex;  // Guards what follows.
   upstream_table upstreams;
--- a/src/include/chervilkeel/http_server.h
+++ b/src/include/chervilkeel/http_server.h
@@ -71,17 +71,24 @@
   // Binds and starts to accept; kUnavailable when the port is taken.
   result<void> Start();
 
-  // Stops accepting; requests being served go on to their answer, after which
-  // their connections close.
+  // Goes on serving, but closes each connection after its next answer, so that
+  // clients that keep connections leave by themselves.
+  void Drain();
+
+  // Stops accepting, after the connections that the kernel has taken already.
+  // Requests being served go on to their answer, after which their connections
+  // close.
   void Stop();
 
-  // Requests that have been read and not yet answered.
+  // Requests whose header has been read and that are not yet answered.
   std::uint64_t InFlight() const { return in_flight_; }
   std::uint64_t Connections() const { return connections_; }
 
  private:
   friend class http_session;
   void Accept();
+  void AcceptWaiting();
+  void Serve(boost::asio::ip::tcp::socket socket);
 
   boost::asio::io_context& context_;
   const http_server_options options_;
@@ -89,6 +96,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   std::atomic<std::uint64_t> in_flight_{0};
   std::atomic<std::uint64_t> connections_{0};
+  std::atomic<bool> draining_{false};
   std::atomic<bool> stopping_{false};
 };
 
--- a/src/include/chervilkeel/settings.h
+++ b/src/include/chervilkeel/settings.h
@@ -53,6 +53,7 @@
   std::uint64_t body_limit = 4U << 20U;
   std::uint64_t client_connections = 1'000;
   std::uint64_t requests_in_flight = 1'000;
+  std::uint64_t leave_notice = 2'000;
 
   std::string cell;
   std::string worker_kind = "http";
--- a/src/libshell/http_server.cpp
+++ b/src/libshell/http_server.cpp
@@ -108,10 +108,25 @@
     parser_.emplace();
     parser_->body_limit(server_->options_.body_limit);
     stream_.expires_after(std::chrono::milliseconds(server_->options_.idle_ms));
-    http::async_read(
+    http::async_read_header(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](beast::error_code failure, std::size_t) {
-          self->OnRead(failure);
+          self->OnHeader(failure);
+        });
+  }
+
+  // A request counts as in flight from its header on, so that a shutdown waits
+  // for a body that is still arriving.
+  void OnHeader(beast::error_code failure) {
+    ++server_->in_flight_;
+    if (failure) {
+      OnRead(failure);
+      return;
+    }
+    http::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](beast::error_code code, std::size_t) {
+          self->OnRead(code);
         });
   }
 
@@ -129,6 +144,7 @@
       return;
     }
     if (failure) {
+      --server_->in_flight_;
       Close();
       return;
     }
@@ -138,7 +154,6 @@
   void Refuse(unsigned status, const std::string& message) {
     close_after_ = true;
     linger_ = true;
-    ++server_->in_flight_;
     Write(ErrorResponse(status, message));
   }
 
@@ -157,7 +172,6 @@
           {std::string(field.name_string()), std::string(field.value())});
     }
     request.body = std::move(message.body());
-    ++server_->in_flight_;
     stream_.expires_never();
     server_->handler_(
         std::move(request), [self = shared_from_this()](http_response answer) {
@@ -169,7 +183,10 @@
   }
 
   void Write(http_response answer) {
-    close_after_ = close_after_ || server_->stopping_;
+    if (server_->draining_) {
+      close_after_ = true;
+      linger_ = true;
+    }
     response_.emplace(static_cast<http::status>(answer.status), 11);
     response_->set(http::field::content_type, answer.content_type);
     for (const http_header& header : answer.headers) {
@@ -263,25 +280,55 @@
       asio::make_strand(context_),
       [self = shared_from_this()](beast::error_code failure,
                                   tcp::socket socket) {
-        if (self->stopping_ || failure == asio::error::operation_aborted) {
+        if (failure == asio::error::operation_aborted) {
           return;
         }
         if (failure) {
           LogWarn(kPart, "Accepting a connection failed: " + failure.message());
-        } else if (self->connections_ < self->options_.connections) {
-          socket.set_option(tcp::no_delay(true), failure);
-          std::make_shared<http_session>(std::move(socket), self)->Run();
+        } else {
+          self->Serve(std::move(socket));
+        }
+        if (!self->stopping_) {
+          self->Accept();
         }
-        self->Accept();
       });
 }
 
+void http_server::Drain() {
+  draining_ = true;
+}
+
 void http_server::Stop() {
-  stopping_ = true;
+  draining_ = true;
   asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+    self->stopping_ = true;
+    self->AcceptWaiting();
     beast::error_code ignored;
     self->acceptor_.close(ignored);
   });
 }
 
+// Takes the connections that wait in the kernel: closing the acceptor would
+// reset them together with the requests that clients have sent already.
+void http_server::AcceptWaiting() {
+  beast::error_code failure;
+  acceptor_.non_blocking(true, failure);
+  while (!failure) {
+    tcp::socket socket(asio::make_strand(context_));
+    acceptor_.accept(socket, failure);
+    if (!failure) {
+      Serve(std::move(socket));
+    }
+  }
+}
+
+void http_server::Serve(tcp::socket socket) {
+  if (connections_ >= options_.connections) {
+    return;
+  }
+  beast::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  std::make_shared<http_session>(std::move(socket), shared_from_this())->Run();
+}
+
 }  // namespace chervilkeel
--- a/src/libshell/settings.cpp
+++ b/src/libshell/settings.cpp
@@ -246,6 +246,10 @@
              100'000, "connections", "Clients connected at once."),
       Number("entry", "requests_in_flight", &settings::requests_in_flight, 1,
              100'000, "requests", "Requests inside the entry at once."),
+      Number("entry", "leave_notice_ms", &settings::leave_notice, 0, 600'000,
+             "ms",
+             "How long a leaving entry serves on while /healthz fails; longer "
+             "than the balancer's check takes to notice."),
       Text("agent", "cell", needed_by::kAgent, &settings::cell,
            "The cell that this worker belongs to."),
       Choice("policy", "lean", needed_by::kNobody, kLeanNames, &settings::lean,
--- a/src/standins/client_load.cpp
+++ b/src/standins/client_load.cpp
@@ -90,12 +90,16 @@
       pools_.push_back(std::make_shared<http_pool>(context_, entry, 512));
     }
     failed_until_.resize(pools_.size(), 0);
+    healthy_.resize(pools_.size(), true);
   }
 
   void Start() {
     for (const load_part& part : options_.parts) {
       Schedule(part);
     }
+    for (std::size_t i = 0; i < pools_.size(); ++i) {
+      CheckHealth(i);
+    }
   }
 
   const std::vector<client_record>& Records() const { return records_; }
@@ -131,11 +135,31 @@
            std::to_string(++tokens_);
   }
 
+  // Asks an entry for its health at an interval, as a balancer does.
+  void CheckHealth(std::size_t entry) {
+    constexpr millis kCheckTimeout = 1'000;
+    constexpr std::uint64_t kBodyLimit = 1U << 16U;
+    if (Elapsed() >= options_.seconds) {
+      return;
+    }
+    http_call call;
+    call.method = "GET";
+    call.target = "/healthz";
+    pools_[entry]->Call(call, kCheckTimeout, kBodyLimit,
+                        [this, entry](result<http_response> answer) {
+                          healthy_[entry] =
+                              answer && answer.value().status == 200;
+                        });
+    constexpr std::chrono::milliseconds kCheckInterval(250);
+    auto timer = std::make_shared<asio::steady_timer>(context_, kCheckInterval);
+    timer->async_wait([this, entry, timer](auto) { CheckHealth(entry); });
+  }
+
   // Picks an entry as a balancer would: in turn, leaving out failed ones.
   std::size_t PickEntry() {
     for (std::size_t i = 0; i < pools_.size(); ++i) {
       const std::size_t index = next_entry_++ % pools_.size();
-      if (MonotonicNow() >= failed_until_[index]) {
+      if (healthy_[index] && MonotonicNow() >= failed_until_[index]) {
         return index;
       }
     }
@@ -212,6 +236,7 @@
   const std::int64_t started_at_;
   std::vector<std::shared_ptr<http_pool>> pools_;
   std::vector<millis> failed_until_;
+  std::vector<bool> healthy_;
   std::size_t next_entry_ = 0;
   std::uint64_t tokens_ = 0;
   std::vector<client_record> records_;
--- a/testsuite/common.sh
+++ b/testsuite/common.sh
@@ -39,7 +39,7 @@
 # Starts clients in the background: SECONDS; case_clients_wait ends with them.
 case_clients() {
   "$FLEET_BIN/src/standins/client_load" --entry "$(fleet_entry_client 0)" \
-    --entry "$(fleet_entry_client 1)" --load preview:40 --load plotter:3 \
+    --entry "$(fleet_entry_client 1)" --load preview:${CASE_PREVIEWS:-40} --load plotter:3 \
     --load invoice:8:keyed --seconds "$1" --ledger "$FLEET_DIR/clients.json" >&2 &
   CLIENTS=$!
 }
