--- a/src/chervilkeeld/agent_process.cpp
+++ b/src/chervilkeeld/agent_process.cpp
@@ -76,6 +76,7 @@
                 "cannot serve gRPC on " + core_.RpcAddress());
   }
   AskEntries();
+  runner_.SetWake([this] { worker_loop_.Wake(); });
   runner_.Start();
   seat_.Start();
   worker_loop_.Start(static_cast<millis>(core_.settings.worker_interval),
@@ -86,11 +87,13 @@
 }
 
 void agent_process::WorkerStep() {
-  const std::uint32_t wanted = runner_.ReserveSlots(MonotonicNow());
+  const auto demand = runner_.ReserveSlots(MonotonicNow());
   std::vector<worker_action> actions;
   {
     const std::lock_guard lock(mutex_);
-    actions = tasks_->Tick(wanted, MonotonicNow());
+    const millis now = MonotonicNow();
+    tasks_->OnRequests(demand.times, demand.slots_in_use, now);
+    actions = tasks_->Tick(demand.wanted_slots, now);
   }
   const millis asked_at = MonotonicNow();
   const auto listed = worker_->Act(actions);
@@ -104,6 +107,9 @@
     const std::lock_guard lock(mutex_);
     tasks_->OnWorkerTasks(listed.value(), asked_at);
     runner_.SetGrantedSlots(tasks_->GrantedSlots());
+    core_.metrics.SetValue("requests_slowdown",
+                           tasks_->Colocation().SeenSlowdown());
+    core_.metrics.SetValue("effect_budget", tasks_->Colocation().Budget());
     core_.metrics.SetValue("tasks_listed",
                            static_cast<double>(listed.value().size()));
     core_.metrics.SetValue("evictions",
@@ -146,6 +152,7 @@
   {
     const std::lock_guard lock(mutex_);
     tasks_->FillReport(report);
+    *report.mutable_effects() = tasks_->TakeEffectSample();
   }
   const auto call = MakeCall<wire::agent_report, wire::owner_reply>(
       core_.peers.At(owner), std::move(report), kHeartbeatTimeout);
@@ -250,6 +257,8 @@
     dump["right_left_ms"] = tasks_->RightUntil() - MonotonicNow();
     dump["granted_slots"] = tasks_->GrantedSlots();
     dump["evictions"] = tasks_->Evictions();
+    dump["requests_slowdown"] = tasks_->Colocation().SeenSlowdown();
+    dump["effect_budget"] = tasks_->Colocation().Budget();
   }
   runner_.FillLoad(*report.mutable_load());
   dump["worker"] = boost::json::parse(ToJson(report));
--- a/src/chervilkeeld/request_runner.cpp
+++ b/src/chervilkeeld/request_runner.cpp
@@ -18,7 +18,6 @@
   admission_options options;
   options.slots = static_cast<std::uint32_t>(settings.slots);
   options.connections = static_cast<std::uint32_t>(settings.connections);
-  options.margin = settings.lean == policy_lean::kTail ? 3 : 1;
   return options;
 }
 
@@ -49,11 +48,15 @@
   admission_.SetGrantedSlots(granted);
 }
 
-std::uint32_t request_runner::ReserveSlots(millis now) {
+request_runner::request_demand request_runner::ReserveSlots(millis now) {
   const std::lock_guard lock(mutex_);
-  const std::uint32_t wanted = admission_.WantedSlots(now);
-  admission_.SetGrantedSlots(std::min(wanted, admission_.GrantedSlots()));
-  return wanted;
+  request_demand demand;
+  demand.wanted_slots = admission_.WantedSlots(now);
+  demand.slots_in_use = admission_.SlotsInUse();
+  demand.times = times_.Take();
+  admission_.SetGrantedSlots(
+      std::min(demand.wanted_slots, admission_.GrantedSlots()));
+  return demand;
 }
 
 std::size_t request_runner::Inside() const {
@@ -113,11 +116,16 @@
   entry.ticket.expected_ms = request->expected_ms();
   entry.ticket.deadline = now + request->deadline_ms();
   admission_answer answer;
+  bool wants_step = false;
   {
     const std::lock_guard lock(mutex_);
     entry.ticket.id = next_id_++;
     entries_[entry.ticket.id] = entry;
     answer = admission_.Offer(entry.ticket, now);
+    wants_step = admission_.WantsStep();
+  }
+  if (wants_step) {
+    wake_();
   }
   if (answer.verdict == admission_verdict::kRun) {
     Launch(entry.ticket.id);
@@ -176,8 +184,11 @@
     const std::lock_guard lock(mutex_);
     request_entry& entry = entries_.at(id);
     const std::int64_t service_us = now_us - entry.started_us;
-    admission_.Done(entry.ticket,
-                    static_cast<double>(service_us) / kMicrosInMilli);
+    const double service_ms = static_cast<double>(service_us) / kMicrosInMilli;
+    admission_.Done(entry.ticket, service_ms);
+    if (answer) {
+      times_.Add(entry.request->service(), service_ms);
+    }
     entry.reply->set_wait_us(
         static_cast<std::uint32_t>(entry.started_us - entry.arrived_us));
     entry.reply->set_service_us(static_cast<std::uint32_t>(service_us));
--- a/src/chervilkeeld/request_runner.h
+++ b/src/chervilkeeld/request_runner.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "chervilkeel/colocation_control.h"
 #include "chervilkeel/http_client.h"
 #include "chervilkeel/slot_admission.h"
 #include "process_core.h"
@@ -29,9 +30,20 @@
   // Sets how many slots have processors.
   void SetGrantedSlots(std::uint32_t granted);
 
-  // Returns how many slots the requests want, and lets them take no more until
+  // What the requests want of the worker, for its next control step.
+  struct request_demand {
+    std::uint32_t wanted_slots = 0;
+    double slots_in_use = 0;           // Share of the slots.
+    std::vector<service_times> times;  // Of requests since the last step.
+  };
+
+  // Returns the demand, and lets requests take no more slots than wanted until
   // SetGrantedSlots() is called, so that the rest can go to batch tasks.
-  std::uint32_t ReserveSlots(millis now);
+  request_demand ReserveSlots(millis now);
+
+  // Sets what to call, from any thread, when requests wait for processors that
+  // only the next control step can free.
+  void SetWake(std::function<void()> wake) { wake_ = std::move(wake); }
 
   // Refuses new requests from now on; those inside go on.
   void Drain() { draining_ = true; }
@@ -72,10 +84,12 @@
   boost::asio::io_context& context_;
   boost::asio::steady_timer timer_;
   const std::shared_ptr<http_pool> executor_;
+  std::function<void()> wake_;
   std::atomic<bool> draining_{false};
 
   mutable std::mutex mutex_;  // Guards what follows.
   slot_admission admission_;
+  service_time_sums times_;
   std::map<std::uint64_t, request_entry> entries_;
   std::uint64_t next_id_ = 1;
 };
--- a/src/chervilkeeld/request_session.cpp
+++ b/src/chervilkeeld/request_session.cpp
@@ -266,12 +266,12 @@
   tables_.core.decisions.Add(
       kPart, id_,
       choice.agent.empty() ? "found no upstream" : "chose " + choice.agent,
-      choice.reason);
+      choice.Reason());
   if (choice.agent.empty()) {
     flight_step step;
     {
       const std::lock_guard lock(tables_.mutex);
-      step = flight_->OnNoUpstream(attempt, choice.reason, now);
+      step = flight_->OnNoUpstream(attempt, choice.Reason(), now);
     }
     Do(step);
     return;
--- a/src/include/chervilkeel/agent_core.h
+++ b/src/include/chervilkeel/agent_core.h
@@ -13,6 +13,7 @@
 
 #include "chervilkeel/amount.h"
 #include "chervilkeel/clock.h"
+#include "chervilkeel/colocation_control.h"
 #include "chervilkeel/decision_log.h"
 #include "chervilkeel/placement.h"
 #include "wire/chervilkeel.pb.h"
@@ -100,10 +101,11 @@
   std::int64_t executor_memory_mb = 4096;
   millis worker_lease = 5'000;  // At most half of a tenure.
   millis checkpoint_every = 5'000;
-  millis evict_after = 3'000;      // Of unbroken pressure.
-  millis give_back_after = 2'000;  // Without pressure.
-  double lowest_share = 0.25;      // A throttled task keeps at least this.
-  double give_back_step = 0.1;     // Of a share, a tick.
+  millis evict_after = 3'000;    // Of unbroken pressure.
+  millis give_back_after = 500;  // Without pressure.
+  double lowest_share = 0.1;     // A throttled task keeps at least this.
+  double give_back_step = 0.5;   // Of a share, a tick.
+  colocation_options colocation;
 };
 
 // Returns the options with the durations that suit a lean.
@@ -123,6 +125,12 @@
   // Takes the worker's whole list of tasks, as asked at `asked_at`.
   void OnWorkerTasks(const std::vector<worker_task>& tasks, millis asked_at);
 
+  // Takes what the requests met since the last tick, and the share of the
+  // slots that they hold or wait for.
+  void OnRequests(const std::vector<service_times>& times,
+                  double slots_in_use,
+                  millis now);
+
   // Returns what the worker should do now. `wanted_slots` is how many slots
   // the executor's requests want.
   std::vector<worker_action> Tick(std::uint32_t wanted_slots, millis now);
@@ -136,6 +144,11 @@
   // Fills in the parts of a heartbeat that concern tasks.
   void FillReport(wire::agent_report& report) const;
 
+  // Returns what requests met since the last call, for the next heartbeat.
+  wire::effect_sample TakeEffectSample() { return colocation_.TakeSample(); }
+
+  const colocation_control& Colocation() const { return colocation_; }
+
   // Gives everything up: the backlog goes back, running tasks are evicted.
   void Drain();
 
@@ -182,9 +195,30 @@
   void RelievePressure(std::vector<worker_action>& actions,
                        const amount& allowed,
                        millis now);
-  void Throttle(std::vector<worker_action>& actions, double factor);
-  void EvictCheapest(std::vector<worker_action>& actions, millis now);
-  void GiveBack(std::vector<worker_action>& actions, const amount& allowed);
+  // A running task with the share of its need that it should be given.
+  struct planned_task {
+    local_task* task = nullptr;
+    double effect = 0;  // On requests, if its share were 1.
+    double share = 1.0;
+  };
+
+  std::vector<planned_task> PlanShares(const amount& allowed);
+  double EffectOf(const local_task& task) const;
+  double EffectInUse() const;
+  double EffectRoom() const;
+  std::vector<class_share> Loads() const;
+  void Throttle(std::vector<worker_action>& actions,
+                const std::vector<planned_task>& plan);
+  void EvictUnderPressure(std::vector<worker_action>& actions,
+                          const std::vector<planned_task>& plan,
+                          const amount& allowed,
+                          millis now);
+  void EvictCheapest(std::vector<worker_action>& actions,
+                     millis now,
+                     const std::string& why);
+  void GiveBack(std::vector<worker_action>& actions,
+                const std::vector<planned_task>& plan,
+                const amount& allowed);
   void StartBacklog(std::vector<worker_action>& actions,
                     const amount& allowed,
                     millis now);
@@ -196,6 +230,7 @@
 
   const agent_options options_;
   decision_log& log_;
+  colocation_control colocation_;
   const millis settled_at_;  // No earlier process's start acts after this.
   std::map<std::string, local_task> tasks_;
   std::uint64_t epoch_ = 0;
--- a/src/include/chervilkeel/cell_owner.h
+++ b/src/include/chervilkeel/cell_owner.h
@@ -20,6 +20,8 @@
 #include "chervilkeel/decision_log.h"
 #include "chervilkeel/manifest.h"
 #include "chervilkeel/placement.h"
+#include "chervilkeel/progress_monitor.h"
+#include "chervilkeel/request_effects.h"
 
 namespace chervilkeel {
 
@@ -152,6 +154,7 @@
                      const wire::task_report& task,
                      millis now);
   void AddStarts(const agent_entry& agent, wire::owner_reply& reply) const;
+  void Learn(const wire::agent_report& report, millis now);
   wire::assignment MakeAssignment(const job_entry& job,
                                   const wire::task_record& task) const;
   void ProposeRelease(const wire::task_id& id,
@@ -171,6 +174,7 @@
   void StopFailingJobs();
   void ReportMisfits(millis now);
   void Place(millis now);
+  void PlaceInTurn(std::vector<placement_candidate>& candidates, millis now);
   bool PlaceOne(const job_entry& job,
                 std::uint32_t index,
                 std::vector<placement_candidate>& candidates,
@@ -181,7 +185,7 @@
       const placement_request& request,
       const std::vector<placement_candidate>& candidates) const;
   std::vector<placement_candidate> Candidates(millis now);
-  std::vector<const job_entry*> JobsInOrder() const;
+  std::vector<const job_entry*> JobsToPlace() const;
   double ShareOfQuota(const std::string& team) const;
   bool WithinQuota(const job_entry& job, const amount& need) const;
   void TakeBackBacklog(millis now);
@@ -218,6 +222,8 @@
   std::uint64_t manifest_version_ = 0;
   std::map<std::string, agent_entry> agents_;
   interference_model interference_;
+  progress_monitor progress_;
+  request_effect_model effects_;
   std::vector<wire::cell_change> proposed_;
   std::optional<wire::journal_record> in_flight_;
   std::set<task_key> changing_;     // Tasks with a change not yet durable.
--- a/src/include/chervilkeel/placement.h
+++ b/src/include/chervilkeel/placement.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <array>
+#include <limits>
 #include <map>
 #include <string>
 #include <utility>
@@ -55,6 +56,8 @@
   amount capacity;                   // The whole worker.
   amount room;                       // What batch work may still take.
   std::vector<std::string> classes;  // Of the tasks assigned to it.
+  // What tasks may still slow its requests.
+  double effect_room = std::numeric_limits<double>::infinity();
   std::size_t same_job_in_rack = 0;  // Tasks of the same job in its rack.
   bool usable = true;  // Heard lately, not leaving, no quarantine.
 };
@@ -63,9 +66,13 @@
 struct placement_request {
   std::string task_class;
   amount need;
+  double effect = 0;  // On requests, if its class were given a whole worker.
   std::vector<std::string> avoid;  // Agents on which the task failed before.
 };
 
+// Returns the part of a worker's processors that a need takes.
+double ShareOfWorker(const amount& need, const placement_candidate& candidate);
+
 // The choice and its reason.
 struct placement_choice {
   int index = -1;  // Into the candidates; -1 when there is none.
--- a/src/include/chervilkeel/slot_admission.h
+++ b/src/include/chervilkeel/slot_admission.h
@@ -16,8 +16,9 @@
 struct admission_options {
   std::uint32_t slots = 8;
   std::uint32_t connections = 64;  // Requests running or queued, at most.
-  std::uint32_t margin = 1;        // Slots wanted beyond learned demand.
-  millis demand_memory = 10'000;   // Half-life of a learned peak.
+  std::uint32_t margin = 0;        // Slots wanted beyond learned demand.
+  millis demand_memory = 3'000;    // How long demand counts in its mean.
+  millis peak_memory = 10'000;     // Half-life of a learned peak.
 };
 
 // A request that waits for a slot or holds one.
@@ -60,9 +61,24 @@
   // Returns what may start now and what has to be refused.
   admission_step Advance(millis now);
 
-  // How many slots the requests want, by present and learned demand.
+  // How many slots the requests want: the present demand, or its mean over
+  // the last seconds if that is more.
   std::uint32_t WantedSlots(millis now);
 
+  // Says whether short requests wait for slots that batch tasks still hold, so
+  // that the agent should not leave its next control step for later.
+  bool WantsStep() const {
+    return !short_queue_.empty() && granted_ < options_.slots;
+  }
+
+  // The share of the slots that requests hold or wait for; above 1 when more
+  // wait than there are slots.
+  double SlotsInUse() const {
+    return static_cast<double>(Busy() + short_queue_.size() +
+                               long_queue_.size()) /
+           options_.slots;
+  }
+
   // The wait that a request of a class would meet now, in milliseconds.
   double ExpectedWaitMs(request_class duration) const;
 
@@ -100,8 +116,8 @@
   double long_ms_ = 1000;
   bool short_learned_ = false;
   bool long_learned_ = false;
-  double short_peak_ = 0;  // Learned demand, in slots.
-  double total_peak_ = 0;
+  double short_peak_ = 0;   // Learned demand, in slots.
+  double demand_mean_ = 0;  // Of all requests, over time, in slots.
   millis learned_at_ = 0;
 };
 
--- a/src/include/chervilkeel/upstream_table.h
+++ b/src/include/chervilkeel/upstream_table.h
@@ -16,11 +16,12 @@
 
 // The settings of the choice. Durations in milliseconds.
 struct upstream_options {
-  std::string data_centre;       // Of this entry.
-  millis usable_for = 1'500;     // Since the agent was last heard.
-  double remote_cost_ms = 1.0;   // Of leaving the own data centre.
-  std::uint32_t candidates = 2;  // Random ones in each of own and other.
-  millis failed_for = 1'000;     // Not chosen after a failed connection.
+  std::string data_centre;             // Of this entry.
+  millis usable_for = 1'500;           // Since the agent was last heard.
+  double remote_cost_ms = 1.0;         // Of leaving the own data centre.
+  std::uint32_t own_candidates = 4;    // Random ones of the own data centre.
+  std::uint32_t other_candidates = 4;  // Random ones of all others.
+  millis failed_for = 1'000;           // Not chosen after a failed connection.
 };
 
 // One upstream as an entry sees it.
@@ -38,15 +39,29 @@
 struct upstream_choice {
   std::string agent;  // Empty when there is none.
   std::string address;
-  std::string reason;
+  double expected_ms = 0;
+  std::size_t sampled = 0;
+  std::size_t known = 0;
+
+  // Says why it was chosen, or why there is none.
+  std::string Reason() const;
 };
 
 // The upstreams that the entry knows. Each of several entries holds its own
-// and shares nothing; two random candidates keep stale views from herding
+// and shares nothing; a few random candidates keep stale views from herding
 // (Mitzenmacher, "The power of two choices in randomized load balancing").
+// A choice costs the same however many upstreams there are, unless most of
+// them are not usable.
 class upstream_table {
  public:
   upstream_table(upstream_options options, std::uint64_t seed);
+  ~upstream_table() = default;
+
+  // The index points into the table, so that a copy would share it.
+  upstream_table(const upstream_table&) = delete;
+  upstream_table& operator=(const upstream_table&) = delete;
+  upstream_table(upstream_table&&) = default;
+  upstream_table& operator=(upstream_table&&) = delete;
 
   // Takes the roster of a cell. Upstreams that it no longer lists go.
   void TakeRoster(const wire::roster_reply& roster, millis now);
@@ -86,12 +101,23 @@
  private:
   double CostMs(const upstream_entry& upstream,
                 request_class duration,
-                double expected_ms) const;
-  std::vector<const upstream_entry*> Sample(
-      std::vector<const upstream_entry*>& from);
+                double expected_ms,
+                double quickest) const;
+  static double ServiceMs(const upstream_entry& upstream,
+                          request_class duration,
+                          double expected_ms);
+  void Sample(const std::vector<const upstream_entry*>& from,
+              std::uint32_t count,
+              const std::set<std::string>& excluded,
+              millis now);
+  void SampleAll(const std::set<std::string>& excluded, millis now);
+  void RebuildIndex();
 
   const upstream_options options_;
   std::map<std::string, upstream_entry> upstreams_;
+  std::vector<const upstream_entry*> own_;    // Of the own data centre.
+  std::vector<const upstream_entry*> other_;  // Of the others.
+  std::vector<const upstream_entry*> sampled_;
   std::mt19937_64 random_;
 };
 
--- a/src/libkernel/agent_core.cpp
+++ b/src/libkernel/agent_core.cpp
@@ -1,6 +1,7 @@
 #include "chervilkeel/agent_core.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "chervilkeel/cell_state.h"
@@ -11,6 +12,7 @@
 
 constexpr const char* kPart = "agent";
 constexpr millis kRightMargin = 1'000;  // Tasks end this long before the right.
+constexpr double kRounding = 1e-6;      // Of milli-processors.
 
 }  // namespace
 
@@ -24,10 +26,10 @@
 }
 
 agent_options WithLean(agent_options options, policy_lean lean) {
+  options.colocation = ColocationFor(lean);
   if (lean == policy_lean::kTail) {
     options.evict_after = 1'000;
-    options.give_back_after = 5'000;
-    options.give_back_step = 0.05;
+    options.give_back_after = 200;
   }
   return options;
 }
@@ -35,6 +37,7 @@
 agent_core::agent_core(agent_options options, decision_log& log, millis now)
     : options_(std::move(options)),
       log_(log),
+      colocation_(options_.colocation),
       settled_at_(now + options_.worker_lease) {}
 
 void agent_core::OnReply(const wire::owner_reply& reply,
@@ -52,6 +55,7 @@
     return;
   }
   last_sequence_ = reply.sequence();
+  colocation_.TakeEffects(reply);
   const auto granted = static_cast<millis>(
       reply.hold_ms() > 0 ? reply.hold_ms() : reply.tenure_ms());
   // A right that shrinks is taken, and so confirmed to the owner, only when no
@@ -77,10 +81,13 @@
 
 void agent_core::TakeStart(const wire::assignment& assignment) {
   const auto [at, added] = tasks_.try_emplace(NameOf(assignment.id()));
+  local_task& task = at->second;
   if (!added) {
+    if (task.assignment.task_class().empty()) {
+      task.assignment = assignment;  // Of a task that was adopted.
+    }
     return;
   }
-  local_task& task = at->second;
   task.id = assignment.id();
   task.assignment = assignment;
   task.need = FromWire(assignment.need());
@@ -229,8 +236,10 @@
     }
     if (task.phase == local_phase::kRunning) {
       amount need = task.need;
-      need.milli_processors = static_cast<std::int64_t>(
-          static_cast<double>(need.milli_processors) * task.share);
+      // Rounded up: a sum of rounded-down needs would let a worker be given
+      // more than it has.
+      need.milli_processors = static_cast<std::int64_t>(std::ceil(
+          static_cast<double>(need.milli_processors) * task.share - kRounding));
       used += need;
     }
   }
@@ -306,160 +315,13 @@
   return end;
 }
 
-void agent_core::Evict(std::vector<worker_action>& actions,
-                       local_task& task,
-                       const std::string& why) {
-  worker_action action;
-  action.kind = worker_action_kind::kEvict;
-  action.task = NameOf(task.id);
-  actions.push_back(action);
-  if (!task.stopping) {
-    task.stopping = true;
-    task.reason = why;
-    ++evictions_;
-    log_.Add(kPart, action.task, "evicted the task", why);
-  }
-}
-
-void agent_core::RelievePressure(std::vector<worker_action>& actions,
-                                 const amount& allowed,
-                                 millis now) {
-  const std::int64_t used = BatchInUse().milli_processors;
-  if (used <= allowed.milli_processors) {
-    pressure_since_ = 0;
-    if (calm_since_ == 0) {
-      calm_since_ = now;
-    }
-    if (now - calm_since_ >= options_.give_back_after) {
-      GiveBack(actions, allowed);
-    }
-    return;
-  }
-  calm_since_ = 0;
-  if (pressure_since_ == 0) {
-    pressure_since_ = now;
-  }
-  const double factor =
-      static_cast<double>(std::max<std::int64_t>(allowed.milli_processors, 0)) /
-      static_cast<double>(used);
-  Throttle(actions, factor);
-  if (now - pressure_since_ >= options_.evict_after) {
-    EvictCheapest(actions, now);
-    pressure_since_ = now;
-  }
-}
-
-void agent_core::Throttle(std::vector<worker_action>& actions, double factor) {
-  for (auto& [name, task] : tasks_) {
-    if (task.phase != local_phase::kRunning || task.stopping) {
-      continue;
-    }
-    const double share = std::max(options_.lowest_share, task.share * factor);
-    if (share < task.share) {
-      worker_action action;
-      action.kind = worker_action_kind::kThrottle;
-      action.task = name;
-      action.share = share;
-      actions.push_back(action);
-      log_.Add(kPart, name, "throttled the task",
-               "requests want more of the processors");
-    }
-  }
-}
-
-// Evicts the running task whose loss costs least: the lowest priority first,
-// then the one whose newest checkpoint loses least, then the least progress.
-void agent_core::EvictCheapest(std::vector<worker_action>& actions,
-                               millis now) {
-  local_task* cheapest = nullptr;
-  const auto cost = [&](const local_task& task) {
-    return std::make_tuple(task.assignment.priority(), now - task.checkpoint_at,
-                           task.progress_ms);
-  };
-  for (auto& [name, task] : tasks_) {
-    if (task.phase == local_phase::kRunning && !task.stopping &&
-        (!cheapest || cost(task) < cost(*cheapest))) {
-      cheapest = &task;
-    }
-  }
-  if (cheapest) {
-    Evict(actions, *cheapest,
-          "throttling did not free enough processors for the requests");
-  }
-}
-
-// Raises throttled shares a step, while the sum stays within what is allowed.
-void agent_core::GiveBack(std::vector<worker_action>& actions,
-                          const amount& allowed) {
-  std::int64_t room = allowed.milli_processors - BatchInUse().milli_processors;
-  for (auto& [name, task] : tasks_) {
-    if (task.phase != local_phase::kRunning || task.share >= 1.0) {
-      continue;
-    }
-    const double share = std::min(1.0, task.share + options_.give_back_step);
-    const auto more = static_cast<std::int64_t>(
-        (share - task.share) * static_cast<double>(task.need.milli_processors) +
-        1);
-    if (more > room) {
-      continue;
-    }
-    room -= more;
-    worker_action action;
-    action.kind = worker_action_kind::kThrottle;
-    action.task = name;
-    action.share = share;
-    actions.push_back(action);
-  }
-}
-
-// Starts tasks by priority while the whole need of each fits beside the full
-// needs of the others. Throttled tasks count whole, so that starting one never
-// keeps another throttled.
-void agent_core::StartBacklog(std::vector<worker_action>& actions,
-                              const amount& allowed,
-                              millis now) {
-  amount room = allowed;
-  std::vector<local_task*> backlog;
-  for (auto& [name, task] : tasks_) {
-    if (task.phase == local_phase::kStarting ||
-        task.phase == local_phase::kRunning) {
-      room -= task.need;
-    }
-    if (task.phase == local_phase::kBacklog && !task.withdrawn) {
-      backlog.push_back(&task);
-    }
-  }
-  std::stable_sort(backlog.begin(), backlog.end(),
-                   [](const local_task* left, const local_task* right) {
-                     return left->assignment.priority() >
-                            right->assignment.priority();
-                   });
-  for (local_task* task : backlog) {
-    if (!Fits(task->need, room)) {
-      continue;
-    }
-    room -= task->need;
-    task->phase = local_phase::kStarting;
-    task->checkpoint_at = now;
-    worker_action action;
-    action.kind = worker_action_kind::kStart;
-    action.task = NameOf(task->id);
-    action.lease_until = LeaseEnd(now);
-    action.assignment = task->assignment;
-    task->start_until = action.lease_until;
-    actions.push_back(std::move(action));
-    log_.Add(kPart, NameOf(task->id), "started the task",
-             "it fits beside " + std::to_string(planned_slots_) +
-                 " slots of requests");
-  }
-}
-
 void agent_core::FillReport(wire::agent_report& report) const {
   report.set_epoch(epoch_);
   report.set_right_sequence(right_sequence_);
   report.set_draining(draining_);
   *report.mutable_capacity() = ToWire(options_.capacity);
   *report.mutable_batch_room() = ToWire(BatchAllowed(planned_slots_));
+  report.set_effect_room(EffectRoom());
   for (const auto& [name, task] : tasks_) {
     auto* entry = report.add_tasks();
     *entry->mutable_id() = task.id;
--- a/src/libkernel/agent_core_test.cpp
+++ b/src/libkernel/agent_core_test.cpp
@@ -176,6 +176,52 @@
   BOOST_TEST(core->GrantedSlots() >= 3U);
 }
 
+BOOST_AUTO_TEST_CASE(throttled_shares_and_slots_never_exceed_the_worker) {
+  wire::owner_reply reply = Grant(kHold);
+  for (std::uint32_t i = 0; i < 9; ++i) {
+    AddStart(reply, i);
+    reply.mutable_start(static_cast<int>(i))
+        ->mutable_need()
+        ->set_milli_processors(333 + i);
+  }
+  core->OnReply(reply, now, now);
+  for (int i = 0; i < 200; ++i) {
+    now += 200;
+    Step(static_cast<std::uint32_t>(i * 7 % 5));
+    double given = core->GrantedSlots() * 1'000.0;
+    for (const auto& [name, task] : worker) {
+      if (task.state == worker_task_state::kRunning) {
+        given += static_cast<double>(task.need.milli_processors) * task.share;
+      }
+    }
+    BOOST_TEST(given <= 4'000.0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(class_that_slows_requests_most_is_throttled_first) {
+  wire::owner_reply reply = Grant(kHold);
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    AddStart(reply, i);
+    reply.mutable_start(static_cast<int>(i))
+        ->set_task_class(i == 0 ? "quiet" : "noisy");
+  }
+  for (const auto& [name, value] :
+       {std::pair("quiet", 0.05), std::pair("noisy", 0.8)}) {
+    wire::class_effect* effect = reply.add_class_effects();
+    effect->set_task_class(name);
+    effect->set_effect(value);
+  }
+  core->OnReply(reply, now, now);
+  Step(0);
+  for (int i = 0; i < 20; ++i) {
+    now += 200;
+    core->OnRequests({}, 1.0, now);
+    Step(0);
+  }
+  BOOST_TEST(worker.at("job@1/0#1").share == 1.0);
+  BOOST_TEST(worker.at("job@1/1#1").share < 0.6);
+}
+
 BOOST_AUTO_TEST_CASE(pressure_that_throttling_relieves_evicts_nothing) {
   wire::owner_reply reply = Grant(kHold);
   for (std::uint32_t i = 0; i < 3; ++i) {
--- a/src/libkernel/cell_owner.cpp
+++ b/src/libkernel/cell_owner.cpp
@@ -96,9 +96,22 @@
   }
   AddStarts(agent, reply);
   GrantRight(agent, reply, now);
+  Learn(report, now);
+  effects_.Fill(reply);
   return reply;
 }
 
+// Learns from a report how tasks slow requests and each other.
+void cell_owner::Learn(const wire::agent_report& report, millis now) {
+  effects_.Learn(report.effects());
+  const auto class_of = [this](const wire::task_id& id) {
+    const auto job = state_.Jobs().find(id.job());
+    return job == state_.Jobs().end() ? std::string()
+                                      : job->second.specification.task_class();
+  };
+  progress_.Observe(report, class_of, now, interference_);
+}
+
 void cell_owner::GrantRight(agent_entry& agent,
                             wire::owner_reply& reply,
                             millis now) {
--- a/src/libkernel/cell_owner_placement.cpp
+++ b/src/libkernel/cell_owner_placement.cpp
@@ -1,6 +1,7 @@
 // The part of the owner that decides where waiting tasks go, and when the
 // tasks of a silent agent move.
 #include <algorithm>
+#include <queue>
 
 #include "chervilkeel/cell_owner.h"
 
@@ -11,6 +12,7 @@
 constexpr const char* kPart = "owner";
 constexpr const char* kRepairPart = "repair";
 constexpr std::size_t kMaxPlacementsInTick = 200;
+constexpr double kSmallEffect = 0.03;  // Of a task that may always wait ahead.
 
 // Takes room for a need from a candidate other than the named one; false when
 // none has it.
@@ -317,6 +319,9 @@
     candidate.capacity = FromWire(agent.report.capacity());
     candidate.room = FromWire(agent.report.batch_room());
     candidate.usable = Usable(agent, now);
+    if (agent.report.has_effect_room()) {
+      candidate.effect_room = agent.report.effect_room();
+    }
     for (const task_key& key : state_.AssignedTo(name)) {
       const job_entry& job = state_.Jobs().at(key.job);
       candidate.room -= FromWire(job.specification.need());
@@ -329,6 +334,9 @@
       if (candidate.agent == agent) {
         candidate.room -= FromWire(job.specification.need());
         candidate.classes.push_back(job.specification.task_class());
+        candidate.effect_room -=
+            effects_.EffectOf(job.specification.task_class()).mean *
+            ShareOfWorker(FromWire(job.specification.need()), candidate);
       }
     }
   });
@@ -346,24 +354,14 @@
          static_cast<double>(declared->second.quota.milli_processors);
 }
 
-// Orders jobs by priority, then by the share of its quota that the team uses.
-std::vector<const job_entry*> cell_owner::JobsInOrder() const {
+// Lists the jobs with tasks that could be placed.
+std::vector<const job_entry*> cell_owner::JobsToPlace() const {
   std::vector<const job_entry*> jobs;
   for (const auto& [name, job] : state_.Jobs()) {
     if (job.Wanted() && !job.waiting.empty() && misfits_.count(name) == 0) {
       jobs.push_back(&job);
     }
   }
-  std::stable_sort(
-      jobs.begin(), jobs.end(),
-      [&](const job_entry* left, const job_entry* right) {
-        if (left->specification.priority() != right->specification.priority()) {
-          return left->specification.priority() >
-                 right->specification.priority();
-        }
-        return ShareOfQuota(left->specification.team()) <
-               ShareOfQuota(right->specification.team());
-      });
   return jobs;
 }
 
@@ -390,18 +388,59 @@
         FromWire(job.specification.need());
   });
   std::vector<placement_candidate> candidates = Candidates(now);
+  PlaceInTurn(candidates, now);
+}
+
+// Places one task after another, each time of the job with the highest
+// priority whose team uses the least of its quota, so that no team takes all
+// room of one tick. A job leaves the round when its next task finds no worker.
+void cell_owner::PlaceInTurn(std::vector<placement_candidate>& candidates,
+                             millis now) {
+  struct job_turn {
+    const job_entry* job = nullptr;
+    std::set<std::uint32_t>::const_iterator next;
+    double share = 0;
+  };
+  const auto later = [](const job_turn& left, const job_turn& right) {
+    const auto left_priority = left.job->specification.priority();
+    const auto right_priority = right.job->specification.priority();
+    if (left_priority != right_priority) {
+      return left_priority < right_priority;
+    }
+    if (left.share != right.share) {
+      return left.share > right.share;
+    }
+    return left.job->specification.name() > right.job->specification.name();
+  };
+  std::priority_queue<job_turn, std::vector<job_turn>, decltype(later)> turns(
+      later);
+  for (const job_entry* job : JobsToPlace()) {
+    turns.push(
+        {job, job->waiting.begin(), ShareOfQuota(job->specification.team())});
+  }
   std::size_t placed = 0;
-  for (const job_entry* job : JobsInOrder()) {
-    for (const std::uint32_t index : job->waiting) {
-      if (changing_.count({job->specification.name(), index}) != 0) {
-        continue;
-      }
-      if (placed >= kMaxPlacementsInTick ||
-          !PlaceOne(*job, index, candidates, now)) {
-        break;
-      }
-      ++placed;
+  while (!turns.empty() && placed < kMaxPlacementsInTick) {
+    job_turn turn = turns.top();
+    turns.pop();
+    const std::string& name = turn.job->specification.name();
+    while (turn.next != turn.job->waiting.end() &&
+           changing_.count({name, *turn.next}) != 0) {
+      ++turn.next;
+    }
+    const double share = ShareOfQuota(turn.job->specification.team());
+    if (share > turn.share) {
+      turn.share = share;  // Another job of the team was placed meanwhile.
+      turns.push(turn);
+      continue;
+    }
+    if (turn.next == turn.job->waiting.end() ||
+        !PlaceOne(*turn.job, *turn.next, candidates, now)) {
+      continue;
     }
+    ++placed;
+    ++turn.next;
+    turn.share = ShareOfQuota(turn.job->specification.team());
+    turns.push(turn);
   }
 }
 
@@ -414,6 +453,7 @@
   request.task_class = job.specification.task_class();
   request.need = FromWire(job.specification.need());
   request.avoid = {task.failed_on().begin(), task.failed_on().end()};
+  request.effect = effects_.EffectOf(request.task_class).mean;
   if (!WithinQuota(job, request.need)) {
     return false;
   }
@@ -437,6 +477,7 @@
   log_.Add(kPart, NameOf(assigned->id()), "assigned to " + chosen.agent,
            choice.reason);
   chosen.room -= request.need;
+  chosen.effect_room -= request.effect * ShareOfWorker(request.need, chosen);
   chosen.classes.push_back(request.task_class);
   used_by_team_[job.specification.team()] += request.need;
   if (agent.failures_in_row >= options_.quarantine_failures) {
@@ -458,8 +499,11 @@
     const agent_entry& agent = agents_.at(candidate.agent);
     const std::size_t ahead = TasksAhead(request.need, candidate.room);
     const bool probing = agent.failures_in_row >= options_.quarantine_failures;
+    const double effect =
+        request.effect * ShareOfWorker(request.need, candidate);
     if (candidate.usable && !probing && ahead < fewest &&
-        Fits(request.need, candidate.capacity)) {
+        Fits(request.need, candidate.capacity) &&
+        effect <= std::max(candidate.effect_room, kSmallEffect)) {
       choice.index = static_cast<int>(i);
       fewest = ahead;
     }
--- a/src/libkernel/cell_owner_test.cpp
+++ b/src/libkernel/cell_owner_test.cpp
@@ -385,6 +385,40 @@
   BOOST_TEST(owner->State().AssignedTo("a1").size() == 6U);
 }
 
+BOOST_AUTO_TEST_CASE(teams_with_like_quotas_share_a_round_of_placement) {
+  manifest value = OneJob(20);
+  wire::job_specification other = value.jobs["job@1"];
+  other.set_name("other@1");
+  value.jobs["other@1"] = other;
+  for (const char* name : {"first", "second"}) {
+    team_specification team;
+    team.name = name;
+    team.quota = {100'000, 1'000'000, 0};
+    value.teams[name] = team;
+  }
+  value.jobs["job@1"].set_team("first");
+  value.jobs["other@1"].set_team("second");
+  owner->OnManifest(value, 1);
+  Commit();
+  Hear(Report("a1"));
+  Settle();
+  BOOST_TEST(owner->State().Jobs().at("job@1").assigned.size() == 3U);
+  BOOST_TEST(owner->State().Jobs().at("other@1").assigned.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(task_that_would_slow_requests_too_much_goes_elsewhere) {
+  owner->OnManifest(OneJob(1), 1);
+  Commit();
+  wire::agent_report crowded = Report("a1");
+  crowded.set_effect_room(0);
+  auto* running = crowded.add_tasks();
+  *running = Task({}, wire::phase_running);
+  Hear(crowded);
+  Hear(Report("a2"));
+  Settle();
+  BOOST_TEST(owner->State().AssignedTo("a2").size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(claim_of_a_key_is_granted_once_and_answered_after) {
   wire::claim_request first;
   first.set_key("k");
--- /dev/null
+++ b/src/libkernel/colocation_control.cpp
@@ -0,0 +1,159 @@
+#include "chervilkeel/colocation_control.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr double kUnknownEffect = 0.2;    // Of a class nobody reported on.
+constexpr double kFewestRequests = 20;    // To judge their service times.
+constexpr double kRecentMillis = 1'500;   // How long a request counts.
+constexpr double kDemandMillis = 3'000;   // How long a crest counts on.
+constexpr double kRiseWeight = 0.5;       // Of the newest demand, in a step.
+constexpr double kLeastCorrection = 0.7;  // Seen growth over predicted.
+constexpr double kMostCorrection = 4.0;
+constexpr double kPredictedFloor = 0.03;  // Growths below it say little.
+
+constexpr double kShortestMillis = 0.001;  // Whose logarithm is still taken.
+
+}  // namespace
+
+void service_time_sums::Add(const std::string& service, double service_ms) {
+  service_times& sum = sums_[service];
+  sum.service = service;
+  ++sum.count;
+  sum.log_ms_sum += std::log(std::max(service_ms, kShortestMillis));
+}
+
+std::vector<service_times> service_time_sums::Take() {
+  std::vector<service_times> taken;
+  for (auto& [name, sum] : sums_) {
+    taken.push_back(std::move(sum));
+  }
+  sums_.clear();
+  return taken;
+}
+
+colocation_options ColocationFor(policy_lean lean) {
+  colocation_options options;
+  if (lean == policy_lean::kTail) {
+    options.calm_until = 0.2;
+    options.crest_tolerance = 1.08;
+  }
+  return options;
+}
+
+colocation_control::colocation_control(colocation_options options)
+    : options_(options) {}
+
+void colocation_control::TakeEffects(const wire::owner_reply& reply) {
+  for (const wire::class_effect& entry : reply.class_effects()) {
+    effects_[entry.task_class()] = entry.effect();
+  }
+  for (const wire::service_baseline& entry : reply.baselines()) {
+    baselines_[entry.service()] = entry.mean_log_ms();
+  }
+}
+
+double colocation_control::EffectOf(const std::string& task_class) const {
+  const auto found = effects_.find(task_class);
+  return found == effects_.end() ? kUnknownEffect : found->second;
+}
+
+double colocation_control::Predicted(
+    const std::vector<class_share>& loads) const {
+  double sum = 0;
+  for (const class_share& load : loads) {
+    sum += EffectOf(load.task_class) * load.share;
+  }
+  return sum;
+}
+
+void colocation_control::Step(const std::vector<service_times>& times,
+                              const std::vector<class_share>& loads,
+                              double slots_in_use,
+                              millis now) {
+  const auto passed = static_cast<double>(now - stepped_at_);
+  stepped_at_ = now;
+  const double kept = std::exp(-passed / kRecentMillis);
+  recent_requests_ *= kept;
+  recent_growth_ *= kept;
+  recent_predicted_ *= kept;
+  const double predicted = Predicted(loads);
+  for (const service_times& entry : times) {
+    service_times& sample = sampled_[entry.service];
+    sample.count += entry.count;
+    sample.log_ms_sum += entry.log_ms_sum;
+    sampled_requests_ += entry.count;
+    for (const class_share& load : loads) {
+      sampled_loads_[load.task_class] += load.share * entry.count;
+    }
+    const auto baseline = baselines_.find(entry.service);
+    if (baseline != baselines_.end()) {
+      recent_requests_ += entry.count;
+      recent_growth_ += entry.log_ms_sum - entry.count * baseline->second;
+      recent_predicted_ += entry.count * predicted;
+    }
+  }
+  const double faded = slots_in_use_ * std::exp(-passed / kDemandMillis);
+  const double risen =
+      slots_in_use_ + kRiseWeight * (slots_in_use - slots_in_use_);
+  slots_in_use_ = std::max(faded, risen);
+}
+
+double colocation_control::Tolerance() const {
+  const double rise =
+      std::clamp((slots_in_use_ - options_.calm_until) /
+                     (options_.crest_from - options_.calm_until),
+                 0.0, 1.0);
+  return options_.calm_tolerance +
+         rise * (options_.crest_tolerance - options_.calm_tolerance);
+}
+
+double colocation_control::Budget() const {
+  const double allowed = std::log(Tolerance());
+  if (recent_requests_ < kFewestRequests) {
+    return allowed;
+  }
+  const double seen = recent_growth_ / recent_requests_;
+  const double predicted = recent_predicted_ / recent_requests_;
+  const double correction = std::clamp(
+      std::max(seen, kPredictedFloor) / std::max(predicted, kPredictedFloor),
+      kLeastCorrection, kMostCorrection);
+  return allowed / correction;
+}
+
+double colocation_control::SeenSlowdown() const {
+  if (recent_requests_ < kFewestRequests) {
+    return 1;
+  }
+  return std::exp(recent_growth_ / recent_requests_);
+}
+
+wire::effect_sample colocation_control::TakeSample() {
+  wire::effect_sample sample;
+  for (const auto& [name, entry] : sampled_) {
+    if (entry.count == 0) {
+      continue;
+    }
+    wire::service_sample* service = sample.add_services();
+    service->set_service(name);
+    service->set_count(entry.count);
+    service->set_mean_log_ms(entry.log_ms_sum / entry.count);
+  }
+  for (const auto& [name, sum] : sampled_loads_) {
+    if (sampled_requests_ > 0 && sum > 0) {
+      wire::class_load* load = sample.add_loads();
+      load->set_task_class(name);
+      load->set_share(sum / sampled_requests_);
+    }
+  }
+  sampled_.clear();
+  sampled_loads_.clear();
+  sampled_requests_ = 0;
+  return sample;
+}
+
+}  // namespace chervilkeel
--- a/src/libkernel/placement.cpp
+++ b/src/libkernel/placement.cpp
@@ -11,6 +11,7 @@
 constexpr double kMaxWeight = 200.0;       // Old reports fade beyond this.
 constexpr double kSlowdownCost = 4.0;      // Per unit of predicted slowdown.
 constexpr double kRackRepeatCost = 0.05;   // Per task of the job in the rack.
+constexpr double kEffectCost = 1.0;        // Of an effect that takes all room.
 constexpr double kFailedThereCost = 10.0;  // The task failed on the worker.
 constexpr std::size_t kReportNeighbours = 8;  // Pairs that one report teaches.
 
@@ -34,6 +35,22 @@
          static_cast<double>(candidate.capacity.milli_processors);
 }
 
+// Says whether a task's effect on requests fits; a worker without any task
+// takes every one, so that none waits for ever.
+bool EffectFits(const placement_request& request,
+                const placement_candidate& candidate) {
+  return candidate.classes.empty() ||
+         request.effect * ShareOfWorker(request.need, candidate) <=
+             candidate.effect_room;
+}
+
+// Prefers workers on whose requests the task's effect weighs least.
+double EffectCost(const placement_request& request,
+                  const placement_candidate& candidate) {
+  const double effect = request.effect * ShareOfWorker(request.need, candidate);
+  return effect <= 0 ? 0 : effect / std::max(candidate.effect_room, effect);
+}
+
 double Cost(const placement_request& request,
             const placement_candidate& candidate,
             const interference_model& interference) {
@@ -41,6 +58,7 @@
       kSlowdownCost * PredictedSlowdown(request, candidate, interference);
   cost += kRackRepeatCost * static_cast<double>(candidate.same_job_in_rack);
   cost += UnusedShare(candidate);
+  cost += kEffectCost * EffectCost(request, candidate);
   if (std::count(request.avoid.begin(), request.avoid.end(), candidate.agent) !=
       0) {
     cost += kFailedThereCost;
@@ -63,6 +81,14 @@
 
 }  // namespace
 
+double ShareOfWorker(const amount& need, const placement_candidate& candidate) {
+  if (candidate.capacity.milli_processors <= 0) {
+    return 0;
+  }
+  return static_cast<double>(need.milli_processors) /
+         static_cast<double>(candidate.capacity.milli_processors);
+}
+
 void interference_model::Learn(const std::string& task_class,
                                const std::vector<std::string>& neighbours,
                                double slowdown) {
@@ -98,7 +124,8 @@
   std::size_t fitting = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const placement_candidate& candidate = candidates[i];
-    if (!candidate.usable || !Fits(request.need, candidate.room)) {
+    if (!candidate.usable || !Fits(request.need, candidate.room) ||
+        !EffectFits(request, candidate)) {
       continue;
     }
     ++fitting;
--- /dev/null
+++ b/src/libkernel/progress_monitor.cpp
@@ -0,0 +1,68 @@
+#include "chervilkeel/progress_monitor.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "chervilkeel/cell_state.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr millis kSpan = 5'000;            // Long against the reports' lag.
+constexpr double kLargestSlowdown = 10.0;  // More tells of something else.
+
+bool SameNames(const std::map<std::string, std::uint64_t>& left,
+               const std::map<std::string, std::uint64_t>& right) {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    [](const auto& one, const auto& other) {
+                      return one.first == other.first;
+                    });
+}
+
+}  // namespace
+
+void progress_monitor::Observe(const wire::agent_report& report,
+                               const class_lookup& class_of,
+                               millis now,
+                               interference_model& model) {
+  span current;
+  current.since = now;
+  std::map<std::string, std::string> classes;
+  bool throttled = false;
+  for (const auto& task : report.tasks()) {
+    if (task.phase() == wire::phase_running) {
+      const std::string name = NameOf(task.id());
+      current.progress_ms[name] = task.progress_ms();
+      classes[name] = class_of(task.id());
+      throttled = throttled || task.throttled();
+    }
+  }
+  span& before = spans_[report.agent()];
+  if (throttled || !SameNames(before.progress_ms, current.progress_ms)) {
+    before = std::move(current);
+    return;
+  }
+  const millis passed = now - before.since;
+  if (passed < kSpan) {
+    return;
+  }
+  for (const auto& [name, progress] : current.progress_ms) {
+    const auto made = static_cast<double>(progress) -
+                      static_cast<double>(before.progress_ms.at(name));
+    if (made <= 0) {
+      continue;
+    }
+    std::vector<std::string> neighbours;
+    for (const auto& [other, task_class] : classes) {
+      if (other != name && !task_class.empty()) {
+        neighbours.push_back(task_class);
+      }
+    }
+    model.Learn(classes[name], neighbours,
+                std::min(static_cast<double>(passed) / made, kLargestSlowdown));
+  }
+  before = std::move(current);
+}
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/libkernel/request_effects.cpp
@@ -0,0 +1,119 @@
+#include "chervilkeel/request_effects.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <boost/numeric/ublas/matrix_proxy.hpp>
+
+namespace chervilkeel {
+
+namespace {
+
+namespace ublas = boost::numeric::ublas;
+
+constexpr std::size_t kMaxColumns = 64;  // Services and classes together.
+constexpr effect_estimate kServicePrior{4, 3};  // Of a log of milliseconds.
+constexpr effect_estimate kClassPrior{0.2, 0.4};
+constexpr double kServiceVariance = 0.2;      // Of the log of one service time.
+constexpr double kModelVariance = 0.0004;     // Of what the model leaves out.
+constexpr double kDriftVariance = 1e-6;       // Added to each effect a sample.
+constexpr double kKnownDeviation = 0.15;      // Of a baseline, to act on it.
+constexpr std::uint32_t kFewestRequests = 5;  // In a sample of one service.
+
+}  // namespace
+
+request_effect_model::request_effect_model()
+    : means_(ublas::zero_vector<double>(kMaxColumns)),
+      covariance_(ublas::zero_matrix<double>(kMaxColumns, kMaxColumns)) {}
+
+std::optional<std::size_t> request_effect_model::ColumnOf(
+    columns& known,
+    const std::string& name,
+    const effect_estimate& prior) {
+  const auto found = known.find(name);
+  if (found != known.end()) {
+    return found->second;
+  }
+  if (used_ == kMaxColumns) {
+    return std::nullopt;
+  }
+  const std::size_t column = used_++;
+  known[name] = column;
+  means_(column) = prior.mean;
+  covariance_(column, column) = prior.deviation * prior.deviation;
+  return column;
+}
+
+void request_effect_model::Learn(const wire::effect_sample& sample) {
+  real_vector inputs = ublas::zero_vector<double>(kMaxColumns);
+  for (const wire::class_load& load : sample.loads()) {
+    const auto column = ColumnOf(classes_, load.task_class(), kClassPrior);
+    if (column) {
+      inputs(*column) = load.share();
+    }
+  }
+  for (const wire::service_sample& service : sample.services()) {
+    const auto column = ColumnOf(services_, service.service(), kServicePrior);
+    if (!column || service.count() < kFewestRequests) {
+      continue;
+    }
+    inputs(*column) = 1;
+    Update(inputs, service.mean_log_ms(),
+           kModelVariance + kServiceVariance / service.count());
+    inputs(*column) = 0;
+  }
+  for (const auto& [name, column] : classes_) {
+    covariance_(column, column) += kDriftVariance;
+  }
+}
+
+void request_effect_model::Update(const real_vector& inputs,
+                                  double seen,
+                                  double variance) {
+  const real_vector spread = ublas::prod(covariance_, inputs);
+  const double total = ublas::inner_prod(inputs, spread) + variance;
+  const double surprise = seen - ublas::inner_prod(inputs, means_);
+  means_ += spread * (surprise / total);
+  covariance_ -= ublas::outer_prod(spread, spread) / total;
+}
+
+effect_estimate request_effect_model::EffectOf(
+    const std::string& task_class) const {
+  const auto found = classes_.find(task_class);
+  if (found == classes_.end()) {
+    return kClassPrior;
+  }
+  const double variance =
+      std::max(0.0, covariance_(found->second, found->second));
+  return {std::max(0.0, means_(found->second)), std::sqrt(variance)};
+}
+
+std::optional<double> request_effect_model::BaselineOf(
+    const std::string& service) const {
+  const auto found = services_.find(service);
+  if (found == services_.end() || covariance_(found->second, found->second) >
+                                      kKnownDeviation * kKnownDeviation) {
+    return std::nullopt;
+  }
+  return means_(found->second);
+}
+
+void request_effect_model::Fill(wire::owner_reply& reply) const {
+  for (const auto& [name, column] : classes_) {
+    const effect_estimate estimate = EffectOf(name);
+    wire::class_effect* effect = reply.add_class_effects();
+    effect->set_task_class(name);
+    effect->set_effect(estimate.mean);
+    effect->set_deviation(estimate.deviation);
+  }
+  for (const auto& [name, column] : services_) {
+    const auto baseline = BaselineOf(name);
+    if (baseline) {
+      wire::service_baseline* entry = reply.add_baselines();
+      entry->set_service(name);
+      entry->set_mean_log_ms(*baseline);
+    }
+  }
+}
+
+}  // namespace chervilkeel
--- a/src/libkernel/slot_admission.cpp
+++ b/src/libkernel/slot_admission.cpp
@@ -115,22 +115,29 @@
   }
 }
 
-// Peaks rise at once and fade with a half-life, so that a crest finds slots
-// kept for it shortly after the last one.
+// The peak of short requests rises at once and fades with a half-life, so that
+// a crest finds slots kept for it shortly after the last one. The mean
+// demand of all requests is learned over time.
 void slot_admission::LearnDemand(millis now) {
-  const double faded = std::exp2(-static_cast<double>(now - learned_at_) /
-                                 static_cast<double>(options_.demand_memory));
+  const auto passed = static_cast<double>(now - learned_at_);
   learned_at_ = now;
-  const auto short_now = static_cast<double>(busy_short_ + short_queue_.size());
-  const double total_now =
-      short_now + static_cast<double>(busy_long_ + long_queue_.size());
-  short_peak_ = std::max(short_now, short_peak_ * faded);
-  total_peak_ = std::max(total_now, total_peak_ * faded);
+  const double faded =
+      std::exp2(-passed / static_cast<double>(options_.peak_memory));
+  short_peak_ = std::max(static_cast<double>(busy_short_ + short_queue_.size()),
+                         short_peak_ * faded);
+  const double kept =
+      std::exp(-passed / static_cast<double>(options_.demand_memory));
+  const auto demand =
+      static_cast<double>(Busy() + short_queue_.size() + long_queue_.size());
+  demand_mean_ = kept * demand_mean_ + (1 - kept) * demand;
 }
 
 std::uint32_t slot_admission::WantedSlots(millis now) {
   LearnDemand(now);
-  const auto wanted = static_cast<std::uint32_t>(std::ceil(total_peak_));
+  const auto present =
+      static_cast<double>(Busy() + short_queue_.size() + long_queue_.size());
+  const auto wanted =
+      static_cast<std::uint32_t>(std::ceil(std::max(demand_mean_, present)));
   return std::min(options_.slots, wanted + options_.margin);
 }
 
--- a/src/libkernel/upstream_table.cpp
+++ b/src/libkernel/upstream_table.cpp
@@ -2,13 +2,16 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <limits>
 #include <utility>
 
 namespace chervilkeel {
 
 namespace {
 
-constexpr double kServiceWeight = 0.1;  // Of the newest service time.
+constexpr double kServiceWeight = 0.02;  // Of the newest service time.
+constexpr double kSlownessWeight = 1.0;  // Of being slower than others.
+constexpr std::uint32_t kDrawsEach = 3;  // For each candidate wanted.
 constexpr double kMicrosInMilli = 1000.0;
 
 }  // namespace
@@ -37,6 +40,7 @@
     return entry.second.cell == roster.cell() &&
            listed.count(entry.first) == 0 && entry.second.in_flight == 0;
   });
+  RebuildIndex();
 }
 
 void upstream_table::TakeProbe(const std::string& agent,
@@ -58,77 +62,127 @@
          now - upstream.heard_at <= options_.usable_for;
 }
 
+double upstream_table::ServiceMs(const upstream_entry& upstream,
+                                 request_class duration,
+                                 double expected_ms) {
+  const double learned =
+      duration == request_class::kShort ? upstream.short_ms : upstream.long_ms;
+  return learned > 0 ? learned : expected_ms;
+}
+
 // Estimates the wait and service of one more request: what was reported, plus
-// what this entry has sent since.
+// what this entry has sent since. Being slower than the quickest candidate
+// counts several times, since the slowest requests make the tail. Well before
+// all slots are taken, a part of the service time is added for the chance that
+// the report is too old.
 double upstream_table::CostMs(const upstream_entry& upstream,
                               request_class duration,
-                              double expected_ms) const {
-  const double learned =
-      duration == request_class::kShort ? upstream.short_ms : upstream.long_ms;
-  const double service = learned > 0 ? learned : expected_ms;
+                              double expected_ms,
+                              double quickest) const {
+  const double service = ServiceMs(upstream, duration, expected_ms);
   const auto& load = upstream.member.load();
   const double slots = std::max(1U, load.slots());
   const std::uint32_t queued = duration == request_class::kShort
                                    ? load.queued_short()
                                    : load.queued_short() + load.queued_long();
-  const double outstanding = load.busy_slots() + queued + upstream.since_report;
+  const double outstanding = std::max<double>(
+      load.busy_slots() + queued + upstream.since_report, upstream.in_flight);
   const double waiting = std::max(0.0, outstanding + 1 - slots);
-  const double crowding = outstanding / slots;
-  return service * (1 + waiting / slots) + crowding +
+  const double occupancy = std::min(1.0, outstanding / slots);
+  return service * (1 + waiting / slots + occupancy * occupancy) +
+         kSlownessWeight * (service - quickest) +
          (upstream.member.data_centre() == options_.data_centre
               ? 0.0
               : options_.remote_cost_ms);
 }
 
-std::vector<const upstream_entry*> upstream_table::Sample(
-    std::vector<const upstream_entry*>& from) {
-  std::vector<const upstream_entry*> chosen;
-  while (!from.empty() && chosen.size() < options_.candidates) {
-    std::uniform_int_distribution<std::size_t> pick(0, from.size() - 1);
-    const std::size_t index = pick(random_);
-    chosen.push_back(from[index]);
-    from[index] = from.back();
-    from.pop_back();
-  }
-  return chosen;
+// Draws usable upstreams, each at most once. A draw of one that may not be
+// taken counts, so that the cost stays bounded.
+void upstream_table::Sample(const std::vector<const upstream_entry*>& from,
+                            std::uint32_t count,
+                            const std::set<std::string>& excluded,
+                            millis now) {
+  if (from.empty()) {
+    return;
+  }
+  const std::size_t first = sampled_.size();
+  std::uniform_int_distribution<std::size_t> pick(0, from.size() - 1);
+  for (std::uint32_t draw = 0; draw < kDrawsEach * count; ++draw) {
+    const upstream_entry* drawn = from[pick(random_)];
+    if (!Usable(*drawn, now) ||
+        std::find(sampled_.begin() + static_cast<std::ptrdiff_t>(first),
+                  sampled_.end(), drawn) != sampled_.end() ||
+        excluded.count(drawn->member.agent()) != 0) {
+      continue;
+    }
+    sampled_.push_back(drawn);
+    if (sampled_.size() - first == count) {
+      return;
+    }
+  }
+}
+
+// Takes every usable upstream, for when draws found none.
+void upstream_table::SampleAll(const std::set<std::string>& excluded,
+                               millis now) {
+  for (const auto& [name, upstream] : upstreams_) {
+    if (Usable(upstream, now) && excluded.count(name) == 0) {
+      sampled_.push_back(&upstream);
+    }
+  }
+}
+
+void upstream_table::RebuildIndex() {
+  own_.clear();
+  other_.clear();
+  for (const auto& [name, upstream] : upstreams_) {
+    (upstream.member.data_centre() == options_.data_centre ? own_ : other_)
+        .push_back(&upstream);
+  }
 }
 
 upstream_choice upstream_table::Choose(request_class duration,
                                        double expected_ms,
                                        const std::set<std::string>& excluded,
                                        millis now) {
-  std::vector<const upstream_entry*> own;
-  std::vector<const upstream_entry*> other;
-  for (const auto& [name, upstream] : upstreams_) {
-    if (Usable(upstream, now) && excluded.count(name) == 0) {
-      (upstream.member.data_centre() == options_.data_centre ? own : other)
-          .push_back(&upstream);
-    }
+  sampled_.clear();
+  Sample(own_, options_.own_candidates, excluded, now);
+  Sample(other_, options_.other_candidates, excluded, now);
+  if (sampled_.empty()) {
+    SampleAll(excluded, now);
   }
-  const std::size_t usable = own.size() + other.size();
-  std::vector<const upstream_entry*> sampled = Sample(own);
-  for (const upstream_entry* upstream : Sample(other)) {
-    sampled.push_back(upstream);
+  upstream_choice choice;
+  choice.sampled = sampled_.size();
+  choice.known = upstreams_.size();
+  double quickest = std::numeric_limits<double>::infinity();
+  for (const upstream_entry* upstream : sampled_) {
+    quickest = std::min(quickest, ServiceMs(*upstream, duration, expected_ms));
   }
   const upstream_entry* best = nullptr;
-  double lowest = 0;
-  for (const upstream_entry* upstream : sampled) {
-    const double cost = CostMs(*upstream, duration, expected_ms);
-    if (!best || cost < lowest) {
+  for (const upstream_entry* upstream : sampled_) {
+    const double cost = CostMs(*upstream, duration, expected_ms, quickest);
+    if (!best || cost < choice.expected_ms) {
       best = upstream;
-      lowest = cost;
+      choice.expected_ms = cost;
     }
   }
-  if (!best) {
-    return {"", "",
-            "none of " + std::to_string(upstreams_.size()) +
-                " known upstreams may take the request"};
+  if (best) {
+    choice.agent = best->member.agent();
+    choice.address = best->member.address();
+  }
+  return choice;
+}
+
+std::string upstream_choice::Reason() const {
+  if (agent.empty()) {
+    return "none of " + std::to_string(known) +
+           " known upstreams may take the request";
   }
-  char reason[120];
-  std::snprintf(reason, sizeof reason,
-                "expected %.1f ms, the least of %zu sampled from %zu usable",
-                lowest, sampled.size(), usable);
-  return {best->member.agent(), best->member.address(), reason};
+  char text[120];
+  std::snprintf(text, sizeof text,
+                "expected %.1f ms, the least of %zu sampled from %zu known",
+                expected_ms, sampled, known);
+  return text;
 }
 
 void upstream_table::Begin(const std::string& agent) {
