--- a/src/include/chervilkeel/cell_owner.h
+++ b/src/include/chervilkeel/cell_owner.h
@@ -235,6 +235,7 @@
   std::map<std::string, std::string> misfits_;  // Job to the lacking dimension.
   std::set<std::string> returning_;  // Attempts that agents must give back.
   std::uint64_t moved_tasks_ = 0;
+  std::size_t placement_turn_ = 0;  // Spreads the candidates to begin with.
   std::uint64_t record_count_ = 0;
 };
 
--- a/src/include/chervilkeel/colocation_control.h
+++ b/src/include/chervilkeel/colocation_control.h
@@ -37,7 +37,7 @@
 // time may grow over its baseline; 1 means not at all.
 struct colocation_options {
   double calm_tolerance = 1.5;    // While few slots are in use.
-  double crest_tolerance = 1.10;  // While many are.
+  double crest_tolerance = 1.16;  // While many are.
   double calm_until = 0.3;        // Share of the slots in use.
   double crest_from = 0.65;
 };
--- a/src/include/chervilkeel/placement.h
+++ b/src/include/chervilkeel/placement.h
@@ -49,17 +49,26 @@
   std::map<std::pair<std::string, std::string>, pair_estimate> pairs_;
 };
 
+// How many tasks of one class a worker is assigned.
+struct class_count {
+  std::string task_class;
+  std::uint32_t tasks = 0;
+};
+
 // A worker as placement sees it.
 struct placement_candidate {
   std::string agent;
   std::string rack;
   amount capacity;                   // The whole worker.
   amount room;                       // What batch work may still take.
-  std::vector<std::string> classes;  // Of the tasks assigned to it.
+  std::vector<class_count> classes;  // Of the tasks assigned to it.
   // What tasks may still slow its requests.
   double effect_room = std::numeric_limits<double>::infinity();
   std::size_t same_job_in_rack = 0;  // Tasks of the same job in its rack.
   bool usable = true;  // Heard lately, not leaving, no quarantine.
+
+  // Counts one more task.
+  void AddTask(const std::string& task_class);
 };
 
 // A task to be placed.
@@ -68,6 +77,7 @@
   amount need;
   double effect = 0;  // On requests, if its class were given a whole worker.
   std::vector<std::string> avoid;  // Agents on which the task failed before.
+  std::size_t first = 0;  // Candidate to begin with, modulo their count.
 };
 
 // Returns the part of a worker's processors that a need takes.
@@ -79,9 +89,10 @@
   std::string reason;
 };
 
-// Chooses the usable candidate with room whose predicted slowdown, spread over
-// racks and left-over room score best. Cost grows with the number of
-// candidates, which is bounded by the size of a cell.
+// Chooses, of the first few usable candidates with room from request.first on,
+// the one whose predicted slowdown, effect on requests, spread over racks and
+// left-over room score best. The cost of scoring doesn't grow with the number
+// of candidates.
 placement_choice ChooseWorker(
     const placement_request& request,
     const std::vector<placement_candidate>& candidates,
--- a/src/include/chervilkeel/upstream_table.h
+++ b/src/include/chervilkeel/upstream_table.h
@@ -20,7 +20,7 @@
   millis usable_for = 1'500;           // Since the agent was last heard.
   double remote_cost_ms = 1.0;         // Of leaving the own data centre.
   std::uint32_t own_candidates = 4;    // Random ones of the own data centre.
-  std::uint32_t other_candidates = 4;  // Random ones of all others.
+  std::uint32_t other_candidates = 2;  // Random ones of all others.
   millis failed_for = 1'000;           // Not chosen after a failed connection.
 };
 
@@ -28,6 +28,7 @@
 struct upstream_entry {
   wire::roster_member member;
   std::string cell;
+  bool own_data_centre = false;  // The entry's.
   millis heard_at = 0;
   millis failed_until = 0;
   std::uint32_t in_flight = 0;     // Of this entry.
--- a/src/libkernel/cell_owner_placement.cpp
+++ b/src/libkernel/cell_owner_placement.cpp
@@ -325,7 +325,7 @@
     for (const task_key& key : state_.AssignedTo(name)) {
       const job_entry& job = state_.Jobs().at(key.job);
       candidate.room -= FromWire(job.specification.need());
-      candidate.classes.push_back(job.specification.task_class());
+      candidate.AddTask(job.specification.task_class());
     }
     candidates.push_back(std::move(candidate));
   }
@@ -333,7 +333,7 @@
     for (placement_candidate& candidate : candidates) {
       if (candidate.agent == agent) {
         candidate.room -= FromWire(job.specification.need());
-        candidate.classes.push_back(job.specification.task_class());
+        candidate.AddTask(job.specification.task_class());
         candidate.effect_room -=
             effects_.EffectOf(job.specification.task_class()).mean *
             ShareOfWorker(FromWire(job.specification.need()), candidate);
@@ -453,6 +453,7 @@
   request.task_class = job.specification.task_class();
   request.need = FromWire(job.specification.need());
   request.avoid = {task.failed_on().begin(), task.failed_on().end()};
+  request.first = placement_turn_++;
   request.effect = effects_.EffectOf(request.task_class).mean;
   if (!WithinQuota(job, request.need)) {
     return false;
@@ -478,7 +479,7 @@
            choice.reason);
   chosen.room -= request.need;
   chosen.effect_room -= request.effect * ShareOfWorker(request.need, chosen);
-  chosen.classes.push_back(request.task_class);
+  chosen.AddTask(request.task_class);
   used_by_team_[job.specification.team()] += request.need;
   if (agent.failures_in_row >= options_.quarantine_failures) {
     chosen.usable = false;
--- a/src/libkernel/colocation_control.cpp
+++ b/src/libkernel/colocation_control.cpp
@@ -40,7 +40,7 @@
   colocation_options options;
   if (lean == policy_lean::kTail) {
     options.calm_until = 0.2;
-    options.crest_tolerance = 1.08;
+    options.crest_tolerance = 1.1;
   }
   return options;
 }
--- a/src/libkernel/placement.cpp
+++ b/src/libkernel/placement.cpp
@@ -13,15 +13,18 @@
 constexpr double kRackRepeatCost = 0.05;   // Per task of the job in the rack.
 constexpr double kEffectCost = 1.0;        // Of an effect that takes all room.
 constexpr double kFailedThereCost = 10.0;  // The task failed on the worker.
+constexpr std::size_t kScored = 8;         // Candidates with room, at most.
 constexpr std::size_t kReportNeighbours = 8;  // Pairs that one report teaches.
 
 double PredictedSlowdown(const placement_request& request,
                          const placement_candidate& candidate,
                          const interference_model& interference) {
   double slowdown = 0;
-  for (const std::string& neighbour : candidate.classes) {
-    slowdown += interference.Expected(request.task_class, neighbour) - 1.0;
-    slowdown += interference.Expected(neighbour, request.task_class) - 1.0;
+  for (const class_count& neighbour : candidate.classes) {
+    const double both =
+        interference.Expected(request.task_class, neighbour.task_class) +
+        interference.Expected(neighbour.task_class, request.task_class);
+    slowdown += neighbour.tasks * (both - 2.0);
   }
   return slowdown;
 }
@@ -72,7 +75,7 @@
                     std::size_t fitting) {
   char text[200];
   std::snprintf(text, sizeof text,
-                "lowest cost %.2f of %zu workers with room, %zu considered; "
+                "lowest cost %.2f of %zu workers with room, %zu in the cell; "
                 "%lld milli-processors free",
                 cost, fitting, considered,
                 static_cast<long long>(chosen.room.milli_processors));
@@ -81,6 +84,16 @@
 
 }  // namespace
 
+void placement_candidate::AddTask(const std::string& task_class) {
+  for (class_count& known : classes) {
+    if (known.task_class == task_class) {
+      ++known.tasks;
+      return;
+    }
+  }
+  classes.push_back({task_class, 1});
+}
+
 double ShareOfWorker(const amount& need, const placement_candidate& candidate) {
   if (candidate.capacity.milli_processors <= 0) {
     return 0;
@@ -122,8 +135,9 @@
   placement_choice choice;
   double lowest = 0;
   std::size_t fitting = 0;
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const placement_candidate& candidate = candidates[i];
+  for (std::size_t i = 0; i < candidates.size() && fitting < kScored; ++i) {
+    const std::size_t index = (request.first + i) % candidates.size();
+    const placement_candidate& candidate = candidates[index];
     if (!candidate.usable || !Fits(request.need, candidate.room) ||
         !EffectFits(request, candidate)) {
       continue;
@@ -131,7 +145,7 @@
     ++fitting;
     const double cost = Cost(request, candidate, interference);
     if (choice.index < 0 || cost < lowest) {
-      choice.index = static_cast<int>(i);
+      choice.index = static_cast<int>(index);
       lowest = cost;
     }
   }
--- a/src/libkernel/upstream_table.cpp
+++ b/src/libkernel/upstream_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -91,9 +92,7 @@
   const double occupancy = std::min(1.0, outstanding / slots);
   return service * (1 + waiting / slots + occupancy * occupancy) +
          kSlownessWeight * (service - quickest) +
-         (upstream.member.data_centre() == options_.data_centre
-              ? 0.0
-              : options_.remote_cost_ms);
+         (upstream.own_data_centre ? 0.0 : options_.remote_cost_ms);
 }
 
 // Draws usable upstreams, each at most once. A draw of one that may not be
@@ -102,17 +101,22 @@
                             std::uint32_t count,
                             const std::set<std::string>& excluded,
                             millis now) {
-  if (from.empty()) {
+  const auto takable = [&](const upstream_entry& upstream) {
+    return Usable(upstream, now) &&
+           excluded.count(upstream.member.agent()) == 0;
+  };
+  if (from.size() <= count) {
+    std::copy_if(from.begin(), from.end(), std::back_inserter(sampled_),
+                 [&](const upstream_entry* all) { return takable(*all); });
     return;
   }
   const std::size_t first = sampled_.size();
   std::uniform_int_distribution<std::size_t> pick(0, from.size() - 1);
   for (std::uint32_t draw = 0; draw < kDrawsEach * count; ++draw) {
     const upstream_entry* drawn = from[pick(random_)];
-    if (!Usable(*drawn, now) ||
-        std::find(sampled_.begin() + static_cast<std::ptrdiff_t>(first),
+    if (std::find(sampled_.begin() + static_cast<std::ptrdiff_t>(first),
                   sampled_.end(), drawn) != sampled_.end() ||
-        excluded.count(drawn->member.agent()) != 0) {
+        !takable(*drawn)) {
       continue;
     }
     sampled_.push_back(drawn);
@@ -135,9 +139,10 @@
 void upstream_table::RebuildIndex() {
   own_.clear();
   other_.clear();
-  for (const auto& [name, upstream] : upstreams_) {
-    (upstream.member.data_centre() == options_.data_centre ? own_ : other_)
-        .push_back(&upstream);
+  for (auto& [name, upstream] : upstreams_) {
+    upstream.own_data_centre =
+        upstream.member.data_centre() == options_.data_centre;
+    (upstream.own_data_centre ? own_ : other_).push_back(&upstream);
   }
 }
 
