Ask tasks back by effects too, and mend logic that stood twice

Cause: a waiting task was asked back for any worker with free processors, even one whose requests its effect would slow too much, which would place it nowhere better. While no slot could be freed, each queued request asked for another control step. Some failures found earlier had no test.

Change: asking back heeds effects; a step that could free no more is not asked for again before the next regular one; the reason for throttling says the expected and the allowed slowdown.

After: new tests of asking back, of the wake, of noise against load, of the only usable upstream among many.

--- a/src/chervilkeeld/request_session.cpp
+++ b/src/chervilkeeld/request_session.cpp
@@ -25,6 +25,11 @@
 constexpr std::size_t kMaxKeyLength = 128;
 constexpr double kMicrosInSecond = 1e6;
 
+constexpr outcome_answer kNotRunAnswer{wire::outcome_not_run, 503, "not run",
+                                       "not-run", "was not run"};
+constexpr outcome_answer kUnknownAnswer{wire::outcome_unknown, 504, "unknown",
+                                        "unknown", "may have run"};
+
 std::string MakeId(entry_tables& tables) {
   return tables.core.settings.name + "-" +
          std::to_string(tables.core.incarnation) + "-" +
@@ -387,23 +392,23 @@
 }
 
 void request_session::AnswerNotRun(const std::string& reason) {
-  Settle(wire::outcome_not_run, nullptr);
-  tables_.core.decisions.Add(kPart, id_, "was not run", reason);
-  http_response response;
-  response.status = 503;
-  response.body = boost::json::serialize(boost::json::object{
-      {"outcome", "not run"}, {"request", id_}, {"reason", reason}});
-  Respond(std::move(response), "not-run");
+  AnswerWithout(kNotRunAnswer, reason);
 }
 
 void request_session::AnswerUnknown(const std::string& reason) {
-  Settle(wire::outcome_unknown, nullptr);
-  tables_.core.decisions.Add(kPart, id_, "may have run", reason);
+  AnswerWithout(kUnknownAnswer, reason);
+}
+
+// Ends a request that has no answer of an executor.
+void request_session::AnswerWithout(const outcome_answer& answer,
+                                    const std::string& reason) {
+  Settle(answer.outcome, nullptr);
+  tables_.core.decisions.Add(kPart, id_, answer.decision, reason);
   http_response response;
-  response.status = 504;
+  response.status = answer.status;
   response.body = boost::json::serialize(boost::json::object{
-      {"outcome", "unknown"}, {"request", id_}, {"reason", reason}});
-  Respond(std::move(response), "unknown");
+      {"outcome", answer.name}, {"request", id_}, {"reason", reason}});
+  Respond(std::move(response), answer.header);
 }
 
 // Tells the owner how a claimed request ended. If this is lost, the key stays
--- a/src/chervilkeeld/request_session.h
+++ b/src/chervilkeeld/request_session.h
@@ -15,6 +15,15 @@
 
 namespace chervilkeel {
 
+// How a request that no executor answered is told to its client.
+struct outcome_answer {
+  wire::request_outcome outcome;
+  unsigned status;       // Of HTTP.
+  const char* name;      // In the body.
+  const char* header;    // X-Outcome, and the label of the metric.
+  const char* decision;  // In the decision log.
+};
+
 // Carries out what request_flight decides. It keeps itself alive while a call
 // or a timer is pending; all its work runs on its own strand.
 class request_session : public std::enable_shared_from_this<request_session> {
@@ -54,6 +63,7 @@
   void Answer(const wire::execute_reply& reply);
   void AnswerNotRun(const std::string& reason);
   void AnswerUnknown(const std::string& reason);
+  void AnswerWithout(const outcome_answer& answer, const std::string& reason);
   void Settle(wire::request_outcome outcome, const wire::execute_reply* reply);
   void Respond(http_response response, const char* outcome);
   std::string OwnerOfKey();
--- a/src/include/chervilkeel/agent_core.h
+++ b/src/include/chervilkeel/agent_core.h
@@ -208,7 +208,8 @@
   double EffectRoom() const;
   std::vector<class_share> Loads() const;
   void Throttle(std::vector<worker_action>& actions,
-                const std::vector<planned_task>& plan);
+                const std::vector<planned_task>& plan,
+                bool crowded);
   void EvictUnderPressure(std::vector<worker_action>& actions,
                           const std::vector<planned_task>& plan,
                           const amount& allowed,
--- a/src/include/chervilkeel/placement.h
+++ b/src/include/chervilkeel/placement.h
@@ -83,6 +83,11 @@
 // Returns the part of a worker's processors that a need takes.
 double ShareOfWorker(const amount& need, const placement_candidate& candidate);
 
+// Says whether a task's effect on requests fits a worker; one without any task
+// takes every task, so that none waits for ever.
+bool EffectFits(const placement_request& request,
+                const placement_candidate& candidate);
+
 // The choice and its reason.
 struct placement_choice {
   int index = -1;  // Into the candidates; -1 when there is none.
--- a/src/include/chervilkeel/slot_admission.h
+++ b/src/include/chervilkeel/slot_admission.h
@@ -65,18 +65,18 @@
   // the last seconds if that is more.
   std::uint32_t WantedSlots(millis now);
 
-  // Says whether short requests wait for slots that batch tasks still hold, so
-  // that the agent should not leave its next control step for later.
+  // Says whether short requests wait for slots that batch tasks still hold and
+  // that the last control step was not asked for. A step that could free no
+  // more is not asked for again before the next regular one.
   bool WantsStep() const {
-    return !short_queue_.empty() && granted_ < options_.slots;
+    return !short_queue_.empty() && granted_ < options_.slots &&
+           wanted_ < options_.slots && Present() > wanted_;
   }
 
   // The share of the slots that requests hold or wait for; above 1 when more
   // wait than there are slots.
   double SlotsInUse() const {
-    return static_cast<double>(Busy() + short_queue_.size() +
-                               long_queue_.size()) /
-           options_.slots;
+    return static_cast<double>(Present()) / options_.slots;
   }
 
   // The wait that a request of a class would meet now, in milliseconds.
@@ -100,6 +100,10 @@
   double ServiceOf(request_class duration) const {
     return duration == request_class::kShort ? short_ms_ : long_ms_;
   }
+  // Requests that hold a slot or wait for one.
+  std::size_t Present() const {
+    return Busy() + short_queue_.size() + long_queue_.size();
+  }
   bool HasSlot(request_class duration) const;
   std::uint32_t KeptForShort() const;
   void Occupy(request_class duration);
@@ -108,6 +112,7 @@
 
   const admission_options options_;
   std::uint32_t granted_ = 0;
+  std::uint32_t wanted_ = 0;  // At the last control step.
   std::uint32_t busy_short_ = 0;
   std::uint32_t busy_long_ = 0;
   std::deque<admission_ticket> short_queue_;
--- a/src/libkernel/agent_core_sharing.cpp
+++ b/src/libkernel/agent_core_sharing.cpp
@@ -2,6 +2,7 @@
 // tasks: throttling, eviction, giving back, starting.
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 #include <tuple>
 
 #include "chervilkeel/agent_core.h"
@@ -23,6 +24,17 @@
   return milli > 0 ? std::floor(share * milli) / milli : share;
 }
 
+// Says by how much batch tasks slow requests and what is allowed.
+std::string EffectText(double in_use, const colocation_control& control) {
+  char text[160];
+  std::snprintf(text, sizeof text,
+                "batch tasks are expected to slow requests by %.0f%%, %.0f%% "
+                "is allowed now; seen lately: %.2f times as long as alone",
+                100 * std::expm1(in_use), 100 * std::expm1(control.Budget()),
+                control.SeenSlowdown());
+  return text;
+}
+
 }  // namespace
 
 void agent_core::OnRequests(const std::vector<service_times>& times,
@@ -160,12 +172,13 @@
   if (pressure_since_ == 0) {
     pressure_since_ = now;
   }
-  Throttle(actions, plan);
+  Throttle(actions, plan, crowded);
   EvictUnderPressure(actions, plan, allowed, now);
 }
 
 void agent_core::Throttle(std::vector<worker_action>& actions,
-                          const std::vector<planned_task>& plan) {
+                          const std::vector<planned_task>& plan,
+                          bool crowded) {
   for (const planned_task& entry : plan) {
     const double cut = entry.task->share - entry.share;
     if (cut <= 0 || (cut < kLeastThrottle && entry.share > 0.5)) {
@@ -178,8 +191,8 @@
     actions.push_back(action);
     if (entry.task->share >= 1.0) {
       log_.Add(kPart, action.task, "throttled the task",
-               "requests take " + std::to_string(colocation_.SeenSlowdown()) +
-                   " times as long as alone, or want its processors");
+               crowded ? "requests want more of the processors"
+                       : EffectText(EffectInUse(), colocation_));
     }
   }
 }
--- a/src/libkernel/cell_owner_placement.cpp
+++ b/src/libkernel/cell_owner_placement.cpp
@@ -14,15 +14,17 @@
 constexpr std::size_t kMaxPlacementsInTick = 200;
 constexpr double kSmallEffect = 0.03;  // Of a task that may always wait ahead.
 
-// Takes room for a need from a candidate other than the named one; false when
+// Takes room for a task from a candidate other than the named one; false when
 // none has it.
-bool TakeRoomElsewhere(const amount& need,
+bool TakeRoomElsewhere(const placement_request& request,
                        const std::string& name,
                        std::vector<placement_candidate>& candidates) {
   for (placement_candidate& candidate : candidates) {
     if (candidate.usable && candidate.agent != name &&
-        Fits(need, candidate.room)) {
-      candidate.room -= need;
+        Fits(request.need, candidate.room) && EffectFits(request, candidate)) {
+      candidate.room -= request.need;
+      candidate.effect_room -=
+          request.effect * ShareOfWorker(request.need, candidate);
       return true;
     }
   }
@@ -488,8 +490,9 @@
   return true;
 }
 
-// Chooses a worker for a task that no worker has room for now: the one with
-// the fewest tasks waiting on it, up to a limit, that the task fits at all.
+// Chooses a worker on which a task waits when every worker is full: of those
+// whose whole size it fits, the one with the fewest tasks waiting on it, below
+// the limit of tasks assigned ahead.
 placement_choice cell_owner::ChooseAhead(
     const placement_request& request,
     const std::vector<placement_candidate>& candidates) const {
@@ -530,8 +533,11 @@
         candidates = Candidates(now);
       }
       const job_entry& job = state_.Jobs().at(id.value().job());
-      const amount need = FromWire(job.specification.need());
-      if (TakeRoomElsewhere(need, name, candidates)) {
+      placement_request request;
+      request.task_class = job.specification.task_class();
+      request.need = FromWire(job.specification.need());
+      request.effect = effects_.EffectOf(request.task_class).mean;
+      if (TakeRoomElsewhere(request, name, candidates)) {
         returning_.insert(task_name);
         log_.Add(kPart, task_name, "asked the task back from " + name,
                  "it has not started and another worker has room");
--- a/src/libkernel/cell_owner_test.cpp
+++ b/src/libkernel/cell_owner_test.cpp
@@ -76,6 +76,15 @@
     }
   }
 
+  // Reports every task that the owner gives the agent as ended.
+  void EndAll(wire::agent_report& report, wire::task_phase phase) {
+    const wire::owner_reply reply = Hear(report);
+    for (const auto& start : reply.start()) {
+      *report.add_tasks() = Task(start.id(), phase);
+    }
+    Hear(report);
+  }
+
   static wire::task_report Task(const wire::task_id& id,
                                 wire::task_phase phase) {
     wire::task_report task;
@@ -338,11 +347,7 @@
   wire::agent_report report = Report("a1");
   Hear(report);
   Settle();
-  const wire::owner_reply reply = Hear(report);
-  for (const auto& start : reply.start()) {
-    *report.add_tasks() = Task(start.id(), wire::phase_failed);
-  }
-  Hear(report);
+  EndAll(report, wire::phase_failed);
   Hear(Report("a2"));
   Settle();
   BOOST_TEST(owner->State().AssignedTo("a1").empty());
@@ -419,6 +424,35 @@
   BOOST_TEST(owner->State().AssignedTo("a2").size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(
+    waiting_task_is_asked_back_only_for_a_worker_that_its_effect_fits) {
+  for (const bool fits : {true, false}) {
+    Own(cell_state(), 1, "");
+    owner->OnManifest(OneJob(7), 1);
+    Commit();
+    wire::agent_report full = Report("a1");
+    Hear(full);
+    Settle();
+    wire::agent_report other = Report("a2");
+    Hear(other);
+    Settle();
+    BOOST_TEST_REQUIRE(owner->State().AssignedTo("a2").size() == 1U);
+    const wire::owner_reply given = Hear(full);
+    for (const auto& start : given.start()) {
+      *full.add_tasks() = Task(start.id(), wire::phase_backlog);
+    }
+    if (!fits) {
+      other.set_effect_room(0);
+    }
+    Hear(full);
+    now += owner_options().return_after;
+    Hear(other);
+    Hear(full);
+    Settle();
+    BOOST_TEST((Hear(full).give_back_size() > 0) == fits);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(claim_of_a_key_is_granted_once_and_answered_after) {
   wire::claim_request first;
   first.set_key("k");
@@ -486,11 +520,7 @@
   wire::agent_report report = Report("a1");
   Hear(report);
   Settle();
-  const wire::owner_reply reply = Hear(report);
-  for (const auto& start : reply.start()) {
-    *report.add_tasks() = Task(start.id(), wire::phase_finished);
-  }
-  Hear(report);
+  EndAll(report, wire::phase_finished);
   Settle();
   const wire::cell_snapshot snapshot = owner->State().Snapshot();
   BOOST_TEST(cell_state::Restore(snapshot).Snapshot().SerializeAsString() ==
--- a/src/libkernel/placement.cpp
+++ b/src/libkernel/placement.cpp
@@ -38,15 +38,6 @@
          static_cast<double>(candidate.capacity.milli_processors);
 }
 
-// Says whether a task's effect on requests fits; a worker without any task
-// takes every one, so that none waits for ever.
-bool EffectFits(const placement_request& request,
-                const placement_candidate& candidate) {
-  return candidate.classes.empty() ||
-         request.effect * ShareOfWorker(request.need, candidate) <=
-             candidate.effect_room;
-}
-
 // Prefers workers on whose requests the task's effect weighs least.
 double EffectCost(const placement_request& request,
                   const placement_candidate& candidate) {
@@ -102,6 +93,13 @@
          static_cast<double>(candidate.capacity.milli_processors);
 }
 
+bool EffectFits(const placement_request& request,
+                const placement_candidate& candidate) {
+  return candidate.classes.empty() ||
+         request.effect * ShareOfWorker(request.need, candidate) <=
+             candidate.effect_room;
+}
+
 void interference_model::Learn(const std::string& task_class,
                                const std::vector<std::string>& neighbours,
                                double slowdown) {
--- a/src/libkernel/requests_test.cpp
+++ b/src/libkernel/requests_test.cpp
@@ -92,6 +92,18 @@
   BOOST_TEST(step.start[0] == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(request_without_a_slot_asks_for_one_control_step) {
+  slot_admission admission({});
+  admission.SetGrantedSlots(0);
+  BOOST_TEST(!admission.WantsStep());
+  (void)admission.Offer(Ticket(1, request_class::kShort, 5'000), 0);
+  BOOST_TEST(admission.WantsStep());
+  BOOST_TEST(admission.WantedSlots(0) == 1U);
+  BOOST_TEST(!admission.WantsStep());  // The step could free none.
+  (void)admission.Offer(Ticket(2, request_class::kShort, 5'000), 0);
+  BOOST_TEST(admission.WantsStep());
+}
+
 BOOST_AUTO_TEST_CASE(busy_slots_never_exceed_the_granted_ones) {
   const bool held = rc::check("busy <= granted, whatever comes", [] {
     slot_admission admission({});
@@ -162,6 +174,38 @@
   BOOST_TEST((choice.agent == "a2" || choice.agent == "a3"));
 }
 
+BOOST_AUTO_TEST_CASE(load_outweighs_noise_in_service_times) {
+  upstream_table table(InFirstDataCentre(), 1);
+  wire::roster_reply roster = Roster(2, 0);
+  roster.mutable_members(0)->mutable_load()->set_busy_slots(6);
+  table.TakeRoster(roster, 1'000);
+  wire::execute_reply reply;
+  reply.set_outcome(wire::outcome_answered);
+  for (const auto& [agent, service_us] :
+       {std::pair("a0", 20'000), std::pair("a1", 21'000)}) {
+    reply.set_service_us(static_cast<std::uint32_t>(service_us));
+    table.Begin(agent);
+    table.End(agent, request_class::kShort, &reply);
+  }
+  table.TakeRoster(roster, 1'001);
+  BOOST_TEST(table.Choose(request_class::kShort, 20, {}, 1'001).agent == "a1");
+}
+
+BOOST_AUTO_TEST_CASE(only_usable_upstream_among_many_is_found) {
+  upstream_table table(InFirstDataCentre(), 1);
+  wire::roster_reply roster = Roster(200, 200);
+  for (int i = 0; i < roster.members_size(); ++i) {
+    roster.mutable_members(i)->set_draining(i != 170);
+  }
+  table.TakeRoster(roster, 1'000);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(table.Choose(request_class::kShort, 20, {}, 1'000).agent ==
+               roster.members(170).agent());
+  }
+  static_assert(!std::is_copy_constructible_v<upstream_table>,
+                "a copy would share the index of the table");
+}
+
 BOOST_AUTO_TEST_CASE(silent_or_draining_upstream_gets_nothing) {
   upstream_table table(InFirstDataCentre(), 1);
   wire::roster_reply roster = Roster(2, 0);
--- a/src/libkernel/slot_admission.cpp
+++ b/src/libkernel/slot_admission.cpp
@@ -59,7 +59,7 @@
     LearnDemand(now);
     return {admission_verdict::kRun, ""};
   }
-  const std::size_t inside = Busy() + short_queue_.size() + long_queue_.size();
+  const std::size_t inside = Present();
   if (inside >= options_.connections) {
     return {admission_verdict::kRefused,
             "all " + std::to_string(options_.connections) +
@@ -134,11 +134,10 @@
 
 std::uint32_t slot_admission::WantedSlots(millis now) {
   LearnDemand(now);
-  const auto present =
-      static_cast<double>(Busy() + short_queue_.size() + long_queue_.size());
-  const auto wanted =
-      static_cast<std::uint32_t>(std::ceil(std::max(demand_mean_, present)));
-  return std::min(options_.slots, wanted + options_.margin);
+  const auto demand = static_cast<std::uint32_t>(
+      std::ceil(std::max(demand_mean_, static_cast<double>(Present()))));
+  wanted_ = std::min(options_.slots, demand + options_.margin);
+  return wanted_;
 }
 
 }  // namespace chervilkeel
--- a/src/libshell/settings.cpp
+++ b/src/libshell/settings.cpp
@@ -54,25 +54,29 @@
           [member](const process_settings& value) { return value.*member; }};
 }
 
-setting Number(const char* section,
-               const char* key,
-               std::uint64_t process_settings::*member,
-               std::uint64_t low,
-               std::uint64_t high,
-               const char* unit,
-               const char* meaning) {
+// A whole number from `low` to `high`; `kind` names it in a finding.
+template <class number_type>
+setting Whole(const char* section,
+              const char* key,
+              needed_by needed,
+              number_type process_settings::*member,
+              std::uint64_t low,
+              std::uint64_t high,
+              const char* kind,
+              const char* unit,
+              const char* meaning) {
   return {section,
           key,
-          needed_by::kNobody,
+          needed,
           unit,
           meaning,
           [=](process_settings& out, const std::string& text) {
             std::uint64_t number = 0;
             if (!ParseWhole(text, number) || number < low || number > high) {
-              return "must be a whole number from " + std::to_string(low) +
-                     " to " + std::to_string(high);
+              return std::string("must be a ") + kind + " from " +
+                     std::to_string(low) + " to " + std::to_string(high);
             }
-            out.*member = number;
+            out.*member = static_cast<number_type>(number);
             return std::string();
           },
           [member](const process_settings& value) {
@@ -80,25 +84,24 @@
           }};
 }
 
+setting Number(const char* section,
+               const char* key,
+               std::uint64_t process_settings::*member,
+               std::uint64_t low,
+               std::uint64_t high,
+               const char* unit,
+               const char* meaning) {
+  return Whole(section, key, needed_by::kNobody, member, low, high,
+               "whole number", unit, meaning);
+}
+
 setting Port(const char* section,
              const char* key,
              needed_by needed,
              std::uint16_t process_settings::*member,
              const char* meaning) {
-  return {section,
-          key,
-          needed,
-          "port",
-          meaning,
-          [member](process_settings& out, const std::string& text) {
-            std::uint64_t number = 0;
-            if (!ParseWhole(text, number) || number < 1 || number > 65535) {
-              return std::string("must be a port from 1 to 65535");
-            }
-            out.*member = static_cast<std::uint16_t>(number);
-            return std::string();
-          },
-          [](const process_settings&) { return std::string(); }};
+  return Whole(section, key, needed, member, 1, 65'535, "port", "port",
+               meaning);
 }
 
 setting Endpoint(const char* section,
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -20,6 +20,7 @@
 #include "chervilkeel/clock.h"
 #include "chervilkeel/http_server.h"
 #include "chervilkeel/log.h"
+#include "standin_server.h"
 
 namespace chervilkeel {
 
@@ -357,24 +358,17 @@
 };
 
 int Run(const endpoint& listen) {
-  asio::io_context context(1);
-  store_standin store(context);
-  http_server_options options;
-  options.listen = listen;
-  options.body_limit = 4U << 20U;
-  const auto server = std::make_shared<http_server>(
-      context, options,
-      [&](const http_request& request, const http_responder& respond) {
-        store.Handle(request, respond);
-      });
-  const auto started = server->Start();
-  if (!started) {
-    std::fprintf(stderr, "%s\n", ToString(started.error()).c_str());
+  constexpr std::uint64_t kBodyLimit = 4U << 20U;
+  standin_server server;
+  store_standin store(server.Context());
+  if (!server.Listen(
+          listen, kBodyLimit,
+          [&](const http_request& request, const http_responder& respond) {
+            store.Handle(request, respond);
+          })) {
     return 1;
   }
-  asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&](auto, int) { context.stop(); });
-  context.run();
+  server.Run();
   return 0;
 }
 
--- a/src/standins/worker_standin.cpp
+++ b/src/standins/worker_standin.cpp
@@ -25,6 +25,7 @@
 #include "chervilkeel/clock.h"
 #include "chervilkeel/http_server.h"
 #include "chervilkeel/log.h"
+#include "standin_server.h"
 
 namespace chervilkeel {
 
@@ -455,55 +456,38 @@
   std::uint64_t seed = 1;
 };
 
-template <class handler_type>
-bool Listen(asio::io_context& context,
-            const std::string& address,
-            int port,
-            std::vector<std::shared_ptr<http_server>>& servers,
-            handler_type handler) {
-  http_server_options options;
-  options.listen = {address, static_cast<std::uint16_t>(port)};
-  options.body_limit = 64U << 20U;
-  servers.push_back(std::make_shared<http_server>(context, options, handler));
-  const auto started = servers.back()->Start();
-  if (!started) {
-    std::fprintf(stderr, "%s\n", ToString(started.error()).c_str());
-  }
-  return started.has_value();
-}
-
 int Run(const standin_options& options) {
-  asio::io_context context(1);
+  constexpr std::uint64_t kBodyLimit = 64U << 20U;
+  standin_server server;
   worker_standin standin(
-      context, options.workers,
+      server.Context(), options.workers,
       {options.milli_processors, options.memory_mb, options.accelerators},
       options.slots, options.straggler_share, options.seed);
-  std::vector<std::shared_ptr<http_server>> servers;
+  const auto listen = [&](int port, http_handler handler) {
+    return server.Listen({options.address, static_cast<std::uint16_t>(port)},
+                         kBodyLimit, std::move(handler));
+  };
   bool listening =
-      Listen(context, options.address, options.control_port, servers,
+      listen(options.control_port,
              [&](const http_request& request, const http_responder& respond) {
                standin.HandleControl(request, respond);
              });
   for (int number = 0; listening && number < options.workers; ++number) {
-    listening =
-        Listen(context, options.address, options.worker_port + number, servers,
-               [&standin, number](const http_request& request,
-                                  const http_responder& respond) {
-                 standin.HandleWorker(number, request, respond);
-               }) &&
-        Listen(context, options.address, options.executor_port + number,
-               servers,
-               [&standin, number](const http_request& request,
-                                  const http_responder& respond) {
-                 standin.HandleExecutor(number, request, respond);
-               });
+    listening = listen(options.worker_port + number,
+                       [&standin, number](const http_request& request,
+                                          const http_responder& respond) {
+                         standin.HandleWorker(number, request, respond);
+                       }) &&
+                listen(options.executor_port + number,
+                       [&standin, number](const http_request& request,
+                                          const http_responder& respond) {
+                         standin.HandleExecutor(number, request, respond);
+                       });
   }
   if (!listening) {
     return 1;
   }
-  asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&](auto, int) { context.stop(); });
-  context.run();
+  server.Run();
   return 0;
 }
 
