Test that fractions of a milli-processor never make a slot

Cause: taking the rounding guard out by hand failed no test; the fleet of shares in throttled_shares_and_slots_never_exceed_the_worker seldom stands just over a whole slot. Change: a test that puts it there. After: it passes, and fails with the processors in use rounded down.

--- a/src/libkernel/agent_core_test.cpp
+++ b/src/libkernel/agent_core_test.cpp
@@ -200,6 +200,19 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(fractions_of_a_milli_processor_never_make_a_slot) {
+  std::vector<worker_task> listed;
+  for (const char* name : {"job@1/0#1", "job@1/1#1", "job@1/2#1"}) {
+    worker_task task;
+    task.task = name;
+    task.need = {1'000, 100, 0};
+    task.share = 0.6669;  // 2,000.7 milli-processors of 4,000 together.
+    listed.push_back(task);
+  }
+  core->OnWorkerTasks(listed, now);
+  BOOST_TEST(core->GrantedSlots() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(class_that_slows_requests_most_is_throttled_first) {
   options.colocation.crest_tolerance = 1.1;
   core = std::make_unique<agent_core>(options, log, now);
