--- /dev/null
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -0,0 +1,182 @@
+// How the agent carries out orders, also when the executor gives no answer.
+#include "chervilkeel/event_log.h"
+#include "job_agent_process.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr const char* kPart = "agent";
+constexpr millis kOrderTimeout = 400;  // A healthy executor takes a few ms.
+constexpr millis kOrderRetry = 100;
+constexpr int kStartTries = 3;         // Before the start is taken back.
+constexpr millis kLeastLease = 300;    // A start under less is not worth it.
+
+start_outcome OutcomeOf(executor_verdict verdict) {
+  switch (verdict) {
+    case executor_verdict::kAccepted:
+      return start_outcome::kStarted;
+    case executor_verdict::kNoRoom:
+      return start_outcome::kNoRoom;
+    case executor_verdict::kOutdated:
+      return start_outcome::kOutdated;
+    case executor_verdict::kUnhealthy:
+      return start_outcome::kUnhealthy;
+    case executor_verdict::kFenced:
+    case executor_verdict::kTooLate:
+    case executor_verdict::kBadTicket:
+    case executor_verdict::kInvalid:
+    case executor_verdict::kOtherBoot:
+      return start_outcome::kRefused;
+  }
+  return start_outcome::kRefused;
+}
+
+}  // namespace
+
+void job_agent_process::Carry(worker_order order) {
+  const run_name name{order.task, order.run};
+  if (order.boot != worker_.boot) {
+    LogEvent(kPart, "order_for_other_boot",
+             {{"id", order.task.ToString()}, {"executor", order.boot.id}});
+    return;
+  }
+  switch (order.kind) {
+    case order_kind::kStart:
+      open_starts_[name] = {std::move(order), 0, false, BootNow()};
+      SendStart(name);
+      break;
+    case order_kind::kStop:
+      open_stops_[name] = {std::move(order), 0, false, BootNow()};
+      SendStop(name);
+      break;
+    case order_kind::kPace:
+      SendPace(order);
+      break;
+  }
+}
+
+void job_agent_process::Report(const run_name& name, start_outcome outcome) {
+  starts_.push_back({name.first, name.second, outcome});
+  LogEvent(kPart, "start",
+           {{"id", name.first.ToString()},
+            {"run", name.second},
+            {"outcome", NameOf(outcome)},
+            {"epoch", epoch_},
+            {"lease_ms", granted_until_ - BootNow()}});
+  if (outcome != start_outcome::kStarted) {
+    Sync(false);
+  }
+}
+
+void job_agent_process::SendStart(const run_name& name) {
+  const auto open = open_starts_.find(name);
+  if (open == open_starts_.end() || leaving_) {
+    return;
+  }
+  if (open->second.tries == 0 &&
+      (!clock_known_ || granted_until_ - BootNow() < kLeastLease ||
+       worker_.draining)) {
+    open_starts_.erase(open);
+    Report(name, start_outcome::kRefused);
+    return;
+  }
+  ++open->second.tries;
+  executor_->Start(
+      Context(kOrderTimeout), open->second.order, LeaseEnd(),
+      [this, name, epoch = epoch_](const result<executor_answer>& answer) {
+        if (epoch == epoch_) {
+          OnStartAnswer(name, answer);
+        }
+      });
+}
+
+void job_agent_process::OnStartAnswer(const run_name& name,
+                              const result<executor_answer>& answer) {
+  const auto open = open_starts_.find(name);
+  if (open == open_starts_.end()) {
+    return;
+  }
+  if (answer) {
+    NoteClock(answer.value().clock);
+    start_outcome outcome = OutcomeOf(answer.value().verdict);
+    // Refused as outdated after a try without an answer: that try ran, and the
+    // list of ends says how it went.
+    if (outcome == start_outcome::kOutdated && open->second.tries > 1) {
+      outcome = start_outcome::kStarted;
+    }
+    const bool certain = open->second.tries == 1 ||
+                         outcome == start_outcome::kStarted;
+    if (certain) {
+      open_starts_.erase(open);
+      Report(name, outcome);
+      return;
+    }
+  }
+  // An earlier try may still be carried out. Repeating the same run is safe;
+  // to let the task run elsewhere, the run has to be stopped here first.
+  if (open->second.tries < kStartTries && !answer) {
+    Later(kOrderRetry, [this, name] { SendStart(name); });
+    return;
+  }
+  LogEvent(kPart, "start_unanswered",
+           {{"id", name.first.ToString()},
+            {"run", name.second},
+            {"tries", open->second.tries},
+            {"waited_ms", BootNow() - open->second.since}});
+  open->second.withdrawing = true;
+  open_stops_[name] = {open->second.order, 0, true, BootNow()};
+  SendStop(name);
+}
+
+void job_agent_process::SendStop(const run_name& name) {
+  const auto open = open_stops_.find(name);
+  if (open == open_stops_.end() || leaving_) {
+    return;
+  }
+  ++open->second.tries;
+  executor_->Stop(
+      Context(kOrderTimeout), name.first, name.second,
+      [this, name, epoch = epoch_](const result<executor_answer>& answer) {
+        if (epoch == epoch_) {
+          OnStopAnswer(name, answer);
+        }
+      });
+}
+
+void job_agent_process::OnStopAnswer(const run_name& name,
+                             const result<executor_answer>& answer) {
+  const auto open = open_stops_.find(name);
+  if (open == open_stops_.end()) {
+    return;
+  }
+  const bool done =
+      answer && answer.value().verdict == executor_verdict::kAccepted;
+  if (!done) {
+    Later(kOrderRetry, [this, name] { SendStop(name); });
+    return;
+  }
+  const bool withdrawn = open->second.withdrawing;
+  open_stops_.erase(open);
+  if (!withdrawn) {
+    LogEvent(kPart, "stop",
+             {{"id", name.first.ToString()}, {"run", name.second}});
+    return;
+  }
+  open_starts_.erase(name);
+  // It may have run until now; its end is listed then.
+  Report(name, start_outcome::kWithdrawn);
+}
+
+void job_agent_process::SendPace(const worker_order& order) {
+  executor_->Pace(
+      Context(kOrderTimeout), order,
+      [id = order.task.ToString()](const result<executor_answer>& answer) {
+        if (!answer) {
+          LogEvent(kPart, "pace_unanswered",
+                   {{"id", id}, {"error", ToString(answer.error())}});
+        }
+      });
+}
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -0,0 +1,452 @@
+#include "job_agent_process.h"
+
+#include <algorithm>
+
+#include <boost/json.hpp>
+
+#include "chervilkeel/event_log.h"
+#include "job_wire.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr const char* kPart = "agent";
+constexpr millis kHoldWait = 500;       // The executor answers at an end, or then.
+constexpr millis kHoldTimeout = 1'200;  // Of the call; above the wait.
+constexpr millis kHoldRetry = 150;      // After a failed call.
+constexpr millis kUnrecordedPause = 40;  // While ends wait to be recorded.
+constexpr millis kRunsInterval = 500;   // Between two full lists to the owner.
+constexpr millis kSyncTimeout = 1'000;  // Above what the owner holds a call.
+constexpr millis kSyncRetry = 150;
+constexpr millis kListingFresh = 1'000;  // An older list is not reported.
+constexpr int kHoldFailuresToLost = 3;
+
+}  // namespace
+
+job_agent_process::job_agent_process(boost::asio::io_context& context,
+                     const process_settings& settings,
+                     std::unique_ptr<platform_adapter> adapter)
+    : context_(context),
+      settings_(settings),
+      adapter_(std::move(adapter)),
+      store_(adapter_->MakeStore(context, settings_.store)),
+      locator_(store_, settings_),
+      executor_(adapter_->MakeExecutor(context, settings_.job_executor)),
+      hold_timer_(context),
+      sync_timer_(context),
+      incarnation_(WallNow()) {}
+
+result<void> job_agent_process::Start() {
+  http_server_options options;
+  options.listen = settings_.announcements;
+  announcements_ = std::make_shared<http_server>(
+      context_, options,
+      [this](const http_request& request, const http_responder& respond) {
+        OnAnnouncement(request, respond);
+      });
+  const auto started = announcements_->Start();
+  if (!started) {
+    return started.as_failure();
+  }
+  locator_.Failed();
+  Sync(true);
+  return boost::outcome_v2::success();
+}
+
+// The executor's lease is extended one last time by the hold that is open; the
+// next process of this VM goes on within it.
+void job_agent_process::Stop(std::function<void()> done) {
+  leaving_ = true;
+  announcements_->Drain();
+  if (clock_known_ && BootNow() < granted_until_) {
+    executor_->Hold(Context(kHoldRetry), LeaseEnd(), recorded_end_, 0,
+                    [done = std::move(done)](const auto&) { done(); });
+  } else {
+    done();
+  }
+}
+
+void job_agent_process::OnAnnouncement(const http_request& request,
+                               const http_responder& respond) {
+  const auto said = adapter_->DecodeAnnouncement(request);
+  if (!said) {
+    LogEvent(kPart, "announcement_unreadable",
+             {{"path", request.path}, {"error", ToString(said.error())}});
+    respond(ErrorResponse(400, said.error().message));
+    return;
+  }
+  const announcement& value = said.value();
+  http_response accepted;
+  accepted.body = "{}";
+  if (value.leaving) {
+    if (value.worker.boot.id == worker_.boot.id) {
+      LogEvent(kPart, "executor_left", {{"executor", worker_.boot.id}}, true);
+      gone_ = worker_.boot;
+      runs_.clear();
+      obeyed_epoch_ = 0;
+      Sync(false);
+    }
+    respond(accepted);
+    return;
+  }
+  if (value.address.ToString() != settings_.job_executor.ToString()) {
+    LogEvent(kPart, "announcement_of_other_address",
+             {{"executor", value.worker.boot.id},
+              {"address", value.address.ToString()}});
+    respond(accepted);
+    return;
+  }
+  TakeBoot(value);
+  respond(accepted);
+}
+
+void job_agent_process::TakeBoot(const announcement& said) {
+  const executor_boot& boot = said.worker.boot;
+  if (boot.started_ms < worker_.boot.started_ms ||
+      (boot == worker_.boot && said.sequence < sequence_)) {
+    LogEvent(kPart, "announcement_outdated",
+             {{"executor", boot.id}, {"sequence", said.sequence}});
+    return;
+  }
+  const bool new_boot = boot != worker_.boot;
+  const bool drains = said.worker.draining && !worker_.draining;
+  if (new_boot) {
+    LogEvent(kPart, "executor_boot",
+             {{"executor", boot.id},
+              {"started_ms", boot.started_ms},
+              {"former", worker_.boot.id}},
+             true);
+    obeyed_epoch_ = 0;
+    clock_known_ = false;
+    runs_.clear();
+    runs_listed_ = false;
+    ends_.clear();
+    told_end_ = 0;
+    recorded_end_ = 0;
+    open_starts_.clear();
+    open_stops_.clear();
+    starts_.clear();
+  }
+  worker_ = said.worker;
+  sequence_ = said.sequence;
+  ++announced_;
+  if (drains) {
+    LogEvent(kPart, "executor_draining",
+             {{"executor", boot.id}, {"remaining_ms", worker_.remaining}},
+             true);
+    Sync(false);
+  }
+  if (!holding_) {
+    Hold();
+  }
+}
+
+order_context job_agent_process::Context(millis timeout) const {
+  return {worker_.boot, epoch_, timeout};
+}
+
+void job_agent_process::Later(millis delay, std::function<void()> step) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(context_);
+  timer->expires_after(std::chrono::milliseconds(delay));
+  timer->async_wait([timer, step = std::move(step)](
+                        boost::system::error_code) { step(); });
+}
+
+// The clock was read before the answer came, so that the offset is never too
+// large and no lease ends later than the grant.
+void job_agent_process::NoteClock(millis clock) {
+  if (clock > 0) {
+    clock_offset_ = clock - BootNow();
+    clock_known_ = true;
+  }
+}
+
+millis job_agent_process::LeaseEnd() const {
+  return granted_until_ + clock_offset_;
+}
+
+void job_agent_process::HoldAfter(millis delay) {
+  hold_timer_.expires_after(std::chrono::milliseconds(delay));
+  hold_timer_.async_wait([this](boost::system::error_code failure) {
+    if (!failure) {
+      Hold();
+    }
+  });
+}
+
+void job_agent_process::Hold() {
+  if (holding_ || worker_.boot.id.empty() || epoch_ == 0 || leaving_) {
+    return;
+  }
+  holding_ = true;
+  const millis now = BootNow();
+  const bool granted = clock_known_ && now < granted_until_;
+  const bool unrecorded = !ends_.empty();
+  const bool first = obeyed_epoch_ != epoch_;
+  const millis wait = first || unrecorded ? 0 : kHoldWait;
+  executor_->Hold(Context(wait + kHoldTimeout), granted ? LeaseEnd() : 0,
+                  recorded_end_, wait,
+                  [this, epoch = epoch_, now](
+                      const result<executor_listing>& listing) {
+                    holding_ = false;
+                    OnListing(listing, epoch, now);
+                  });
+}
+
+void job_agent_process::OnListing(const result<executor_listing>& listing,
+                          std::uint64_t epoch,
+                          millis asked) {
+  if (!listing || listing.value().verdict != executor_verdict::kAccepted) {
+    if (++hold_failures_ == kHoldFailuresToLost) {
+      LogEvent(kPart, "executor_lost",
+               {{"executor", worker_.boot.id},
+                {"error", listing ? NameOf(listing.value().verdict)
+                                  : ToString(listing.error())},
+                {"epoch", epoch}},
+               true);
+    }
+    if (listing && listing.value().verdict == executor_verdict::kFenced) {
+      locator_.Failed();
+    }
+    HoldAfter(kHoldRetry);
+    return;
+  }
+  if (hold_failures_ >= kHoldFailuresToLost) {
+    LogEvent(kPart, "executor_regained", {{"executor", worker_.boot.id}}, true);
+  }
+  hold_failures_ = 0;
+  if (listing.value().started_ms != 0 &&
+      listing.value().started_ms != worker_.boot.started_ms) {
+    // Another boot under the same id; its announcement will follow.
+    obeyed_epoch_ = 0;
+    HoldAfter(kHoldRetry);
+    return;
+  }
+  TakeListing(listing.value(), epoch);
+  const bool quick = BootNow() - asked < kUnrecordedPause;
+  HoldAfter(!ends_.empty() || quick ? kUnrecordedPause : 0);
+}
+
+void job_agent_process::TakeListing(const executor_listing& listing,
+                            std::uint64_t epoch) {
+  NoteClock(listing.clock);
+  const bool first = epoch == epoch_ && obeyed_epoch_ != epoch;
+  if (epoch == epoch_) {
+    obeyed_epoch_ = epoch;
+  }
+  runs_ = listing.running;
+  runs_listed_ = true;
+  listed_ = BootNow();
+  ends_.clear();
+  std::uint64_t last = 0;
+  for (const ended_run& ended : listing.ended) {
+    if (ended.number > recorded_end_) {
+      ends_.push_back(ended);
+      last = ended.number;
+    }
+  }
+  if (first || last > told_end_) {
+    Sync(false);
+  }
+}
+
+// Tells the owner the news at once, or waits at it for orders.
+void job_agent_process::Sync(bool wait) {
+  if (leaving_) {
+    return;
+  }
+  const std::string address = locator_.Address();
+  if (wait && syncing_) {
+    return;
+  }
+  if (!wait && news_open_) {
+    news_waiting_ = true;
+    return;
+  }
+  if (address.empty()) {
+    if (wait) {
+      locator_.Failed();
+      sync_timer_.expires_after(std::chrono::milliseconds(kSyncRetry));
+      sync_timer_.async_wait([this](boost::system::error_code failure) {
+        if (!failure) {
+          Sync(true);
+        }
+      });
+    }
+    return;
+  }
+  (wait ? syncing_ : news_open_) = true;
+  const millis now = BootNow();
+  wire::agent_sync sync;
+  sync.set_agent(settings_.name);
+  sync.set_incarnation(incarnation_);
+  sync.set_epoch(epoch_);
+  sync.set_wait(wait);
+  sync.set_acked_order(acked_order_);
+  if (!gone_.id.empty()) {
+    *sync.mutable_gone() = ToWire(gone_);
+  }
+  const bool obeys = obeyed_epoch_ == epoch_ && epoch_ != 0 && runs_listed_;
+  if (obeys) {
+    sync.set_obeys(true);
+    *sync.mutable_worker() = ToWire(worker_);
+    if (now - runs_told_ >= kRunsInterval && now - listed_ < kListingFresh) {
+      sync.set_lists_runs(true);
+      sync.set_runs_age_ms(now - listed_);
+      for (const run_status& status : runs_) {
+        *sync.add_runs() = ToWire(status);
+      }
+      runs_told_ = now;
+    }
+    for (const ended_run& ended : ends_) {
+      *sync.add_ends() = ToWire(ended);
+      told_end_ = std::max(told_end_, ended.number);
+    }
+    for (const start_result& started : starts_) {
+      *sync.add_starts() = ToWire(started);
+    }
+  }
+  const std::size_t starts = obeys ? starts_.size() : 0;
+  CallOwnerService<wire::agent_sync, wire::agent_orders>(
+      context_, peers_, address, kSyncMethod, std::move(sync), kSyncTimeout,
+      [this, address, now, starts,
+       wait](const result<wire::agent_orders>& reply) {
+        (wait ? syncing_ : news_open_) = false;
+        OnReply(reply, address, now, starts, wait);
+      });
+}
+
+void job_agent_process::OnReply(const result<wire::agent_orders>& reply,
+                        const std::string& address,
+                        millis asked,
+                        std::size_t starts,
+                        bool wait) {
+  millis pause = 0;
+  if (!reply) {
+    told_end_ = recorded_end_;
+    runs_told_ = 0;
+    if (address == locator_.Address()) {
+      LogEvent(kPart, "owner_unreachable",
+               {{"address", address}, {"error", ToString(reply.error())}});
+      locator_.Failed();
+    }
+    pause = kSyncRetry;
+  } else {
+    const wire::agent_orders& orders = reply.value();
+    if (orders.epoch() > epoch_) {
+      AdoptEpoch(orders.epoch());
+    }
+    if (!orders.is_owner()) {
+      told_end_ = recorded_end_;
+      runs_told_ = 0;
+      if (orders.owner_address().empty() || orders.owner_address() == address) {
+        locator_.Failed();
+      } else {
+        locator_.Learn(orders.owner_address(), {});
+      }
+      pause = kSyncRetry;
+    } else if (orders.epoch() == epoch_) {
+      starts_.erase(starts_.begin(),
+                    starts_.begin() + static_cast<std::ptrdiff_t>(
+                                          std::min(starts, starts_.size())));
+      if (orders.grant_ms() > 0) {
+        granted_until_ = std::max(granted_until_, asked + orders.grant_ms());
+      }
+      if (orders.wants_runs()) {
+        runs_told_ = 0;
+      }
+      if (!gone_.id.empty()) {
+        gone_ = executor_boot();
+      }
+      locator_.Learn(address,
+                     {orders.entries().begin(), orders.entries().end()});
+      TakeOrders(orders);
+    } else {
+      pause = kSyncRetry;
+    }
+  }
+  if (wait) {
+    sync_timer_.expires_after(std::chrono::milliseconds(pause));
+    sync_timer_.async_wait([this](boost::system::error_code failure) {
+      if (!failure) {
+        Sync(true);
+      }
+    });
+  } else if (std::exchange(news_waiting_, false)) {
+    Sync(false);
+  }
+}
+
+void job_agent_process::AdoptEpoch(std::uint64_t epoch) {
+  LogEvent(kPart, "epoch_adopted", {{"from", epoch_}, {"to", epoch}}, true);
+  epoch_ = epoch;
+  acked_order_ = 0;
+  runs_told_ = 0;
+  told_end_ = 0;
+  starts_.clear();
+  open_starts_.clear();
+  open_stops_.clear();
+  hold_timer_.cancel();
+  HoldAfter(0);
+}
+
+void job_agent_process::TakeOrders(const wire::agent_orders& reply) {
+  // A boot that has been replaced numbers its ends anew.
+  if (reply.recorded_end() > recorded_end_ && obeyed_epoch_ == epoch_) {
+    std::uint64_t listed = recorded_end_;
+    for (const ended_run& ended : ends_) {
+      listed = std::max(listed, ended.number);
+    }
+    recorded_end_ = std::min(reply.recorded_end(), listed);
+    std::erase_if(ends_, [this](const ended_run& ended) {
+      return ended.number <= recorded_end_;
+    });
+  }
+  for (const wire::order& entry : reply.orders()) {
+    if (entry.number() <= acked_order_) {
+      continue;
+    }
+    acked_order_ = entry.number();
+    auto order = FromWire(entry);
+    if (order) {
+      Carry(std::move(order.value()));
+    } else {
+      LogEvent(kPart, "order_unreadable", {{"error", ToString(order.error())}},
+               true);
+    }
+  }
+}
+
+void job_agent_process::HandleOperator(const http_request& request,
+                               const http_responder& respond) {
+  http_response response;
+  if (request.path == "/metrics") {
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = metrics_.Text();
+  } else if (request.path == "/dump") {
+    boost::json::array runs;
+    for (const run_status& status : runs_) {
+      runs.push_back(boost::json::object{{"task", status.task.ToString()},
+                                         {"run", status.run},
+                                         {"percent", status.percent}});
+    }
+    response.body = boost::json::serialize(boost::json::object{
+        {"name", settings_.name},
+        {"owner", locator_.Address()},
+        {"epoch", epoch_},
+        {"executor", worker_.boot.id},
+        {"granted_for_ms", granted_until_ - BootNow()},
+        {"runs", std::move(runs)},
+        {"unrecorded_ends", ends_.size()},
+        {"open_starts", open_starts_.size()},
+        {"open_stops", open_stops_.size()}});
+  } else if (request.path == "/healthz") {
+    response.status = epoch_ != 0 ? 200 : 503;
+  } else {
+    response = ErrorResponse(404, "no such page");
+  }
+  respond(response);
+}
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/chervilkeeld/job_agent_process.h
@@ -0,0 +1,130 @@
+// The agent beside an executor: keeps its runs alive while the owner of the
+// jobs grants it, carries out the owner's orders and reports what became of
+// them.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "chervilkeel/http_server.h"
+#include "chervilkeel/platform_adapter.h"
+#include "metrics.h"
+#include "owner_locator.h"
+#include "rpc_async.h"
+#include "store_link.h"
+
+namespace chervilkeel {
+
+class job_agent_process {
+ public:
+  job_agent_process(boost::asio::io_context& context,
+            const process_settings& settings,
+            std::unique_ptr<platform_adapter> adapter);
+
+  result<void> Start();
+
+  // Leaves gracefully: the runs stay alive as long as the grant allows, so
+  // that the next process of this VM finds them.
+  void Stop(std::function<void()> done);
+
+  void HandleOperator(const http_request& request,
+                      const http_responder& respond);
+
+ private:
+  // An order to start or stop that the executor has not answered yet.
+  struct open_order {
+    worker_order order;
+    int tries = 0;
+    bool withdrawing = false;  // A start that is being taken back.
+    millis since = 0;
+  };
+
+  using run_name = std::pair<task_name, std::uint64_t>;
+
+  // Announcements.
+  void OnAnnouncement(const http_request& request,
+                      const http_responder& respond);
+  void TakeBoot(const announcement& said);
+
+  // Holding and listing.
+  void Hold();
+  void HoldAfter(millis delay);
+  void OnListing(const result<executor_listing>& listing,
+                 std::uint64_t epoch,
+                 millis asked);
+  void TakeListing(const executor_listing& listing, std::uint64_t epoch);
+  millis LeaseEnd() const;
+  void NoteClock(millis clock);
+
+  // Talking to the owner.
+  void Sync(bool wait);
+  void OnReply(const result<wire::agent_orders>& reply,
+               const std::string& address,
+               millis asked,
+               std::size_t starts,
+               bool wait);
+  void TakeOrders(const wire::agent_orders& reply);
+  void AdoptEpoch(std::uint64_t epoch);
+
+  // Orders.
+  void Carry(worker_order order);
+  void SendStart(const run_name& name);
+  void SendStop(const run_name& name);
+  void SendPace(const worker_order& order);
+  void OnStartAnswer(const run_name& name,
+                     const result<executor_answer>& answer);
+  void OnStopAnswer(const run_name& name,
+                    const result<executor_answer>& answer);
+  void Report(const run_name& name, start_outcome outcome);
+  void Later(millis delay, std::function<void()> step);
+  order_context Context(millis timeout) const;
+
+  boost::asio::io_context& context_;
+  const process_settings settings_;
+  std::unique_ptr<platform_adapter> adapter_;
+  store_link store_;
+  process_metrics metrics_;
+  rpc_peers peers_;
+  owner_locator locator_;
+  std::unique_ptr<task_executor> executor_;
+  std::shared_ptr<http_server> announcements_;
+  boost::asio::steady_timer hold_timer_;
+  boost::asio::steady_timer sync_timer_;
+
+  executor_description worker_;
+  std::uint64_t sequence_ = 0;   // Of the last announcement.
+  std::uint64_t announced_ = 0;  // How many were taken.
+  executor_boot gone_;           // An executor that has left, not yet told.
+  std::uint64_t epoch_ = 0;
+  std::uint64_t obeyed_epoch_ = 0;  // The executor obeys it.
+  millis granted_until_ = 0;
+  millis clock_offset_ = 0;  // The executor's clock less this VM's.
+  bool clock_known_ = false;
+  bool holding_ = false;
+  int hold_failures_ = 0;
+  bool syncing_ = false;   // A call that waits for orders is open.
+  bool news_open_ = false;  // A call that carries news is open.
+  bool news_waiting_ = false;
+  bool leaving_ = false;
+  std::vector<run_status> runs_;
+  bool runs_listed_ = false;
+  millis listed_ = 0;
+  millis runs_told_ = 0;
+  std::vector<ended_run> ends_;
+  std::uint64_t told_end_ = 0;  // The owner has been told up to it.
+  std::uint64_t recorded_end_ = 0;
+  std::uint64_t acked_order_ = 0;
+  std::vector<start_result> starts_;
+  std::map<run_name, open_order> open_starts_;
+  std::map<run_name, open_order> open_stops_;
+  std::uint64_t incarnation_ = 0;
+};
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -0,0 +1,412 @@
+#include "job_entry_process.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/json.hpp>
+
+#include "chervilkeel/event_log.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr const char* kPart = "entry";
+constexpr millis kCallTimeout = 800;
+constexpr millis kConfigRetry = 200;
+constexpr millis kConfigWait = 2'000;   // Of one watch.
+constexpr millis kConfigGrace = 400;    // Beyond it before it counts as dead.
+constexpr millis kGossipInterval = 400;
+constexpr millis kGossipTimeout = 350;
+constexpr millis kEntryGone = 3'000;    // An entry not heard is left out.
+constexpr millis kPeerStoreFresh = 1'000;  // Its store answered this lately.
+constexpr std::uint64_t kFrontBodyLimit = 4U << 20U;
+
+}  // namespace
+
+// Takes calls on gRPC's threads and hands them to the io_context's thread.
+class job_entry_process::rpc_server : public wire::job_owner_service::CallbackService {
+ public:
+  explicit rpc_server(job_entry_process& entry) : entry_(entry) {}
+
+  grpc::ServerUnaryReactor* Sync(grpc::CallbackServerContext* context,
+                                 const wire::agent_sync* request,
+                                 wire::agent_orders* reply) override {
+    return Post(sync_call{request, reply, context->DefaultReactor()},
+                [this](const sync_call& call) {
+                  const owner_view& view = entry_.election_->View();
+                  call.reply->set_owner_address(view.address);
+                  call.reply->set_epoch(view.epoch);
+                  entry_.owner_->OnSync(call);
+                });
+  }
+
+  grpc::ServerUnaryReactor* Ask(grpc::CallbackServerContext* context,
+                                const wire::job_question* request,
+                                wire::job_reply* reply) override {
+    return Post(ask_call{request, reply, context->DefaultReactor()},
+                [this](const ask_call& call) { entry_.owner_->OnAsk(call); });
+  }
+
+  grpc::ServerUnaryReactor* Fleet(grpc::CallbackServerContext* context,
+                                  const wire::fleet_question* request,
+                                  wire::fleet_reply* reply) override {
+    using fleet_call = held_call<wire::fleet_question, wire::fleet_reply>;
+    return Post(fleet_call{request, reply, context->DefaultReactor()},
+                [this](const fleet_call& call) { entry_.AnswerFleet(call); });
+  }
+
+ private:
+  template <class call_type, class handler_type>
+  grpc::ServerUnaryReactor* Post(call_type call, handler_type handler) {
+    boost::asio::post(entry_.context_, [call, handler] { handler(call); });
+    return call.reactor;
+  }
+
+  job_entry_process& entry_;
+};
+
+job_entry_process::job_entry_process(boost::asio::io_context& context,
+                     const process_settings& settings,
+                     std::unique_ptr<platform_adapter> adapter)
+    : context_(context),
+      settings_(settings),
+      adapter_(std::move(adapter)),
+      store_(adapter_->MakeStore(context, settings_.store)),
+      config_timer_(context),
+      gossip_timer_(context),
+      stop_timer_(context) {
+  owner_ = std::make_unique<job_owner>(
+      context_, store_, metrics_, settings_, [this] { return MayGrant(); },
+      [this](const std::string& reason) { election_->NoteLost(reason); });
+  election_ = std::make_unique<owner_election>(
+      context_, store_,
+      election_options{settings_.name, Address(),
+                       static_cast<millis>(settings_.owner_ttl)},
+      [this](const ownership& won) { owner_->Begin(won); },
+      [this](const std::string&) { owner_->End(); });
+  front_ = std::make_unique<job_front>(
+      context_, store_, metrics_, *adapter_,
+      [this](wire::job_question question, millis timeout, auto callback) {
+        Ask(std::move(question), timeout, std::move(callback));
+      });
+}
+
+job_entry_process::~job_entry_process() = default;
+
+std::string job_entry_process::Address() const {
+  return endpoint{settings_.address, settings_.rpc_port}.ToString();
+}
+
+result<void> job_entry_process::Start() {
+  service_ = std::make_unique<rpc_server>(*this);
+  grpc::ServerBuilder builder;
+  builder.AddListeningPort(Address(), grpc::InsecureServerCredentials());
+  builder.RegisterService(service_.get());
+  grpc_ = builder.BuildAndStart();
+  if (grpc_ == nullptr) {
+    return Fail(error_code::kUnavailable, "cannot listen on " + Address());
+  }
+  http_server_options front;
+  front.listen = settings_.job_front;
+  front.body_limit = kFrontBodyLimit;
+  front.connections = settings_.client_connections;
+  front_server_ = std::make_shared<http_server>(
+      context_, front, [this](http_request request, http_responder respond) {
+        front_->Handle(std::move(request), std::move(respond));
+      });
+  http_server_options ready;
+  ready.listen = settings_.job_readiness;
+  ready_server_ = std::make_shared<http_server>(
+      context_, ready, [this](const http_request& request, auto respond) {
+        const bool is_ready = IsReady();
+        if (is_ready != was_ready_) {
+          was_ready_ = is_ready;
+          LogEvent(kPart, is_ready ? "ready" : "not_ready",
+                   {{"config", config_ ? config_->version : 0},
+                    {"store_up", store_.IsUp()},
+                    {"leaving", leaving_}},
+                   true);
+        }
+        http_response response;
+        response.status = !adapter_->IsReadinessCall(request) ? 404
+                          : is_ready                          ? 200
+                                                              : 503;
+        respond(response);
+      });
+  for (const auto& server : {front_server_, ready_server_}) {
+    const auto started = server->Start();
+    if (!started) {
+      return started.as_failure();
+    }
+  }
+  for (const endpoint& seed : settings_.seeds) {
+    const std::string address =
+        endpoint{seed.address, settings_.rpc_port}.ToString();
+    if (address != Address()) {
+      entries_[address];
+    }
+  }
+  election_->Start();
+  ReadConfig();
+  Gossip();
+  return boost::outcome_v2::success();
+}
+
+bool job_entry_process::IsReady() const {
+  return !leaving_ && config_ != nullptr;
+}
+
+void job_entry_process::Stop(std::function<void()> done) {
+  leaving_ = true;
+  front_server_->Drain();
+  // Callers go on using open connections; the jobs move to another owner now.
+  owner_->Finish([this] {
+    owner_->End();
+    election_->Resign();
+  });
+  stop_timer_.expires_after(
+      std::chrono::milliseconds(settings_.shutdown_time));
+  stop_timer_.async_wait([this, done = std::move(done)](
+                             boost::system::error_code) {
+    election_->Resign();
+    done();
+  });
+}
+
+void job_entry_process::ReadConfig() {
+  store_.Client().Read(
+      adapter_->ConfigKey(), kCallTimeout,
+      [this](const result<std::optional<stored_item>>& item) {
+        store_.Note(item);
+        if (item && item.value()) {
+          config_revision_ = item.value()->revision;
+          TakeConfig(item.value()->value, "store");
+          WatchConfig();
+          return;
+        }
+        config_timer_.expires_after(std::chrono::milliseconds(kConfigRetry));
+        config_timer_.async_wait([this](boost::system::error_code failure) {
+          if (!failure) {
+            ReadConfig();
+          }
+        });
+      });
+}
+
+void job_entry_process::WatchConfig() {
+  store_.Client().Watch(
+      adapter_->ConfigKey(), config_revision_, kConfigWait,
+      kConfigWait + kConfigGrace, [this](const result<item_changes>& changes) {
+        store_.Note(changes);
+        if (!changes || changes.value().history_lost) {
+          ReadConfig();
+          return;
+        }
+        for (const stored_item& item : changes.value().items) {
+          if (item.key == adapter_->ConfigKey() && item.revision != 0) {
+            TakeConfig(item.value, "store");
+          }
+        }
+        config_revision_ =
+            std::max(config_revision_, changes.value().revision);
+        WatchConfig();
+      });
+}
+
+// Versions only rise within the life of a process.
+void job_entry_process::TakeConfig(const std::string& text, const char* source) {
+  auto config = adapter_->DecodeConfig(text);
+  if (!config) {
+    LogEvent(kPart, "config_unreadable",
+             {{"source", source}, {"error", ToString(config.error())}}, true);
+    return;
+  }
+  if (config_ && config.value().version <= config_->version) {
+    return;
+  }
+  config_text_ = text;
+  config_ = std::make_shared<const deployed_config>(std::move(config.value()));
+  scheduling_config scheduling;
+  scheduling.version = config_->version;
+  for (const queue_route& route : config_->routes) {
+    scheduling.queues[route.queue.name] = route.queue;
+  }
+  owner_->SetConfig(scheduling);
+  front_->SetConfig(config_);
+  election_->SetReady(true);
+  LogEvent(kPart, "config_in_force",
+           {{"version", config_->version},
+            {"source", source},
+            {"routes", static_cast<std::uint64_t>(config_->routes.size())}},
+           true);
+}
+
+// Exchanges with the other entries who owns the jobs, which configuration is in
+// force and whether the store answers.
+void job_entry_process::Gossip() {
+  for (const auto& [address, entry] : entries_) {
+    AskFleet(address);
+  }
+  const std::string owner = election_->View().address;
+  if (!owner.empty() && owner != Address() && entries_.count(owner) == 0) {
+    entries_[owner];
+  }
+  gossip_timer_.expires_after(std::chrono::milliseconds(kGossipInterval));
+  gossip_timer_.async_wait([this](boost::system::error_code failure) {
+    if (!failure) {
+      Gossip();
+    }
+  });
+}
+
+void job_entry_process::AskFleet(const std::string& address) {
+  wire::fleet_question question;
+  question.set_from(Address());
+  question.set_config_version(config_ ? config_->version : 0);
+  CallOwnerService<wire::fleet_question, wire::fleet_reply>(
+      context_, peers_, address, kFleetMethod, std::move(question),
+      kGossipTimeout,
+      [this, address](const result<wire::fleet_reply>& reply) {
+        OnFleetReply(address, reply);
+      });
+}
+
+void job_entry_process::OnFleetReply(const std::string& address,
+                             const result<wire::fleet_reply>& reply) {
+  if (!reply) {
+    return;
+  }
+  known_entry& entry = entries_[address];
+  entry.heard = BootNow();
+  entry.store_silent = reply.value().store_silent_ms();
+  entry.epoch = reply.value().epoch();
+  election_->Learn(
+      {reply.value().owner_address(), reply.value().epoch(), BootNow()});
+  for (const std::string& other : reply.value().entries()) {
+    if (other != Address()) {
+      entries_[other];
+    }
+  }
+  if (!reply.value().config().empty()) {
+    TakeConfig(reply.value().config(), "peer");
+  }
+  owner_->SetEntries(LiveEntries());
+}
+
+void job_entry_process::AnswerFleet(
+    const held_call<wire::fleet_question, wire::fleet_reply>& call) {
+  const owner_view& view = election_->View();
+  call.reply->set_owner_address(view.address);
+  call.reply->set_epoch(view.epoch);
+  call.reply->set_store_silent_ms(store_.Silent());
+  call.reply->set_is_owner(owner_->IsActive());
+  const std::uint64_t version = config_ ? config_->version : 0;
+  call.reply->set_config_version(version);
+  if (version > call.request->config_version()) {
+    call.reply->set_config(config_text_);
+  }
+  for (const std::string& entry : LiveEntries()) {
+    call.reply->add_entries(entry);
+  }
+  if (!call.request->from().empty()) {
+    entries_[call.request->from()].heard = BootNow();
+  }
+  call.Finish();
+}
+
+std::vector<std::string> job_entry_process::LiveEntries() const {
+  std::vector<std::string> live;
+  if (!leaving_) {
+    live.push_back(Address());
+  }
+  for (const auto& [address, entry] : entries_) {
+    if (entry.heard > 0 && BootNow() - entry.heard < kEntryGone) {
+      live.push_back(address);
+    }
+  }
+  return live;
+}
+
+// While the store answers nobody, no other owner can be elected: the jobs go
+// on. An entry that alone has lost the store lets its grants lapse.
+bool job_entry_process::MayGrant() {
+  if (election_->IsLeaseValid()) {
+    return true;
+  }
+  if (!election_->IsOwner()) {
+    return false;
+  }
+  std::size_t others = 0;
+  std::size_t without_store = 0;
+  for (const auto& [address, entry] : entries_) {
+    if (entry.heard == 0) {
+      continue;
+    }
+    ++others;
+    const bool fresh = BootNow() - entry.heard < kPeerStoreFresh;
+    if (fresh && entry.epoch > election_->View().epoch) {
+      return false;
+    }
+    if (fresh && (entry.store_silent < 0 ||
+                  entry.store_silent > kPeerStoreFresh)) {
+      ++without_store;
+    }
+  }
+  return without_store > 0 && without_store * 2 >= others;
+}
+
+void job_entry_process::Ask(wire::job_question question,
+                    millis timeout,
+                    std::function<void(result<wire::job_reply>)> callback) {
+  if (owner_->IsActive()) {
+    // The same path as a remote question, without the network.
+    struct local_call {
+      wire::job_question question;
+      wire::job_reply reply;
+    };
+    auto local = std::make_shared<local_call>();
+    local->question = std::move(question);
+    owner_->AnswerQuestion(local->question, local->reply);
+    callback(std::move(local->reply));
+    return;
+  }
+  const std::string address = election_->View().address;
+  if (address.empty() || address == Address()) {
+    callback(Fail(error_code::kUnavailable, "no owner is known"));
+    return;
+  }
+  CallOwnerService<wire::job_question, wire::job_reply>(
+      context_, peers_, address, kAskMethod, std::move(question), timeout,
+      std::move(callback));
+}
+
+void job_entry_process::HandleOperator(const http_request& request,
+                               const http_responder& respond) {
+  http_response response;
+  if (request.path == "/metrics") {
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = metrics_.Text();
+  } else if (request.path == "/dump") {
+    boost::json::object dump{
+        {"name", settings_.name},
+        {"owner", election_->View().address},
+        {"epoch", election_->View().epoch},
+        {"is_owner", owner_->IsActive()},
+        {"config_version", config_ ? config_->version : 0},
+        {"store_silent_ms", store_.Silent()},
+        {"requests_in_flight", front_->InFlight()}};
+    boost::json::array entries;
+    for (const std::string& entry : LiveEntries()) {
+      entries.emplace_back(entry);
+    }
+    dump["entries"] = std::move(entries);
+    dump["jobs"] = owner_->Dump();
+    response.body = boost::json::serialize(dump);
+  } else if (request.path == "/healthz") {
+    response.status = IsReady() ? 200 : 503;
+  } else {
+    response = ErrorResponse(404, "no such page");
+  }
+  respond(response);
+}
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/chervilkeeld/job_entry_process.h
@@ -0,0 +1,91 @@
+// The entry of jobs by request: serves callers, and owns all jobs while it
+// holds the lease.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <grpcpp/grpcpp.h>
+
+#include "chervilkeel/http_server.h"
+#include "chervilkeel/platform_adapter.h"
+#include "job_front.h"
+#include "job_owner.h"
+#include "owner_election.h"
+#include "store_link.h"
+
+namespace chervilkeel {
+
+// What is known of another entry.
+struct known_entry {
+  millis heard = 0;
+  millis store_silent = -1;
+  std::uint64_t epoch = 0;
+};
+
+class job_entry_process {
+ public:
+  job_entry_process(boost::asio::io_context& context,
+            const process_settings& settings,
+            std::unique_ptr<platform_adapter> adapter);
+  ~job_entry_process();
+  job_entry_process(const job_entry_process&) = delete;
+  job_entry_process& operator=(const job_entry_process&) = delete;
+
+  result<void> Start();
+
+  // Leaves gracefully; `done` is called when the process may end.
+  void Stop(std::function<void()> done);
+
+  // Answers operators: /metrics, /dump, /healthz.
+  void HandleOperator(const http_request& request,
+                      const http_responder& respond);
+
+ private:
+  class rpc_server;
+
+  void WatchConfig();
+  void ReadConfig();
+  void TakeConfig(const std::string& text, const char* source);
+  void Gossip();
+  void AskFleet(const std::string& address);
+  void OnFleetReply(const std::string& address,
+                    const result<wire::fleet_reply>& reply);
+  void AnswerFleet(const held_call<wire::fleet_question, wire::fleet_reply>& call);
+  void Ask(wire::job_question question,
+           millis timeout,
+           std::function<void(result<wire::job_reply>)> callback);
+  bool MayGrant();
+  bool IsReady() const;
+  std::vector<std::string> LiveEntries() const;
+  std::string Address() const;
+
+  boost::asio::io_context& context_;
+  const process_settings settings_;
+  std::unique_ptr<platform_adapter> adapter_;
+  store_link store_;
+  process_metrics metrics_;
+  rpc_peers peers_;
+  std::unique_ptr<owner_election> election_;
+  std::unique_ptr<job_owner> owner_;
+  std::unique_ptr<job_front> front_;
+  std::unique_ptr<rpc_server> service_;
+  std::unique_ptr<grpc::Server> grpc_;
+  std::shared_ptr<http_server> front_server_;
+  std::shared_ptr<http_server> ready_server_;
+  boost::asio::steady_timer config_timer_;
+  boost::asio::steady_timer gossip_timer_;
+  boost::asio::steady_timer stop_timer_;
+  std::map<std::string, known_entry> entries_;  // By address.
+  std::shared_ptr<const deployed_config> config_;
+  std::string config_text_;
+  std::uint64_t config_revision_ = 0;
+  bool leaving_ = false;
+  bool was_ready_ = false;
+  millis outage_confirmed_ = 0;
+};
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/chervilkeeld/job_front.cpp
@@ -0,0 +1,380 @@
+#include "job_front.h"
+
+#include <algorithm>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "chervilkeel/event_log.h"
+#include "job_keys.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr const char* kPart = "front";
+constexpr millis kDefaultDeadline = 3'000;  // Of callers that name none.
+constexpr millis kAnswerMargin = 150;       // Kept for the way back.
+constexpr millis kStoreTimeout = 700;       // Of one call.
+constexpr millis kAskTimeout = 500;         // Of one question to the owner.
+constexpr millis kPause = 100;              // Before another try.
+constexpr millis kRefuseAfter = 600;  // Nothing was stored in this time.
+constexpr millis kRetryAfter = 1'000;
+constexpr std::size_t kMaxPayload = 4'000;  // Bytes.
+constexpr std::size_t kMaxIdLength = 100;
+
+// A job's id stands in keys of the store and in names of tasks.
+bool IsJobId(const std::string& id) {
+  return !id.empty() && id.size() <= kMaxIdLength &&
+         std::all_of(id.begin(), id.end(), [](const char letter) {
+           return (letter >= '0' && letter <= '9') ||
+                  (letter >= 'a' && letter <= 'z') ||
+                  (letter >= 'A' && letter <= 'Z') || letter == '-' ||
+                  letter == '_';
+         });
+}
+
+job_answer Refusal(job_result value, std::string message) {
+  job_answer answer;
+  answer.result = value;
+  answer.message = std::move(message);
+  if (value == job_result::kUnavailable || value == job_result::kOverloaded) {
+    answer.retry_after = kRetryAfter;
+  }
+  return answer;
+}
+
+job_answer Success(job_result value) {
+  job_answer answer;
+  answer.result = value;
+  return answer;
+}
+
+const char* NameOf(job_call_kind kind) {
+  switch (kind) {
+    case job_call_kind::kSubmit:
+      return "submit";
+    case job_call_kind::kState:
+      return "state";
+    case job_call_kind::kCancel:
+      return "cancel";
+    case job_call_kind::kCount:
+      return "count";
+    case job_call_kind::kUnsupported:
+      return "unsupported";
+  }
+  return "?";
+}
+
+}  // namespace
+
+job_front::job_front(boost::asio::io_context& context,
+                     store_link& store,
+                     process_metrics& metrics,
+                     const platform_adapter& adapter,
+                     ask_function ask)
+    : context_(context),
+      store_(store),
+      metrics_(metrics),
+      adapter_(adapter),
+      ask_(std::move(ask)) {}
+
+const queue_route* job_front::FindRoute(const job_call& call) const {
+  const queue_route* best = nullptr;
+  for (const queue_route& route : config_->routes) {
+    if (route.host == call.host && call.path.rfind(route.prefix, 0) == 0 &&
+        (best == nullptr || route.prefix.size() > best->prefix.size())) {
+      best = &route;
+    }
+  }
+  return best;
+}
+
+void job_front::Handle(http_request http, http_responder respond) {
+  ++in_flight_;
+  auto request = std::make_shared<job_request>();
+  request->request = std::move(http);
+  request->respond = std::move(respond);
+  request->call = adapter_.DecodeCall(request->request);
+  request->began = BootNow();
+  const millis deadline = request->call.deadline > 0 ? request->call.deadline
+                                                     : kDefaultDeadline;
+  request->until = request->began + std::max<millis>(deadline - kAnswerMargin,
+                                                     deadline / 2);
+  if (!config_) {
+    Answer(request, Refusal(job_result::kUnavailable, "no configuration yet"),
+           "no configuration");
+    return;
+  }
+  const queue_route* route = FindRoute(request->call);
+  if (route == nullptr) {
+    Answer(request, Refusal(job_result::kNoQueue, "no such queue"), "no route");
+    return;
+  }
+  request->queue = route->queue.name;
+  request->service = route->queue.service;
+  request->id = request->call.path.substr(route->prefix.size());
+  switch (request->call.kind) {
+    case job_call_kind::kSubmit:
+      Submit(request, *route);
+      break;
+    case job_call_kind::kState:
+      State(request);
+      break;
+    case job_call_kind::kCancel:
+      Cancel(request);
+      break;
+    case job_call_kind::kCount:
+      Count(request);
+      break;
+    case job_call_kind::kUnsupported:
+      Answer(request, Refusal(job_result::kInvalid, "method not supported"),
+             "unsupported method");
+      break;
+  }
+}
+
+void job_front::Answer(const job_request_ptr& request,
+                       const job_answer& answer,
+                       const std::string& cause) {
+  --in_flight_;
+  const millis took = BootNow() - request->began;
+  metrics_.CountRequest(NameOf(request->call.kind), NameOf(answer.result),
+                        static_cast<double>(took) / 1'000.0);
+  LogEvent(kPart, NameOf(request->call.kind),
+           {{"id", request->id.empty() ? request->call.path : request->id},
+            {"queue", request->queue},
+            {"result", NameOf(answer.result)},
+            {"state", answer.result == job_result::kState
+                          ? chervilkeel::NameOf(answer.state)
+                          : "-"},
+            {"cause", cause},
+            {"tries", request->tries},
+            {"config", config_ ? config_->version : 0},
+            {"took_ms", took}});
+  request->respond(adapter_.EncodeAnswer(answer));
+}
+
+// Runs a step after a pause.
+void job_front::Again(const job_request_ptr& request,
+                      std::function<void()> step) {
+  ++request->tries;
+  auto timer = std::make_shared<boost::asio::steady_timer>(context_);
+  timer->expires_after(std::chrono::milliseconds(kPause));
+  timer->async_wait([timer, step = std::move(step)](
+                        boost::system::error_code) { step(); });
+}
+
+void job_front::Submit(const job_request_ptr& request,
+                       const queue_route& route) {
+  if (!IsJobId(request->id)) {
+    Answer(request, Refusal(job_result::kInvalid, "the path names no job"),
+           "bad id");
+    return;
+  }
+  auto spec = adapter_.DecodeJob(request->request.body);
+  if (!spec) {
+    Answer(request,
+           Refusal(job_result::kInvalid, spec.error().message), "unreadable");
+    return;
+  }
+  const findings found = CheckJob(spec.value(), kMaxPayload);
+  if (!found.empty()) {
+    Answer(request, Refusal(job_result::kInvalid, ToText(found, "")),
+           "findings");
+    return;
+  }
+  job_record record;
+  record.id = request->id;
+  record.queue = route.queue.name;
+  record.service = route.queue.service;
+  record.accepted_ms = static_cast<std::int64_t>(WallNow());
+  record.spec = std::move(spec.value());
+  if (!store_.IsUp() && store_.Silent() > kRefuseAfter) {
+    Answer(request, Refusal(job_result::kUnavailable, "the store is away"),
+           "store_silent_ms=" + std::to_string(store_.Silent()));
+    return;
+  }
+  Store(request, EncodeJobRecord(record));
+}
+
+void job_front::Store(const job_request_ptr& request,
+                      const std::string& record) {
+  store_transaction transaction;
+  transaction.conditions = {{kJobPrefix + request->id, 0}};
+  transaction.writes = {{kJobPrefix + request->id, record, 0}};
+  const millis timeout =
+      std::min(kStoreTimeout, request->until - BootNow());
+  store_.Client().Commit(
+      transaction, std::max<millis>(timeout, 1),
+      [this, request, record](const result<transaction_outcome>& outcome) {
+        store_.Note(outcome);
+        OnStored(request, record, outcome);
+      });
+}
+
+void job_front::OnStored(const job_request_ptr& request,
+                         const std::string& record,
+                         const result<transaction_outcome>& outcome) {
+  if (outcome) {
+    // A conflict means that an earlier try has stored it.
+    wire::job_question question;
+    question.set_kind(wire::job_question::added);
+    question.set_id(request->id);
+    question.set_record(outcome.value().applied
+                            ? record
+                            : outcome.value().conflicts.empty()
+                                  ? std::string()
+                                  : outcome.value().conflicts.front().value);
+    if (!question.record().empty()) {
+      ask_(std::move(question), kAskTimeout, [](const auto&) {});
+    }
+    Answer(request, Success(job_result::kAccepted),
+           outcome.value().applied ? "stored" : "stored before");
+    return;
+  }
+  if (outcome.error().code == error_code::kInvalid) {
+    Answer(request, Refusal(job_result::kInvalid, outcome.error().message),
+           "store refused");
+    return;
+  }
+  if (outcome.error().code == error_code::kUnknown) {
+    request->may_be_stored = true;
+  }
+  const millis now = BootNow();
+  if (now + kPause < request->until &&
+      (request->may_be_stored || now < request->began + kRefuseAfter)) {
+    Again(request, [this, request, record] { Store(request, record); });
+    return;
+  }
+  Answer(request,
+         Refusal(request->may_be_stored ? job_result::kUnknown
+                                        : job_result::kUnavailable,
+                 "the store did not answer"),
+         ToString(outcome.error()));
+}
+
+void job_front::State(const job_request_ptr& request) {
+  wire::job_question question;
+  question.set_kind(wire::job_question::state);
+  question.set_id(request->id);
+  ask_(std::move(question), kAskTimeout,
+       [this, request](const result<wire::job_reply>& reply) {
+         if (reply && reply.value().is_owner() && reply.value().is_known()) {
+           job_answer answer = Success(job_result::kState);
+           answer.state = static_cast<job_state>(reply.value().state());
+           Answer(request, answer, "owner");
+         } else {
+           StateFromStore(request);
+         }
+       });
+}
+
+// The owner is away, or has not heard of the job yet.
+void job_front::StateFromStore(const job_request_ptr& request) {
+  store_.Client().Read(
+      kProgressPrefix + request->id, kStoreTimeout,
+      [this, request](const result<std::optional<stored_item>>& item) {
+        store_.Note(item);
+        if (item && item.value()) {
+          const auto progress = DecodeJobProgress(item.value()->value);
+          if (progress) {
+            job_answer answer = Success(job_result::kState);
+            answer.state = progress.value().state;
+            Answer(request, answer, "store");
+            return;
+          }
+        }
+        CheckStored(request);
+      });
+}
+
+// Tells whether the job was accepted at all.
+void job_front::CheckStored(const job_request_ptr& request) {
+  store_.Client().Read(
+      kJobPrefix + request->id, kStoreTimeout,
+      [this, request](const result<std::optional<stored_item>>& item) {
+        store_.Note(item);
+        if (!item) {
+          if (BootNow() + kPause < request->until) {
+            Again(request, [this, request] { State(request); });
+          } else {
+            Answer(request,
+                   Refusal(job_result::kUnavailable, "the state is not known"),
+                   ToString(item.error()));
+          }
+          return;
+        }
+        if (!item.value()) {
+          Answer(request, Refusal(job_result::kNoJob, "no such job"), "store");
+          return;
+        }
+        if (request->call.kind == job_call_kind::kCancel) {
+          StoreCancel(request);
+          return;
+        }
+        job_answer answer = Success(job_result::kState);
+        answer.state = job_state::kQueued;
+        Answer(request, answer, "store");
+      });
+}
+
+void job_front::Cancel(const job_request_ptr& request) {
+  wire::job_question question;
+  question.set_kind(wire::job_question::state);
+  question.set_id(request->id);
+  ask_(std::move(question), kAskTimeout,
+       [this, request](const result<wire::job_reply>& reply) {
+         if (reply && reply.value().is_owner() && reply.value().is_known()) {
+           StoreCancel(request);
+         } else {
+           CheckStored(request);
+         }
+       });
+}
+
+void job_front::StoreCancel(const job_request_ptr& request) {
+  store_transaction transaction;
+  transaction.writes = {{kCancelPrefix + request->id, "cancelled", 0}};
+  const millis timeout =
+      std::max<millis>(std::min(kStoreTimeout, request->until - BootNow()), 1);
+  store_.Client().Commit(
+      transaction, timeout,
+      [this, request](const result<transaction_outcome>& outcome) {
+        store_.Note(outcome);
+        if (outcome) {
+          wire::job_question question;
+          question.set_kind(wire::job_question::cancelled);
+          question.set_id(request->id);
+          ask_(std::move(question), kAskTimeout, [](const auto&) {});
+          Answer(request, Success(job_result::kCancelled), "stored");
+        } else if (BootNow() + kPause < request->until) {
+          Again(request, [this, request] { StoreCancel(request); });
+        } else {
+          Answer(request,
+                 Refusal(job_result::kUnknown, "the store did not answer"),
+                 ToString(outcome.error()));
+        }
+      });
+}
+
+void job_front::Count(const job_request_ptr& request) {
+  wire::job_question question;
+  question.set_kind(wire::job_question::pending);
+  question.set_id(request->queue);
+  ask_(std::move(question), kAskTimeout,
+       [this, request](const result<wire::job_reply>& reply) {
+         if (reply && reply.value().is_owner()) {
+           job_answer answer = Success(job_result::kCount);
+           answer.count = reply.value().count();
+           Answer(request, answer, "owner");
+         } else if (BootNow() + kPause < request->until) {
+           Again(request, [this, request] { Count(request); });
+         } else {
+           Answer(request,
+                  Refusal(job_result::kUnavailable, "the owner is away"),
+                  "no owner");
+         }
+       });
+}
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/chervilkeeld/job_keys.h
@@ -0,0 +1,17 @@
+// Where the jobs stand in the store.
+#pragma once
+
+#include <string>
+
+namespace chervilkeel {
+
+inline constexpr const char* kOwnerKey = "chervilkeel/owner";
+inline constexpr const char* kEpochKey = "chervilkeel/epoch";
+inline constexpr const char* kMembersKey = "chervilkeel/members";
+inline constexpr const char* kCommitKey = "chervilkeel/commit";
+inline constexpr const char* kInboxPrefix = "chervilkeel/inbox/";
+inline constexpr const char* kJobPrefix = "chervilkeel/inbox/job/";
+inline constexpr const char* kCancelPrefix = "chervilkeel/inbox/cancel/";
+inline constexpr const char* kProgressPrefix = "chervilkeel/progress/";
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/chervilkeeld/job_owner.cpp
@@ -0,0 +1,256 @@
+#include "job_owner.h"
+
+#include <boost/json.hpp>
+
+#include "chervilkeel/event_log.h"
+#include "job_keys.h"
+#include "job_wire.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr const char* kPart = "owner";
+constexpr millis kTick = 50;            // Between looks at what is due by time.
+constexpr millis kHoldAnswer = 400;     // An agent's call waits this long.
+
+}  // namespace
+
+job_owner::job_owner(boost::asio::io_context& context,
+                     store_link& store,
+                     process_metrics& metrics,
+                     const process_settings& settings,
+                     may_grant_function may_grant,
+                     deposed_function deposed)
+    : context_(context),
+      store_(store),
+      metrics_(metrics),
+      settings_(settings),
+      may_grant_(std::move(may_grant)),
+      deposed_(std::move(deposed)),
+      tick_timer_(context),
+      commit_timer_(context),
+      retry_timer_(context),
+      inbox_timer_(context) {}
+
+void job_owner::Begin(const ownership& won) {
+  ++term_;
+  ownership_ = won;
+  if (won.uninterrupted && scheduler_ != nullptr) {
+    RecoverCommit();
+    return;
+  }
+  scheduler_.reset();
+  recovered_ = recovered_state();
+  recovery_began_ = BootNow();
+  RecoverInbox("");
+}
+
+void job_owner::End() {
+  ++term_;
+  active_ = false;
+  tick_timer_.cancel();
+  commit_timer_.cancel();
+  retry_timer_.cancel();
+  inbox_timer_.cancel();
+  if (changes_ && scheduler_ != nullptr) {
+    scheduler_->CommitFailed(*changes_);
+  }
+  changes_.reset();
+  for (auto& [agent, waiting] : waiting_) {
+    waiting.call.Finish();
+  }
+  waiting_.clear();
+}
+
+void job_owner::Finish(std::function<void()> done) {
+  if (!active_) {
+    done();
+    return;
+  }
+  finishing_ = true;
+  finished_ = std::move(done);
+  Commit();
+}
+
+void job_owner::SetConfig(const scheduling_config& config) {
+  config_ = config;
+  if (scheduler_ != nullptr) {
+    scheduler_->SetConfig(config);
+  }
+}
+
+void job_owner::ScheduleTick() {
+  tick_timer_.expires_after(std::chrono::milliseconds(kTick));
+  tick_timer_.async_wait([this, term = term_](boost::system::error_code failure) {
+    if (failure || term != term_ || !active_) {
+      return;
+    }
+    Step();
+    ScheduleTick();
+  });
+}
+
+// Lets the scheduler decide, and carries out what follows.
+void job_owner::Step() {
+  scheduler_->Tick(BootNow(), static_cast<std::int64_t>(WallNow()));
+  Commit();
+  AnswerWoken();
+}
+
+void job_owner::FillReply(const std::string& agent,
+                          std::uint64_t acked,
+                          wire::agent_orders& reply) {
+  reply.set_is_owner(true);
+  reply.set_epoch(ownership_.epoch);
+  for (const std::string& entry : entries_) {
+    reply.add_entries(entry);
+  }
+  if (!scheduler_->IsMember(agent) || !may_grant_()) {
+    return;
+  }
+  reply.set_grant_ms(static_cast<std::int64_t>(settings_.grant));
+  reply.set_recorded_end(scheduler_->RecordedEnd(agent));
+  for (const auto& [number, order] : scheduler_->OrdersFor(agent, acked)) {
+    *reply.add_orders() = ToWire(number, order);
+  }
+  const auto worker = scheduler_->Workers().find(agent);
+  reply.set_wants_runs(worker != scheduler_->Workers().end() &&
+                       !worker->second.known);
+}
+
+void job_owner::Answer(const std::string& agent, waiting_sync& waiting) {
+  FillReply(agent, waiting.acked, *waiting.call.reply);
+  waiting.call.Finish();
+}
+
+void job_owner::AnswerWoken() {
+  for (const std::string& agent : scheduler_->TakeWoken()) {
+    const auto waiting = waiting_.find(agent);
+    if (waiting != waiting_.end()) {
+      Answer(agent, waiting->second);
+      waiting_.erase(waiting);
+    }
+  }
+  const millis now = BootNow();
+  for (auto entry = waiting_.begin(); entry != waiting_.end();) {
+    if (now >= entry->second.until) {
+      Answer(entry->first, entry->second);
+      entry = waiting_.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
+void job_owner::OnSync(const sync_call& call) {
+  const wire::agent_sync& sync = *call.request;
+  if (!active_) {
+    call.Finish();
+    return;
+  }
+  metrics_.CountEvent("agent_reports");
+  const millis now = BootNow();
+  if (sync.has_gone()) {
+    scheduler_->OnWorkerGone(sync.agent(), FromWire(sync.gone()), now);
+  }
+  const bool obeys = sync.obeys() && sync.epoch() == ownership_.epoch;
+  if (obeys) {
+    scheduler_->OnReport(FromWire(sync), now);
+  }
+  const auto former = waiting_.find(sync.agent());
+  if (former != waiting_.end() && sync.wait()) {
+    former->second.call.Finish();
+    waiting_.erase(former);
+  }
+  scheduler_->Tick(now, static_cast<std::int64_t>(WallNow()));
+  waiting_sync waiting{call, now + kHoldAnswer, sync.acked_order()};
+  const bool has_orders =
+      !scheduler_->OrdersFor(sync.agent(), sync.acked_order()).empty();
+  if (sync.wait() && obeys && !has_orders && scheduler_->IsMember(sync.agent())) {
+    waiting_[sync.agent()] = waiting;
+  } else {
+    Answer(sync.agent(), waiting);
+  }
+  Commit();
+  AnswerWoken();
+}
+
+void job_owner::OnAsk(const ask_call& call) {
+  AnswerQuestion(*call.request, *call.reply);
+  call.Finish();
+}
+
+void job_owner::AnswerQuestion(const wire::job_question& question,
+                               wire::job_reply& reply) {
+  if (!active_) {
+    return;
+  }
+  reply.set_is_owner(true);
+  const millis now = BootNow();
+  switch (question.kind()) {
+    case wire::job_question::added: {
+      const auto record = DecodeJobRecord(question.record());
+      if (record) {
+        scheduler_->AddJob(record.value(), now);
+        reply.set_is_known(true);
+        Step();
+      } else {
+        LogEvent(kPart, "job_unreadable",
+                 {{"id", question.id()}, {"error", ToString(record.error())}});
+      }
+      break;
+    }
+    case wire::job_question::cancelled:
+      reply.set_is_known(scheduler_->CancelJob(question.id(), now));
+      Step();
+      break;
+    case wire::job_question::pending:
+      reply.set_is_known(true);
+      reply.set_count(scheduler_->PendingOf(question.id()));
+      break;
+    case wire::job_question::admission:
+      reply.set_is_known(true);
+      reply.set_backlog_seconds(scheduler_->BacklogSeconds(question.id()));
+      break;
+    default: {
+      const auto state = scheduler_->StateOf(question.id());
+      reply.set_is_known(state.has_value());
+      reply.set_state(static_cast<std::uint32_t>(
+          state.value_or(job_state::kQueued)));
+      break;
+    }
+  }
+}
+
+std::string job_owner::Dump() const {
+  if (scheduler_ == nullptr) {
+    return "{}";
+  }
+  boost::json::array workers;
+  for (const auto& [agent, worker] : scheduler_->Workers()) {
+    workers.push_back(boost::json::object{
+        {"agent", agent},
+        {"executor", worker.description.boot.id},
+        {"known", worker.known},
+        {"draining", worker.description.draining},
+        {"suspect", worker.health.IsSuspect()},
+        {"used_milli_processors", worker.used.milli_processors},
+        {"filler_milli_processors", worker.filler_milli},
+        {"tasks", worker.tasks.size()},
+        {"granted_for_ms", worker.granted_until - BootNow()}});
+  }
+  boost::json::array jobs;
+  for (const auto& [id, job] : scheduler_->Jobs()) {
+    jobs.push_back(boost::json::object{{"id", id},
+                                       {"queue", job.record.queue},
+                                       {"state", NameOf(job.state)},
+                                       {"done_tasks", job.done_tasks},
+                                       {"started_tasks", job.started_tasks},
+                                       {"end_is_stored", job.durable_end}});
+  }
+  return boost::json::serialize(boost::json::object{
+      {"workers", std::move(workers)}, {"jobs", std::move(jobs)}});
+}
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -0,0 +1,409 @@
+// What the owner of the jobs reads from the store and writes to it.
+#include <algorithm>
+
+#include "chervilkeel/event_log.h"
+#include "job_keys.h"
+#include "job_owner.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr const char* kPart = "owner";
+constexpr millis kCallTimeout = 1'000;
+constexpr millis kRetryDelay = 150;
+constexpr millis kInboxPause = 300;    // Between two watches on the inbox.
+constexpr millis kInboxWait = 3'000;   // Of one watch.
+constexpr millis kInboxGrace = 500;    // Beyond it before it counts as dead.
+
+// Left of a transaction beside the condition on the owner, and the condition
+// and write of the commit's key.
+constexpr std::size_t kChangesPerPart = kMaxTransactionSize - 4;
+
+std::string JoinNames(const std::set<std::string>& names) {
+  std::string text;
+  for (const std::string& name : names) {
+    text += name + "\n";
+  }
+  return text;
+}
+
+std::set<std::string> SplitNames(const std::string& text) {
+  std::set<std::string> names;
+  std::size_t start = 0;
+  while (start < text.size()) {
+    const std::size_t end = std::min(text.find('\n', start), text.size());
+    names.insert(text.substr(start, end - start));
+    start = end + 1;
+  }
+  return names;
+}
+
+}  // namespace
+
+// Runs a step again after a pause, unless the ownership has ended meanwhile.
+void job_owner::Retry(std::function<void()> step) {
+  retry_timer_.expires_after(std::chrono::milliseconds(kRetryDelay));
+  retry_timer_.async_wait([this, term = term_, step = std::move(step)](
+                              boost::system::error_code failure) {
+    if (!failure && term == term_) {
+      step();
+    }
+  });
+}
+
+void job_owner::TakeInboxItem(const stored_item& item) {
+  const std::string cancel_prefix = kCancelPrefix;
+  const std::string job_prefix = kJobPrefix;
+  const millis now = BootNow();
+  if (item.revision == 0) {
+    return;
+  }
+  if (item.key.rfind(cancel_prefix, 0) == 0) {
+    const std::string id = item.key.substr(cancel_prefix.size());
+    if (scheduler_ != nullptr) {
+      scheduler_->CancelJob(id, now);
+    } else {
+      recovered_.cancelled.insert(id);
+    }
+    return;
+  }
+  if (item.key.rfind(job_prefix, 0) != 0) {
+    return;
+  }
+  auto record = DecodeJobRecord(item.value);
+  if (!record) {
+    LogEvent(kPart, "job_unreadable",
+             {{"key", item.key}, {"error", ToString(record.error())}}, true);
+  } else if (scheduler_ != nullptr) {
+    scheduler_->AddJob(record.value(), now);
+  } else {
+    recovered_.records.push_back(std::move(record.value()));
+  }
+}
+
+void job_owner::RecoverInbox(const std::string& after) {
+  store_.Client().List(
+      kInboxPrefix, after, false, kCallTimeout,
+      [this, after, term = term_](const result<item_page>& page) {
+        store_.Note(page);
+        if (term != term_) {
+          return;
+        }
+        if (!page) {
+          Retry([this, after] { RecoverInbox(after); });
+          return;
+        }
+        if (after.empty()) {
+          recovered_.records.clear();
+          recovered_.cancelled.clear();
+          recovered_.inbox_revision = page.value().revision;
+        }
+        for (const stored_item& item : page.value().items) {
+          TakeInboxItem(item);
+        }
+        if (page.value().has_more && !page.value().items.empty()) {
+          RecoverInbox(page.value().items.back().key);
+        } else {
+          RecoverProgress("");
+        }
+      });
+}
+
+void job_owner::RecoverProgress(const std::string& after) {
+  store_.Client().List(
+      kProgressPrefix, after, false, kCallTimeout,
+      [this, after, term = term_](const result<item_page>& page) {
+        store_.Note(page);
+        if (term != term_) {
+          return;
+        }
+        if (!page) {
+          Retry([this, after] { RecoverProgress(after); });
+          return;
+        }
+        for (const stored_item& item : page.value().items) {
+          auto progress = DecodeJobProgress(item.value);
+          if (progress) {
+            recovered_.progress.push_back(std::move(progress.value()));
+          } else {
+            LogEvent(
+                kPart, "progress_unreadable",
+                {{"key", item.key}, {"error", ToString(progress.error())}},
+                true);
+          }
+        }
+        if (page.value().has_more && !page.value().items.empty()) {
+          RecoverProgress(page.value().items.back().key);
+        } else {
+          RecoverMembers();
+        }
+      });
+}
+
+void job_owner::RecoverMembers() {
+  store_.Client().Read(
+      kMembersKey, kCallTimeout,
+      [this, term = term_](const result<std::optional<stored_item>>& item) {
+        store_.Note(item);
+        if (term != term_) {
+          return;
+        }
+        if (!item) {
+          Retry([this] { RecoverMembers(); });
+          return;
+        }
+        if (item.value()) {
+          recovered_.members = SplitNames(item.value()->value);
+        }
+        RecoverCommit();
+      });
+}
+
+void job_owner::RecoverCommit() {
+  store_.Client().Read(
+      kCommitKey, kCallTimeout,
+      [this, term = term_](const result<std::optional<stored_item>>& item) {
+        store_.Note(item);
+        if (term != term_) {
+          return;
+        }
+        if (!item) {
+          Retry([this] { RecoverCommit(); });
+          return;
+        }
+        commit_revision_ = item.value() ? item.value()->revision : 0;
+        if (scheduler_ != nullptr) {
+          Continue();
+        } else {
+          Recovered();
+        }
+      });
+}
+
+// Nobody else has owned the jobs meanwhile: the state still holds.
+void job_owner::Continue() {
+  scheduler_->RaiseEpoch(ownership_.epoch);
+  active_ = true;
+  LogEvent(kPart, "continued", {{"epoch", ownership_.epoch}}, true);
+  ReadInboxAgain("");
+  ScheduleTick();
+}
+
+void job_owner::Recovered() {
+  scheduler_options options;
+  options.grant = static_cast<millis>(settings_.grant);
+  options.longest_lease = static_cast<millis>(settings_.longest_lease);
+  options.retention = static_cast<millis>(settings_.job_retention) * 1'000;
+  options.epoch = ownership_.epoch;
+  const millis now = BootNow();
+  auto scheduler = std::make_unique<job_scheduler>(options, now);
+  scheduler->on_event = [](const scheduler_event& event) {
+    std::string text = "id=" + event.subject;
+    text += event.worker.empty() ? "" : " worker=" + event.worker;
+    text += event.detail.empty() ? "" : " " + event.detail;
+    LogEventText("scheduler", event.event, text);
+  };
+  scheduler->SetConfig(config_);
+  scheduler->Restore(recovered_.records, recovered_.progress,
+                     recovered_.cancelled, recovered_.members, now);
+  LogEvent(kPart, "recovered",
+           {{"epoch", ownership_.epoch},
+            {"jobs", static_cast<std::uint64_t>(recovered_.records.size())},
+            {"members", static_cast<std::uint64_t>(recovered_.members.size())},
+            {"took_ms", now - recovery_began_}},
+           true);
+  scheduler_ = std::move(scheduler);
+  inbox_revision_ = recovered_.inbox_revision;
+  recovered_ = recovered_state();
+  active_ = true;
+  WatchInbox();
+  Step();
+  ScheduleTick();
+}
+
+// Hears of jobs and cancellations whose entry could not tell this process.
+void job_owner::WatchInbox() {
+  store_.Client().Watch(
+      kInboxPrefix, inbox_revision_, kInboxWait, kInboxWait + kInboxGrace,
+      [this, term = term_](const result<item_changes>& changes) {
+        store_.Note(changes);
+        if (term != term_) {
+          return;
+        }
+        if (changes && changes.value().history_lost) {
+          ReadInboxAgain("");
+          return;
+        }
+        if (changes) {
+          for (const stored_item& item : changes.value().items) {
+            TakeInboxItem(item);
+          }
+          inbox_revision_ = std::max(inbox_revision_, changes.value().revision);
+          Step();
+        }
+        inbox_timer_.expires_after(std::chrono::milliseconds(kInboxPause));
+        inbox_timer_.async_wait([this, term](boost::system::error_code failure) {
+          if (!failure && term == term_) {
+            WatchInbox();
+          }
+        });
+      });
+}
+
+void job_owner::ReadInboxAgain(const std::string& after) {
+  store_.Client().List(
+      kInboxPrefix, after, false, kCallTimeout,
+      [this, after, term = term_](const result<item_page>& page) {
+        store_.Note(page);
+        if (term != term_) {
+          return;
+        }
+        if (!page) {
+          Retry([this, after] { ReadInboxAgain(after); });
+          return;
+        }
+        if (after.empty()) {
+          inbox_revision_ = page.value().revision;
+        }
+        for (const stored_item& item : page.value().items) {
+          TakeInboxItem(item);
+        }
+        if (page.value().has_more && !page.value().items.empty()) {
+          ReadInboxAgain(page.value().items.back().key);
+          return;
+        }
+        Step();
+        WatchInbox();
+      });
+}
+
+std::vector<store_transaction> job_owner::SplitChanges(
+    const durable_changes& changes) const {
+  std::vector<store_write> writes;
+  std::vector<std::string> removals;
+  if (changes.members) {
+    writes.push_back({kMembersKey, JoinNames(*changes.members), 0});
+  }
+  for (const job_progress& progress : changes.progress) {
+    writes.push_back(
+        {kProgressPrefix + progress.id, EncodeJobProgress(progress), 0});
+  }
+  for (const std::string& id : changes.forgotten) {
+    removals.push_back(kJobPrefix + id);
+    removals.push_back(kCancelPrefix + id);
+    removals.push_back(kProgressPrefix + id);
+  }
+  std::vector<store_transaction> parts(1);
+  const auto part_with_room = [&parts]() -> store_transaction& {
+    if (parts.back().Size() >= kChangesPerPart) {
+      parts.emplace_back();
+    }
+    return parts.back();
+  };
+  for (store_write& write : writes) {
+    part_with_room().writes.push_back(std::move(write));
+  }
+  for (std::string& key : removals) {
+    part_with_room().removals.push_back(std::move(key));
+  }
+  return parts;
+}
+
+// Writes the scheduler's changes, one commit at a time.
+void job_owner::Commit() {
+  if (!active_ || changes_ || scheduler_ == nullptr) {
+    return;
+  }
+  if (!scheduler_->HasChanges()) {
+    if (finishing_ && finished_) {
+      std::exchange(finished_, nullptr)();
+    }
+    return;
+  }
+  const millis now = BootNow();
+  const millis due =
+      committed_at_ + static_cast<millis>(settings_.job_commit_interval);
+  if (now < due) {
+    commit_timer_.expires_after(std::chrono::milliseconds(due - now));
+    commit_timer_.async_wait([this, term = term_](boost::system::error_code failure) {
+      if (!failure && term == term_) {
+        Commit();
+      }
+    });
+    return;
+  }
+  committed_at_ = now;
+  changes_ = scheduler_->TakeChanges(static_cast<std::int64_t>(WallNow()));
+  parts_ = SplitChanges(*changes_);
+  part_ = 0;
+  operation_ = std::to_string(ownership_.epoch) + "." +
+               std::to_string(++operation_number_);
+  CommitPart();
+}
+
+// Each part depends on the one before: a part whose answer was lost can't take
+// effect after a later one.
+void job_owner::CommitPart() {
+  store_transaction transaction = parts_[part_];
+  const std::string operation = operation_ + "." + std::to_string(part_);
+  transaction.conditions = {{kOwnerKey, ownership_.owner_revision},
+                            {kCommitKey, commit_revision_}};
+  transaction.writes.push_back({kCommitKey, operation, 0});
+  metrics_.CountEvent("store_commits");
+  store_.Client().Commit(
+      transaction, kCallTimeout,
+      [this, term = term_](const result<transaction_outcome>& outcome) {
+        store_.Note(outcome);
+        if (term == term_ && changes_) {
+          OnPart(outcome);
+        }
+      });
+}
+
+void job_owner::OnPart(const result<transaction_outcome>& outcome) {
+  if (!outcome) {
+    LogEvent(kPart, "commit_unanswered",
+             {{"operation", operation_},
+              {"part", static_cast<std::uint64_t>(part_)},
+              {"error", ToString(outcome.error())}});
+    commit_timer_.expires_after(std::chrono::milliseconds(kRetryDelay));
+    commit_timer_.async_wait(
+        [this, term = term_](boost::system::error_code failure) {
+          if (!failure && term == term_ && changes_) {
+            CommitPart();
+          }
+        });
+    return;
+  }
+  if (outcome.value().applied) {
+    commit_revision_ = outcome.value().revision;
+    PartDone();
+    return;
+  }
+  const std::string operation = operation_ + "." + std::to_string(part_);
+  for (const stored_item& item : outcome.value().conflicts) {
+    if (item.key == kCommitKey && item.value == operation &&
+        item.revision != 0) {
+      // An earlier try took effect, and its answer was lost.
+      commit_revision_ = item.revision;
+      PartDone();
+      return;
+    }
+  }
+  deposed_("a commit met another owner, or the owner's key is gone");
+}
+
+void job_owner::PartDone() {
+  ++part_;
+  if (part_ < parts_.size()) {
+    CommitPart();
+    return;
+  }
+  scheduler_->Committed(changes_->number);
+  changes_.reset();
+  parts_.clear();
+  Step();
+}
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/chervilkeeld/job_wire.cpp
@@ -0,0 +1,135 @@
+#include "job_wire.h"
+
+namespace chervilkeel {
+
+executor_boot FromWire(const wire::boot_id& boot) {
+  return {boot.id(), boot.started_ms()};
+}
+
+wire::boot_id ToWire(const executor_boot& boot) {
+  wire::boot_id out;
+  out.set_id(boot.id);
+  out.set_started_ms(boot.started_ms);
+  return out;
+}
+
+wire::worker_state ToWire(const executor_description& worker) {
+  wire::worker_state out;
+  *out.mutable_boot() = ToWire(worker.boot);
+  out.set_service(worker.service);
+  out.set_data_centre(worker.data_centre);
+  for (const std::string& label : worker.labels) {
+    out.add_labels(label);
+  }
+  out.set_milli_processors(worker.capacity.milli_processors);
+  out.set_memory_mb(worker.capacity.memory_mb);
+  out.set_accelerators(worker.capacity.accelerators);
+  out.set_draining(worker.draining);
+  out.set_remaining_ms(worker.remaining);
+  return out;
+}
+
+wire::run_state ToWire(const run_status& status) {
+  wire::run_state out;
+  out.set_task(status.task.ToString());
+  out.set_run(status.run);
+  out.set_checkpoint(status.checkpoint);
+  out.set_percent(status.percent);
+  out.set_load(status.load);
+  return out;
+}
+
+wire::run_ending ToWire(const ended_run& ended) {
+  wire::run_ending out;
+  out.set_number(ended.number);
+  out.set_task(ended.task.ToString());
+  out.set_run(ended.run);
+  out.set_how(static_cast<std::uint32_t>(ended.end));
+  out.set_checkpoint(ended.checkpoint);
+  return out;
+}
+
+wire::start_state ToWire(const start_result& started) {
+  wire::start_state out;
+  out.set_task(started.task.ToString());
+  out.set_run(started.run);
+  out.set_outcome(static_cast<std::uint32_t>(started.outcome));
+  return out;
+}
+
+wire::order ToWire(std::uint64_t number, const worker_order& order) {
+  wire::order out;
+  out.set_number(number);
+  out.set_kind(static_cast<std::uint32_t>(order.kind));
+  *out.mutable_boot() = ToWire(order.boot);
+  out.set_task(order.task.ToString());
+  out.set_run(order.run);
+  out.set_payload(order.payload);
+  out.set_checkpoint(order.checkpoint);
+  out.set_reason(order.reason);
+  out.set_percent(order.percent);
+  return out;
+}
+
+worker_report FromWire(const wire::agent_sync& sync) {
+  worker_report report;
+  report.agent = sync.agent();
+  const wire::worker_state& worker = sync.worker();
+  report.worker.boot = FromWire(worker.boot());
+  report.worker.service = worker.service();
+  report.worker.data_centre = worker.data_centre();
+  report.worker.labels.assign(worker.labels().begin(), worker.labels().end());
+  report.worker.capacity = {worker.milli_processors(), worker.memory_mb(),
+                            worker.accelerators()};
+  report.worker.draining = worker.draining();
+  report.worker.remaining = worker.remaining_ms();
+  report.has_runs = sync.lists_runs();
+  report.runs_age = sync.runs_age_ms();
+  for (const wire::run_state& run : sync.runs()) {
+    run_status status;
+    if (ParseTaskName(run.task(), status.task)) {
+      status.run = run.run();
+      status.checkpoint = run.checkpoint();
+      status.percent = run.percent();
+      status.load = run.load();
+      report.runs.push_back(std::move(status));
+    }
+  }
+  for (const wire::run_ending& ending : sync.ends()) {
+    ended_run ended;
+    if (ParseTaskName(ending.task(), ended.task)) {
+      ended.number = ending.number();
+      ended.run = ending.run();
+      ended.end = static_cast<run_end>(ending.how());
+      ended.checkpoint = ending.checkpoint();
+      report.ends.push_back(std::move(ended));
+    }
+  }
+  for (const wire::start_state& start : sync.starts()) {
+    start_result started;
+    if (ParseTaskName(start.task(), started.task)) {
+      started.run = start.run();
+      started.outcome = static_cast<start_outcome>(start.outcome());
+      report.starts.push_back(std::move(started));
+    }
+  }
+  return report;
+}
+
+result<worker_order> FromWire(const wire::order& order) {
+  worker_order out;
+  if (!ParseTaskName(order.task(), out.task)) {
+    return Fail(error_code::kInvalid,
+                "order names no task: \"" + order.task() + "\"");
+  }
+  out.kind = static_cast<order_kind>(order.kind());
+  out.boot = FromWire(order.boot());
+  out.run = order.run();
+  out.payload = order.payload();
+  out.checkpoint = order.checkpoint();
+  out.reason = order.reason();
+  out.percent = order.percent();
+  return out;
+}
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/chervilkeeld/job_wire.h
@@ -0,0 +1,22 @@
+// Conversions between the kernel's types and the messages of jobs.proto.
+#pragma once
+
+#include "chervilkeel/result.h"
+#include "chervilkeel/worker_report.h"
+#include "wire/jobs.pb.h"
+
+namespace chervilkeel {
+
+executor_boot FromWire(const wire::boot_id& boot);
+wire::boot_id ToWire(const executor_boot& boot);
+wire::worker_state ToWire(const executor_description& worker);
+wire::run_state ToWire(const run_status& status);
+wire::run_ending ToWire(const ended_run& ended);
+wire::start_state ToWire(const start_result& started);
+wire::order ToWire(std::uint64_t number, const worker_order& order);
+
+// These leave out, and count, entries that name no task.
+worker_report FromWire(const wire::agent_sync& sync);
+result<worker_order> FromWire(const wire::order& order);
+
+}  // namespace chervilkeel
--- a/src/chervilkeeld/main.cpp
+++ b/src/chervilkeeld/main.cpp
@@ -12,7 +12,10 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "agent_process.h"
+#include "chervilkeel/event_log.h"
 #include "chervilkeel/http_server.h"
+#include "job_agent_process.h"
+#include "job_entry_process.h"
 #include "chervilkeel/log.h"
 #include "chervilkeel/version.h"
 #include "entry_process.h"
@@ -67,8 +70,71 @@
   std::_Exit(started ? 0 : kExitFailed);
 }
 
+// Runs a role of jobs by request, on one thread: its decisions are short, and
+// nothing in it blocks.
+template <class role_type>
+int RunJobRole(const process_settings& settings) {
+  StartEventLog(settings.name);
+  auto adapter = MakeAdapter(settings.adapter_kind);
+  if (!adapter) {
+    LogError("process", ToString(adapter.error()) + ".");
+    return kExitBadInput;
+  }
+  boost::asio::io_context context(1);
+  role_type role(context, settings, std::move(adapter.value()));
+  http_server_options options;
+  options.listen = {settings.address, settings.http_port};
+  const auto operators = std::make_shared<http_server>(
+      context, options,
+      [&](const http_request& request, const http_responder& respond) {
+        role.HandleOperator(request, respond);
+      });
+  auto started = operators->Start();
+  if (started) {
+    started = role.Start();
+  }
+  if (!started) {
+    LogEvent("process", "start_failed", {{"error", ToString(started.error())}},
+             true);
+    StopEventLog();
+    return kExitFailed;
+  }
+  LogEvent("process", "started",
+           {{"role", settings.role == process_role::kJobEntry ? "job_entry"
+                                                              : "job_agent"},
+            {"version", kVersion}},
+           true);
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code, int) {
+    LogEvent("process", "stopping", {}, true);
+    role.Stop([&] { context.stop(); });
+  });
+  boost::asio::signal_set reloads(context, SIGHUP);
+  std::function<void()> wait_for_reload = [&] {
+    reloads.async_wait([&](boost::system::error_code failure, int) {
+      if (!failure) {
+        LogEvent("process", "reloaded", {{"changed", "nothing"}}, true);
+        wait_for_reload();
+      }
+    });
+  };
+  wait_for_reload();
+  context.run();
+  LogEvent("process", "stopped", {}, true);
+  StopEventLog();
+  // gRPC's threads may still hold parts of the role.
+  std::fflush(nullptr);
+  std::_Exit(0);
+}
+
 int Run(const process_settings& settings) {
   StartLogging(settings.name, settings.log_level);
+  if (settings.role == process_role::kJobEntry) {
+    return RunJobRole<job_entry_process>(settings);
+  }
+  if (settings.role == process_role::kJobAgent) {
+    return RunJobRole<job_agent_process>(settings);
+  }
   process_core core(settings);
   core.incarnation = WallNow();
   auto store =
--- /dev/null
+++ b/src/chervilkeeld/owner_election.cpp
@@ -0,0 +1,293 @@
+#include "owner_election.h"
+
+#include <charconv>
+#include <functional>
+
+#include "chervilkeel/event_log.h"
+#include "job_keys.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr const char* kPart = "election";
+constexpr millis kCallTimeout = 800;     // Well above a calm answer of 4 ms.
+constexpr millis kRetry = 200;           // After a failed call.
+constexpr millis kWatchWait = 2'000;     // Of one watch on the owner's key.
+constexpr millis kWatchGrace = 500;      // Beyond it before it counts as dead.
+constexpr int kRenewalsPerLease = 4;
+constexpr millis kReturnDelay = 400;     // Leaves a former owner the lead.
+constexpr millis kSpread = 150;          // Keeps entries from racing.
+
+std::uint64_t ParseEpoch(const std::string& text) {
+  std::uint64_t epoch = 0;
+  std::from_chars(text.data(), text.data() + text.size(), epoch);
+  return epoch;
+}
+
+// The owner's key holds "ADDRESS EPOCH".
+owner_view ParseOwner(const std::string& text) {
+  owner_view view;
+  const auto space = text.find(' ');
+  view.address = text.substr(0, space);
+  if (space != std::string::npos) {
+    view.epoch = ParseEpoch(text.substr(space + 1));
+  }
+  view.seen = BootNow();
+  return view;
+}
+
+}  // namespace
+
+owner_election::owner_election(boost::asio::io_context& context,
+                               store_link& store,
+                               election_options options,
+                               won_function won,
+                               lost_function lost)
+    : context_(context),
+      store_(store),
+      options_(std::move(options)),
+      won_(std::move(won)),
+      lost_(std::move(lost)),
+      timer_(context) {}
+
+void owner_election::Start() {
+  Look();
+}
+
+void owner_election::After(millis delay, void (owner_election::*step)()) {
+  timer_.expires_after(std::chrono::milliseconds(delay));
+  timer_.async_wait([this, step](boost::system::error_code failure) {
+    if (!failure) {
+      (this->*step)();
+    }
+  });
+}
+
+void owner_election::Learn(const owner_view& heard) {
+  if (heard.epoch > view_.epoch ||
+      (heard.epoch == view_.epoch && view_.address.empty())) {
+    view_ = heard;
+    view_.seen = BootNow();
+  }
+}
+
+void owner_election::Look() {
+  if (resigned_) {
+    return;
+  }
+  store_.Client().Read(
+      kOwnerKey, kCallTimeout,
+      [this](const result<std::optional<stored_item>>& found) {
+        store_.Note(found);
+        OnLook(found);
+      });
+}
+
+void owner_election::OnLook(const result<std::optional<stored_item>>& found) {
+  if (resigned_) {
+    return;
+  }
+  if (!found) {
+    After(kRetry, &owner_election::Look);
+    return;
+  }
+  const std::optional<stored_item>& item = found.value();
+  if (item) {
+    const owner_view seen = ParseOwner(item->value);
+    if (seen.address != view_.address || seen.epoch != view_.epoch) {
+      LogEvent(kPart, "owner_seen",
+               {{"address", seen.address}, {"epoch", seen.epoch}});
+    }
+    view_ = seen;
+    view_revision_ = item->revision;
+    Wait();
+    return;
+  }
+  view_.address.clear();
+  if (!ready_) {
+    After(kRetry, &owner_election::Look);
+    return;
+  }
+  // The former owner goes first: it needs no recovery. The others spread.
+  const bool was_owner =
+      last_own_epoch_ != 0 && last_own_epoch_ == view_.epoch;
+  const millis delay =
+      was_owner || view_.epoch == 0
+          ? static_cast<millis>(std::hash<std::string>()(options_.name) % 20)
+          : kReturnDelay / 4 +
+                static_cast<millis>(std::hash<std::string>()(options_.name) %
+                                    kSpread);
+  After(delay, &owner_election::Campaign);
+}
+
+// Waits for a change of the owner's key.
+void owner_election::Wait() {
+  store_.Client().Watch(
+      kOwnerKey, view_revision_, kWatchWait, kWatchWait + kWatchGrace,
+      [this](const result<item_changes>& changes) {
+        store_.Note(changes);
+        if (resigned_) {
+          return;
+        }
+        const bool quiet = changes && !changes.value().history_lost &&
+                           changes.value().items.empty();
+        if (quiet) {
+          view_revision_ = changes.value().revision;
+          view_.seen = BootNow();
+          Wait();
+        } else {
+          After(changes ? 0 : kRetry, &owner_election::Look);
+        }
+      });
+}
+
+void owner_election::Campaign() {
+  lease_asked_ = BootNow();
+  store_.Client().GrantLease(
+      options_.ttl, kCallTimeout, [this](const result<store_lease>& granted) {
+        store_.Note(granted);
+        if (resigned_) {
+          return;
+        }
+        if (!granted) {
+          After(kRetry, &owner_election::Look);
+          return;
+        }
+        lease_ = granted.value().id;
+        ReadEpoch();
+      });
+}
+
+void owner_election::ReadEpoch() {
+  store_.Client().Read(
+      kEpochKey, kCallTimeout,
+      [this](const result<std::optional<stored_item>>& epoch) {
+        store_.Note(epoch);
+        if (resigned_) {
+          return;
+        }
+        if (epoch) {
+          TakeOwnership(epoch.value());
+        } else {
+          After(kRetry, &owner_election::Look);
+        }
+      });
+}
+
+void owner_election::TakeOwnership(const std::optional<stored_item>& epoch) {
+  const std::uint64_t next = (epoch ? ParseEpoch(epoch->value) : 0) + 1;
+  claim_ = options_.address + " " + std::to_string(next);
+  store_transaction transaction;
+  transaction.conditions = {{kOwnerKey, 0},
+                            {kEpochKey, epoch ? epoch->revision : 0}};
+  transaction.writes = {{kOwnerKey, claim_, lease_},
+                        {kEpochKey, std::to_string(next), 0}};
+  store_.Client().Commit(
+      transaction, kCallTimeout,
+      [this, next](const result<transaction_outcome>& taken) {
+        store_.Note(taken);
+        if (!resigned_) {
+          OnTaken(next, taken);
+        }
+      });
+}
+
+void owner_election::OnTaken(std::uint64_t epoch,
+                             const result<transaction_outcome>& taken) {
+  if (taken && taken.value().applied) {
+    Won(epoch, taken.value().revision);
+  } else if (!taken && taken.error().code == error_code::kUnknown) {
+    CheckTaken(epoch);
+  } else {
+    After(kRetry, &owner_election::Look);
+  }
+}
+
+// The answer was lost: the key tells whether the claim took effect.
+void owner_election::CheckTaken(std::uint64_t epoch) {
+  store_.Client().Read(
+      kOwnerKey, kCallTimeout,
+      [this, epoch](const result<std::optional<stored_item>>& found) {
+        store_.Note(found);
+        if (resigned_) {
+          return;
+        }
+        if (found && found.value() && found.value()->value == claim_ &&
+            BootNow() < lease_asked_ + options_.ttl) {
+          Won(epoch, found.value()->revision);
+        } else {
+          After(kRetry, &owner_election::Look);
+        }
+      });
+}
+
+void owner_election::Won(std::uint64_t epoch, std::uint64_t revision) {
+  is_owner_ = true;
+  valid_until_ = lease_asked_ + options_.ttl;
+  ownership won;
+  won.epoch = epoch;
+  won.owner_revision = revision;
+  won.uninterrupted = last_own_epoch_ != 0 && last_own_epoch_ + 1 == epoch;
+  last_own_epoch_ = epoch;
+  view_ = {options_.address, epoch, BootNow()};
+  view_revision_ = revision;
+  LogEvent(kPart, "won",
+           {{"epoch", epoch}, {"uninterrupted", won.uninterrupted}}, true);
+  After(options_.ttl / kRenewalsPerLease, &owner_election::Renew);
+  won_(won);
+}
+
+void owner_election::Renew() {
+  if (!is_owner_ || resigned_) {
+    return;
+  }
+  const millis asked = BootNow();
+  const millis interval = options_.ttl / kRenewalsPerLease;
+  store_.Client().RenewLease(
+      lease_, interval, [this, asked, interval](const result<store_lease>& kept) {
+        store_.Note(kept);
+        if (!is_owner_ || resigned_) {
+          return;
+        }
+        if (kept) {
+          valid_until_ = asked + options_.ttl;
+          view_.seen = BootNow();
+          After(interval, &owner_election::Renew);
+        } else if (kept.error().code == error_code::kNotFound) {
+          NoteLost("the lease has ended");
+        } else {
+          After(interval / 2, &owner_election::Renew);
+        }
+      });
+}
+
+void owner_election::NoteLost(const std::string& reason) {
+  if (!is_owner_) {
+    return;
+  }
+  is_owner_ = false;
+  view_.address.clear();
+  LogEvent(kPart, "lost", {{"epoch", last_own_epoch_}, {"reason", reason}},
+           true);
+  lost_(reason);
+  After(0, &owner_election::Look);
+}
+
+void owner_election::Resign() {
+  resigned_ = true;
+  timer_.cancel();
+  if (is_owner_) {
+    is_owner_ = false;
+    LogEvent(kPart, "resigned", {{"epoch", last_own_epoch_}}, true);
+    store_.Client().EndLease(lease_, kCallTimeout,
+                             [](const result<bool>& ended) {
+                               if (!ended) {
+                                 LogEvent(kPart, "resign_failed",
+                                          {{"error", ToString(ended.error())}});
+                               }
+                             });
+  }
+}
+
+}  // namespace chervilkeel
--- a/src/chervilkeeld/rpc_peers.cpp
+++ b/src/chervilkeeld/rpc_peers.cpp
@@ -21,14 +21,21 @@
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kReconnectMinMs);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kReconnectMaxMs);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     peer = std::make_shared<rpc_peer>();
     peer->channel = grpc::CreateCustomChannel(
         address, grpc::InsecureChannelCredentials(), arguments);
     peer->peer = wire::peer_service::NewStub(peer->channel);
     peer->agent = wire::agent_service::NewStub(peer->channel);
     peer->owner = wire::owner_service::NewStub(peer->channel);
+    peer->jobs = wire::job_owner_service::NewStub(peer->channel);
   }
   return peer;
 }
 
+void rpc_peers::Forget(const std::string& address) {
+  const std::lock_guard lock(mutex_);
+  peers_.erase(address);
+}
+
 }  // namespace chervilkeel
--- a/src/chervilkeeld/rpc_peers.h
+++ b/src/chervilkeeld/rpc_peers.h
@@ -11,6 +11,7 @@
 
 #include "chervilkeel/clock.h"
 #include "wire/chervilkeel.grpc.pb.h"
+#include "wire/jobs.grpc.pb.h"
 
 namespace chervilkeel {
 
@@ -20,6 +21,7 @@
   std::unique_ptr<wire::peer_service::Stub> peer;
   std::unique_ptr<wire::agent_service::Stub> agent;
   std::unique_ptr<wire::owner_service::Stub> owner;
+  std::unique_ptr<wire::job_owner_service::Stub> jobs;
 };
 
 // One channel an address, made on first use and shared. Thread-safe.
@@ -27,6 +29,10 @@
  public:
   std::shared_ptr<rpc_peer> At(const std::string& address);
 
+  // Makes the next call open a new connection: this one may be dead without
+  // having been reset.
+  void Forget(const std::string& address);
+
  private:
   std::mutex mutex_;
   std::map<std::string, std::shared_ptr<rpc_peer>> peers_;
--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -20,6 +20,9 @@
 
 # Declares one Boost.Test program per file, labelled "unit".
 function(chervilkeel_unit_tests)
+  if(CHERVILKEEL_DAEMON_ONLY)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "FILES;LIBRARIES" ${ARGN})
   foreach(file IN LISTS ARG_FILES)
     get_filename_component(name "${file}" NAME_WE)
--- a/src/include/chervilkeel/clock.h
+++ b/src/include/chervilkeel/clock.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace chervilkeel {
 
@@ -24,6 +25,14 @@
       .count();
 }
 
+// Reads the clock that also counts while the VM is suspended, in milliseconds.
+// Leases are measured by it: others go on counting while this VM stands still.
+inline millis BootNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return static_cast<millis>(now.tv_sec) * 1'000 + now.tv_nsec / 1'000'000;
+}
+
 // Reads the wall clock, in milliseconds since 1970. For records and reports
 // only; no decision about a lease or a tenure uses it.
 inline std::uint64_t WallNow() {
--- a/src/include/chervilkeel/settings.h
+++ b/src/include/chervilkeel/settings.h
@@ -14,7 +14,7 @@
 namespace chervilkeel {
 
 // What a daemon does.
-enum class process_role { kEntry, kAgent };
+enum class process_role { kEntry, kAgent, kJobEntry, kJobAgent };
 
 struct role_name {
   process_role role;
@@ -24,6 +24,8 @@
 inline constexpr role_name kRoleNames[] = {
     {process_role::kEntry, "entry"},
     {process_role::kAgent, "agent"},
+    {process_role::kJobEntry, "job_entry"},
+    {process_role::kJobAgent, "job_agent"},
 };
 
 // An IP number and a port.
@@ -72,6 +74,19 @@
   std::uint64_t owner_lease = 5'000;
   std::uint64_t drain_limit = 30'000;
 
+  std::string adapter_kind = "platform";
+  endpoint job_front;
+  endpoint job_readiness;
+  endpoint announcements;
+  endpoint job_executor;
+  std::vector<endpoint> seeds;
+  std::uint64_t longest_lease = 6'000;
+  std::uint64_t grant = 5'000;
+  std::uint64_t owner_ttl = 2'000;
+  std::uint64_t job_retention = 180;
+  std::uint64_t shutdown_time = 3'500;
+  std::uint64_t job_commit_interval = 20;
+
   std::string log_level = "info";
 };
 
--- /dev/null
+++ b/src/libkernel/job.cpp
@@ -0,0 +1,314 @@
+#include "chervilkeel/job.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/json.hpp>
+
+#include "chervilkeel/name_table.h"
+
+namespace chervilkeel {
+
+namespace json = boost::json;
+
+namespace {
+
+template <class number_type>
+bool ParseNumber(std::string_view text, number_type& out) {
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, out);
+  return !text.empty() && parsed.ec == std::errc() && parsed.ptr == end;
+}
+
+// Adds a member only when it has a value, so that records stay small.
+template <class value_type>
+void AddIfSet(json::object& object, const char* key, const value_type& value) {
+  if (value != value_type()) {
+    object[key] = value;
+  }
+}
+
+template <class number_type>
+number_type ReadNumber(const json::object& object, const char* key) {
+  const json::value* value = object.if_contains(key);
+  return value == nullptr ? number_type()
+                          : value->to_number<number_type>();
+}
+
+bool ReadFlag(const json::object& object, const char* key) {
+  const json::value* value = object.if_contains(key);
+  return value != nullptr && value->as_bool();
+}
+
+std::string ReadText(const json::object& object, const char* key) {
+  const json::value* value = object.if_contains(key);
+  return value == nullptr ? std::string() : std::string(value->as_string());
+}
+
+json::object EncodeStep(const job_step& step) {
+  json::object out{{"tasks", step.tasks}};
+  AddIfSet(out, "milli_processors", step.size.milli_processors);
+  AddIfSet(out, "memory_mb", step.size.memory_mb);
+  AddIfSet(out, "accelerators", step.size.accelerators);
+  AddIfSet(out, "expected_ms", step.expected);
+  if (!step.after.empty()) {
+    json::array after;
+    for (const std::uint32_t other : step.after) {
+      after.emplace_back(other);
+    }
+    out["after"] = std::move(after);
+  }
+  AddIfSet(out, "gang", step.gang);
+  AddIfSet(out, "one_rack", step.one_rack);
+  AddIfSet(out, "checkpoints", step.checkpoints);
+  AddIfSet(out, "speculative", step.speculative);
+  AddIfSet(out, "service", step.service);
+  AddIfSet(out, "filler", step.filler);
+  AddIfSet(out, "required_label", step.required_label);
+  AddIfSet(out, "data_rack", step.data_rack);
+  AddIfSet(out, "most_per_worker", step.most_per_worker);
+  AddIfSet(out, "may_miss", step.may_miss);
+  AddIfSet(out, "image", step.image);
+  AddIfSet(out, "tail_target_ms", step.tail_target);
+  return out;
+}
+
+job_step DecodeStep(const json::object& object) {
+  job_step step;
+  step.tasks = ReadNumber<std::uint32_t>(object, "tasks");
+  step.size.milli_processors = ReadNumber<std::int64_t>(object, "milli_processors");
+  step.size.memory_mb = ReadNumber<std::int64_t>(object, "memory_mb");
+  step.size.accelerators = ReadNumber<std::int64_t>(object, "accelerators");
+  step.expected = ReadNumber<millis>(object, "expected_ms");
+  if (const json::value* after = object.if_contains("after")) {
+    for (const json::value& other : after->as_array()) {
+      step.after.push_back(other.to_number<std::uint32_t>());
+    }
+  }
+  step.gang = ReadFlag(object, "gang");
+  step.one_rack = ReadFlag(object, "one_rack");
+  step.checkpoints = ReadFlag(object, "checkpoints");
+  step.speculative = ReadFlag(object, "speculative");
+  step.service = ReadFlag(object, "service");
+  step.filler = ReadFlag(object, "filler");
+  step.required_label = ReadText(object, "required_label");
+  step.data_rack = ReadText(object, "data_rack");
+  step.most_per_worker = ReadNumber<std::uint32_t>(object, "most_per_worker");
+  step.may_miss = ReadNumber<std::uint32_t>(object, "may_miss");
+  step.image = ReadText(object, "image");
+  step.tail_target = ReadNumber<millis>(object, "tail_target_ms");
+  return step;
+}
+
+template <class value_type>
+json::array EncodePairs(const std::map<std::uint32_t, value_type>& values) {
+  json::array out;
+  for (const auto& [key, value] : values) {
+    out.push_back(json::array{key, json::value(value)});
+  }
+  return out;
+}
+
+json::object EncodeStepProgress(const step_progress& step) {
+  json::object out{{"step", step.step}, {"done", step.done}};
+  AddIfSet(out, "occurrence", step.occurrence);
+  if (!step.failures.empty()) {
+    out["failures"] = EncodePairs(step.failures);
+  }
+  if (!step.checkpoints.empty()) {
+    out["checkpoints"] = EncodePairs(step.checkpoints);
+  }
+  return out;
+}
+
+void DecodeCounts(const json::object& object,
+                  const char* key,
+                  std::map<std::uint32_t, std::uint32_t>& out) {
+  if (const json::value* pairs = object.if_contains(key)) {
+    for (const json::value& pair : pairs->as_array()) {
+      out[pair.at(0).to_number<std::uint32_t>()] =
+          pair.at(1).to_number<std::uint32_t>();
+    }
+  }
+}
+
+step_progress DecodeStepProgress(const json::object& object) {
+  step_progress step;
+  step.step = ReadNumber<std::uint32_t>(object, "step");
+  step.occurrence = ReadNumber<std::uint32_t>(object, "occurrence");
+  step.done = ReadText(object, "done");
+  DecodeCounts(object, "failures", step.failures);
+  if (const json::value* pairs = object.if_contains("checkpoints")) {
+    for (const json::value& pair : pairs->as_array()) {
+      step.checkpoints[pair.at(0).to_number<std::uint32_t>()] =
+          std::string(pair.at(1).as_string());
+    }
+  }
+  return step;
+}
+
+// Runs a reader of JSON; any mismatch becomes kInvalid.
+template <class value_type, class reader_type>
+result<value_type> Decode(const std::string& text,
+                          const char* what,
+                          reader_type read) {
+  try {
+    return read(json::parse(text).as_object());
+  } catch (const std::exception& failure) {
+    return Fail(error_code::kInvalid,
+                std::string(what) + " in the store: " + failure.what());
+  }
+}
+
+void CheckStep(const job_spec& spec, std::size_t number, findings& found) {
+  const job_step& step = spec.steps[number];
+  const std::string place = "step " + std::to_string(number);
+  if (step.tasks < 1 || step.tasks > kMaxTasksPerStep) {
+    found.push_back({place, "must have from 1 to " +
+                                std::to_string(kMaxTasksPerStep) + " tasks"});
+  }
+  if (step.size.milli_processors < 0 || step.size.memory_mb < 0 ||
+      step.size.accelerators < 0 || step.expected < 0) {
+    found.push_back({place, "has a size below 0"});
+  }
+  for (const std::uint32_t other : step.after) {
+    if (other >= number) {
+      found.push_back({place, "comes after step " + std::to_string(other) +
+                                  ", which is not an earlier step"});
+    }
+  }
+}
+
+}  // namespace
+
+const char* NameOf(job_state state) {
+  return NameIn(kJobStateNames, state);
+}
+
+bool ParseJobState(std::string_view name, job_state& out) {
+  return ValueIn(kJobStateNames, name, out);
+}
+
+bool IsFinal(job_state state) {
+  return state != job_state::kQueued && state != job_state::kRunning;
+}
+
+findings CheckJob(const job_spec& spec, std::size_t max_payload_bytes) {
+  findings found;
+  if (spec.payload.size() > max_payload_bytes) {
+    found.push_back({"payload", "has " + std::to_string(spec.payload.size()) +
+                                    " bytes; the limit is " +
+                                    std::to_string(max_payload_bytes)});
+  }
+  if (spec.steps.empty() || spec.steps.size() > kMaxSteps) {
+    found.push_back(
+        {"steps", "must be from 1 to " + std::to_string(kMaxSteps)});
+    return found;
+  }
+  if (spec.repeats > 0 && spec.repeat_interval < 0) {
+    found.push_back({"repeat interval", "is below 0"});
+  }
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    CheckStep(spec, i, found);
+  }
+  return found;
+}
+
+millis CriticalPath(const job_spec& spec) {
+  std::vector<millis> ends(spec.steps.size(), 0);
+  millis longest = 0;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    millis start = 0;
+    for (const std::uint32_t other : spec.steps[i].after) {
+      start = std::max(start, other < i ? ends[other] : 0);
+    }
+    ends[i] = start + spec.steps[i].expected;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+std::string EncodeJobRecord(const job_record& record) {
+  json::object out{{"id", record.id},
+                   {"queue", record.queue},
+                   {"service", record.service},
+                   {"accepted_ms", record.accepted_ms},
+                   {"payload", record.spec.payload}};
+  AddIfSet(out, "repeats", record.spec.repeats);
+  AddIfSet(out, "first_due_ms", record.spec.first_due_ms);
+  AddIfSet(out, "repeat_interval_ms", record.spec.repeat_interval);
+  json::array steps;
+  for (const job_step& step : record.spec.steps) {
+    steps.push_back(EncodeStep(step));
+  }
+  out["steps"] = std::move(steps);
+  return json::serialize(out);
+}
+
+result<job_record> DecodeJobRecord(const std::string& text) {
+  return Decode<job_record>(text, "job record", [](const json::object& object) {
+    job_record record;
+    record.id = ReadText(object, "id");
+    record.queue = ReadText(object, "queue");
+    record.service = ReadText(object, "service");
+    record.accepted_ms = ReadNumber<std::int64_t>(object, "accepted_ms");
+    record.spec.payload = ReadText(object, "payload");
+    record.spec.repeats = ReadNumber<std::uint32_t>(object, "repeats");
+    record.spec.first_due_ms = ReadNumber<std::int64_t>(object, "first_due_ms");
+    record.spec.repeat_interval =
+        ReadNumber<millis>(object, "repeat_interval_ms");
+    for (const json::value& step : object.at("steps").as_array()) {
+      record.spec.steps.push_back(DecodeStep(step.as_object()));
+    }
+    return record;
+  });
+}
+
+std::string EncodeJobProgress(const job_progress& progress) {
+  json::object out{{"id", progress.id}, {"state", NameOf(progress.state)}};
+  AddIfSet(out, "ended_ms", progress.ended_ms);
+  json::array steps;
+  for (const step_progress& step : progress.steps) {
+    steps.push_back(EncodeStepProgress(step));
+  }
+  out["steps"] = std::move(steps);
+  return json::serialize(out);
+}
+
+result<job_progress> DecodeJobProgress(const std::string& text) {
+  return Decode<job_progress>(
+      text, "job progress", [](const json::object& object) {
+        job_progress progress;
+        progress.id = ReadText(object, "id");
+        if (!ParseJobState(ReadText(object, "state"), progress.state)) {
+          throw std::runtime_error("unknown state");
+        }
+        progress.ended_ms = ReadNumber<std::int64_t>(object, "ended_ms");
+        for (const json::value& step : object.at("steps").as_array()) {
+          progress.steps.push_back(DecodeStepProgress(step.as_object()));
+        }
+        return progress;
+      });
+}
+
+std::string task_name::ToString() const {
+  return job + "." + std::to_string(occurrence) + "." + std::to_string(step) +
+         "." + std::to_string(index);
+}
+
+bool ParseTaskName(std::string_view text, task_name& out) {
+  std::string_view parts[4];
+  for (int i = 3; i > 0; --i) {
+    const auto dot = text.rfind('.');
+    if (dot == std::string_view::npos) {
+      return false;
+    }
+    parts[i] = text.substr(dot + 1);
+    text = text.substr(0, dot);
+  }
+  out.job = std::string(text);
+  return !text.empty() && ParseNumber(parts[1], out.occurrence) &&
+         ParseNumber(parts[2], out.step) && ParseNumber(parts[3], out.index);
+}
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/libkernel/job_scheduler.cpp
@@ -0,0 +1,469 @@
+#include "chervilkeel/job_scheduler.h"
+
+#include <algorithm>
+
+namespace chervilkeel {
+
+job_scheduler::job_scheduler(scheduler_options options, millis now)
+    : options_(options) {
+  next_pace_ = now;
+}
+
+void job_scheduler::Emit(const char* event,
+                         const std::string& subject,
+                         const std::string& worker,
+                         const std::string& detail) const {
+  if (on_event) {
+    on_event({event, subject, worker, detail});
+  }
+}
+
+void job_scheduler::Restore(const std::vector<job_record>& records,
+                            const std::vector<job_progress>& progress,
+                            const std::set<std::string>& cancelled,
+                            const std::set<std::string>& members,
+                            millis now) {
+  members_ = members;
+  wanted_members_ = members;
+  const auto longest =
+      static_cast<millis>(static_cast<double>(options_.longest_lease) *
+                          (1.0 + options_.clock_drift));
+  for (const std::string& agent : members) {
+    unheard_[agent] = now + longest + options_.grant_margin;
+  }
+  std::map<std::string, const job_progress*> by_id;
+  for (const job_progress& entry : progress) {
+    by_id[entry.id] = &entry;
+  }
+  for (const job_record& record : records) {
+    AddJob(record, now);
+    scheduled_job& job = jobs_.at(record.id);
+    const auto found = by_id.find(record.id);
+    if (found != by_id.end()) {
+      RestoreProgress(job, *found->second);
+    }
+    if (!IsFinal(job.state) && cancelled.count(record.id) != 0) {
+      Finish(job, job_state::kCancelled);
+    }
+    for (auto& [number, occurrence] : job.occurrences) {
+      UpdateReadiness(job, number, now);
+      for (scheduled_step& step : occurrence.steps) {
+        for (scheduled_task& task : step.tasks) {
+          task.unaccounted = !task.done;
+        }
+      }
+    }
+  }
+}
+
+void job_scheduler::RestoreProgress(scheduled_job& job,
+                                    const job_progress& progress) {
+  job.ended_ms = progress.ended_ms;
+  if (IsFinal(progress.state)) {
+    job.state = progress.state;
+    job.durable_end = true;
+    active_.erase(job.record.id);
+    return;
+  }
+  for (const step_progress& saved : progress.steps) {
+    OpenOccurrence(job, saved.occurrence);
+    scheduled_occurrence& occurrence = job.occurrences.at(saved.occurrence);
+    if (saved.step >= occurrence.steps.size()) {
+      continue;
+    }
+    scheduled_step& step = occurrence.steps[saved.step];
+    const std::size_t tasks = std::min(saved.done.size(), step.tasks.size());
+    for (std::size_t i = 0; i < tasks; ++i) {
+      if (saved.done[i] == '1') {
+        step.tasks[i].done = true;
+        ++step.done;
+        ++job.done_tasks;
+        ++job.started_tasks;
+      }
+    }
+    for (const auto& [index, failures] : saved.failures) {
+      if (index < step.tasks.size()) {
+        step.tasks[index].failures = failures;
+        ++job.started_tasks;
+      }
+    }
+    for (const auto& [index, checkpoint] : saved.checkpoints) {
+      if (index < step.tasks.size()) {
+        step.tasks[index].checkpoint = checkpoint;
+      }
+    }
+    if (step.done == step.tasks.size()) {
+      ++occurrence.steps_done;
+    }
+  }
+  for (const auto& [number, occurrence] : job.occurrences) {
+    if (occurrence.steps_done == occurrence.steps.size()) {
+      ++job.occurrences_done;
+    }
+    job.next_occurrence = std::max(job.next_occurrence, number + 1);
+  }
+  if (job.started_tasks > 0) {
+    job.state = job_state::kRunning;
+  }
+}
+
+void job_scheduler::SetConfig(scheduling_config config) {
+  if (config.version <= config_.version) {
+    return;
+  }
+  config_ = std::move(config);
+  for (const std::string& id : active_) {
+    scheduled_job& job = jobs_.at(id);
+    const auto queue = config_.queues.find(job.record.queue);
+    if (queue != config_.queues.end()) {
+      job.policy = queue->second;
+    }
+  }
+}
+
+void job_scheduler::AddJob(const job_record& record, millis now) {
+  if (jobs_.count(record.id) != 0) {
+    return;
+  }
+  scheduled_job& job = jobs_[record.id];
+  job.record = record;
+  job.arrived = now;
+  job.path = CriticalPath(record.spec);
+  const auto queue = config_.queues.find(record.queue);
+  if (queue != config_.queues.end()) {
+    job.policy = queue->second;
+  } else {
+    job.policy.name = record.queue;
+    job.policy.service = record.service;
+  }
+  active_.insert(record.id);
+  if (record.spec.repeats == 0) {
+    OpenOccurrence(job, 0);
+    UpdateReadiness(job, 0, now);
+  }
+  Emit("job_added", record.id, "",
+       "queue=" + record.queue + " steps=" +
+           std::to_string(record.spec.steps.size()) +
+           " path_ms=" + std::to_string(job.path));
+}
+
+void job_scheduler::OpenOccurrence(scheduled_job& job, std::uint32_t number) {
+  if (job.occurrences.count(number) != 0) {
+    return;
+  }
+  scheduled_occurrence& occurrence = job.occurrences[number];
+  occurrence.steps.resize(job.record.spec.steps.size());
+  for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+    occurrence.steps[i].tasks.resize(job.record.spec.steps[i].tasks);
+  }
+  job.next_occurrence = std::max(job.next_occurrence, number + 1);
+}
+
+// Opens the occurrences whose time has come, by the wall clock: that is what
+// their submitter named.
+void job_scheduler::OpenDueOccurrences(std::int64_t wall_ms, millis now) {
+  for (const std::string& id : active_) {
+    scheduled_job& job = jobs_.at(id);
+    const job_spec& spec = job.record.spec;
+    while (job.next_occurrence < spec.repeats &&
+           spec.first_due_ms + job.next_occurrence * spec.repeat_interval +
+                   options_.due_slack <=
+               wall_ms) {
+      const std::uint32_t number = job.next_occurrence;
+      OpenOccurrence(job, number);
+      UpdateReadiness(job, number, now);
+    }
+  }
+}
+
+void job_scheduler::UpdateReadiness(scheduled_job& job,
+                                    std::uint32_t number,
+                                    millis now) {
+  scheduled_occurrence& occurrence = job.occurrences.at(number);
+  for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+    scheduled_step& step = occurrence.steps[i];
+    if (step.ready) {
+      continue;
+    }
+    const auto& after = job.record.spec.steps[i].after;
+    step.ready = std::all_of(after.begin(), after.end(), [&](auto other) {
+      return occurrence.steps[other].done ==
+             occurrence.steps[other].tasks.size();
+    });
+    if (step.ready) {
+      job.has_waiting = true;
+      for (scheduled_task& task : step.tasks) {
+        task.ready_since = now;
+      }
+    }
+  }
+}
+
+scheduled_task* job_scheduler::FindTask(const task_name& key) {
+  const auto job = jobs_.find(key.job);
+  if (job == jobs_.end()) {
+    return nullptr;
+  }
+  const auto occurrence = job->second.occurrences.find(key.occurrence);
+  if (occurrence == job->second.occurrences.end() ||
+      key.step >= occurrence->second.steps.size()) {
+    return nullptr;
+  }
+  auto& tasks = occurrence->second.steps[key.step].tasks;
+  return key.index < tasks.size() ? &tasks[key.index] : nullptr;
+}
+
+void job_scheduler::MarkDone(scheduled_job& job,
+                             const task_name& key,
+                             millis now) {
+  scheduled_occurrence& occurrence = job.occurrences.at(key.occurrence);
+  scheduled_step& step = occurrence.steps[key.step];
+  scheduled_task& task = step.tasks[key.index];
+  if (task.done) {
+    return;
+  }
+  task.done = true;
+  task.checkpoint.clear();
+  ++step.done;
+  ++job.done_tasks;
+  dirty_.insert(key.job);
+  for (task_run& run : task.runs) {
+    OrderStop(key, run, "another copy is done");
+  }
+  if (step.done < step.tasks.size()) {
+    return;
+  }
+  ++occurrence.steps_done;
+  if (occurrence.steps_done < occurrence.steps.size()) {
+    UpdateReadiness(job, key.occurrence, now);
+    return;
+  }
+  ++job.occurrences_done;
+  if (job.occurrences_done >= std::max(job.record.spec.repeats, 1U)) {
+    Finish(job, job_state::kCompleted);
+  }
+}
+
+void job_scheduler::Finish(scheduled_job& job, job_state state) {
+  job.state = state;
+  active_.erase(job.record.id);
+  dirty_.insert(job.record.id);
+  StopAllRuns(job, NameOf(state));
+  Emit("job_ended", job.record.id, "",
+       std::string("state=") + NameOf(state) +
+           " done_tasks=" + std::to_string(job.done_tasks) +
+           " started_tasks=" + std::to_string(job.started_tasks));
+}
+
+void job_scheduler::StopAllRuns(scheduled_job& job, const char* reason) {
+  for (auto& [number, occurrence] : job.occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+      auto& tasks = occurrence.steps[s].tasks;
+      for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        for (task_run& run : tasks[i].runs) {
+          OrderStop({job.record.id, number, s, i}, run, reason);
+        }
+      }
+    }
+  }
+}
+
+bool job_scheduler::CancelJob(const std::string& id, millis /*now*/) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) {
+    return false;
+  }
+  if (!IsFinal(found->second.state)) {
+    Finish(found->second, job_state::kCancelled);
+  }
+  return true;
+}
+
+job_progress job_scheduler::ProgressOf(const scheduled_job& job,
+                                       std::int64_t wall_ms) const {
+  job_progress progress;
+  progress.id = job.record.id;
+  progress.state = job.state;
+  if (IsFinal(job.state)) {
+    progress.ended_ms = job.ended_ms == 0 ? wall_ms : job.ended_ms;
+    return progress;
+  }
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+      const scheduled_step& step = occurrence.steps[s];
+      step_progress saved;
+      saved.occurrence = number;
+      saved.step = s;
+      for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+        const scheduled_task& task = step.tasks[i];
+        saved.done += task.done ? '1' : '0';
+        if (task.failures > 0 && !task.done) {
+          saved.failures[i] = task.failures;
+        }
+        if (!task.checkpoint.empty()) {
+          saved.checkpoints[i] = task.checkpoint;
+        }
+      }
+      if (step.done > 0 || !saved.failures.empty() ||
+          !saved.checkpoints.empty()) {
+        progress.steps.push_back(std::move(saved));
+      }
+    }
+  }
+  return progress;
+}
+
+bool job_scheduler::HasRuns(const scheduled_job& job) {
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (const scheduled_step& step : occurrence.steps) {
+      for (const scheduled_task& task : step.tasks) {
+        if (!task.runs.empty()) {
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
+void job_scheduler::ForgetOldJobs(std::int64_t wall_ms) {
+  for (auto job = jobs_.begin(); job != jobs_.end();) {
+    if (job->second.durable_end && job->second.ended_ms > 0 &&
+        wall_ms - job->second.ended_ms > options_.retention &&
+        !HasRuns(job->second)) {
+      forgotten_.push_back(job->first);
+      job = jobs_.erase(job);
+    } else {
+      ++job;
+    }
+  }
+}
+
+bool job_scheduler::HasChanges() const {
+  return !committing_ && (!dirty_.empty() || !forgotten_.empty() ||
+                          members_ != wanted_members_);
+}
+
+std::optional<durable_changes> job_scheduler::TakeChanges(
+    std::int64_t wall_ms) {
+  if (!HasChanges()) {
+    return std::nullopt;
+  }
+  durable_changes changes;
+  changes.number = ++commit_number_;
+  committing_final_.clear();
+  for (const std::string& id : dirty_) {
+    const auto job = jobs_.find(id);
+    if (job != jobs_.end()) {
+      changes.progress.push_back(ProgressOf(job->second, wall_ms));
+      if (IsFinal(job->second.state)) {
+        committing_final_[id] = changes.progress.back().ended_ms;
+      }
+    }
+  }
+  dirty_.clear();
+  changes.forgotten = std::exchange(forgotten_, {});
+  if (members_ != wanted_members_) {
+    changes.members = wanted_members_;
+    committing_members_ = wanted_members_;
+  } else {
+    committing_members_ = members_;
+  }
+  committing_ = changes.number;
+  committing_ends_.clear();
+  for (const auto& [agent, worker] : workers_) {
+    committing_ends_[agent] = {worker.description.boot, worker.seen_end};
+  }
+  return changes;
+}
+
+void job_scheduler::Committed(std::uint64_t number) {
+  if (committing_ != number) {
+    return;
+  }
+  committing_.reset();
+  for (const std::string& agent : committing_members_) {
+    if (members_.count(agent) == 0) {
+      woken_.insert(agent);
+    }
+  }
+  members_ = committing_members_;
+  for (const auto& [id, ended_ms] : committing_final_) {
+    const auto job = jobs_.find(id);
+    if (job != jobs_.end()) {
+      job->second.durable_end = true;
+      job->second.ended_ms = ended_ms;
+    }
+  }
+  for (const auto& [agent, ends] : committing_ends_) {
+    const auto worker = workers_.find(agent);
+    if (worker != workers_.end() &&
+        worker->second.description.boot == ends.boot &&
+        worker->second.recorded_end < ends.upto) {
+      worker->second.recorded_end = ends.upto;
+      woken_.insert(agent);
+    }
+  }
+}
+
+void job_scheduler::CommitFailed(const durable_changes& changes) {
+  if (committing_ != changes.number) {
+    return;
+  }
+  committing_.reset();
+  for (const job_progress& progress : changes.progress) {
+    dirty_.insert(progress.id);
+  }
+  forgotten_.insert(forgotten_.end(), changes.forgotten.begin(),
+                    changes.forgotten.end());
+}
+
+std::uint64_t job_scheduler::RecordedEnd(const std::string& agent) const {
+  const auto worker = workers_.find(agent);
+  if (worker == workers_.end()) {
+    return 0;
+  }
+  // Without changes that wait, everything seen has been recorded.
+  const bool settled = !committing_ && dirty_.empty();
+  return settled ? worker->second.seen_end : worker->second.recorded_end;
+}
+
+bool job_scheduler::IsMember(const std::string& agent) const {
+  return members_.count(agent) != 0 && wanted_members_.count(agent) != 0;
+}
+
+std::optional<job_state> job_scheduler::StateOf(const std::string& id) const {
+  const auto job = jobs_.find(id);
+  if (job == jobs_.end()) {
+    return std::nullopt;
+  }
+  const bool shown = !IsFinal(job->second.state) || job->second.durable_end ||
+                     job->second.state == job_state::kCancelled;
+  return shown ? job->second.state : job_state::kRunning;
+}
+
+std::uint64_t job_scheduler::PendingOf(const std::string& queue) const {
+  return static_cast<std::uint64_t>(
+      std::count_if(active_.begin(), active_.end(), [&](const auto& id) {
+        const scheduled_job& job = jobs_.at(id);
+        return job.record.queue == queue && job.started_tasks == 0;
+      }));
+}
+
+std::set<std::string> job_scheduler::TakeWoken() {
+  return std::exchange(woken_, {});
+}
+
+void job_scheduler::Tick(millis now, std::int64_t wall_ms) {
+  wall_ms_ = wall_ms;
+  ExpireSilentWorkers(now);
+  OpenDueOccurrences(wall_ms, now);
+  MoveStuckTasks(now);
+  EvacuateDraining(now);
+  PaceFillers(now);
+  PlaceWaiting(now);
+  CopySlowTasks(now);
+  ForgetOldJobs(wall_ms);
+}
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -0,0 +1,466 @@
+// Which task goes where, and what makes room for it.
+#include <algorithm>
+#include <tuple>
+
+#include "chervilkeel/job_scheduler.h"
+
+namespace chervilkeel {
+
+namespace {
+
+// Late jobs earn part of their worth up to this multiple of their objective.
+constexpr double kWorthlessAfter = 3.0;
+
+// A copy of a task is started when it has run this many times its estimate.
+constexpr double kCopyAfter = 1.3;
+constexpr millis kCopyGrace = 300;
+
+// A run whose progress stands still this long is moved.
+constexpr millis kStuckAfter = 2'000;
+
+// Between two steps of the control of fillers; executors measure tails over
+// half a second.
+constexpr millis kPaceInterval = 500;
+constexpr std::uint32_t kPaceStep = 20;    // Percent given back a step.
+constexpr std::uint32_t kLowestPace = 10;  // Percent.
+constexpr double kTailHigh = 1.0;          // Of the target: slow fillers down.
+constexpr double kTailLow = 0.85;          // Of the target: speed them up.
+
+// Where the rack stands among an executor's labels.
+constexpr std::size_t kRackLabel = 1;
+
+const std::string& RackOf(const executor_description& worker) {
+  static const std::string kNone;
+  return worker.labels.size() > kRackLabel ? worker.labels[kRackLabel] : kNone;
+}
+
+std::string PaceText(std::uint32_t from, std::uint32_t to, double ratio) {
+  return "from_percent=" + std::to_string(from) +
+         " to_percent=" + std::to_string(to) +
+         " tail_of_target=" + std::to_string(ratio);
+}
+
+}  // namespace
+
+std::uint64_t job_scheduler::NextRun(const scheduled_task& task) const {
+  return std::max(task.highest_run,
+                  (options_.epoch - 1) * options_.runs_per_epoch) +
+         1;
+}
+
+void job_scheduler::AddOrder(const std::string& agent, worker_order order) {
+  scheduled_worker& worker = workers_.at(agent);
+  worker.orders.emplace_back(++worker.order_number, std::move(order));
+  woken_.insert(agent);
+}
+
+std::vector<std::pair<std::uint64_t, worker_order>> job_scheduler::OrdersFor(
+    const std::string& agent,
+    std::uint64_t acked) {
+  const auto found = workers_.find(agent);
+  if (found == workers_.end()) {
+    return {};
+  }
+  auto& orders = found->second.orders;
+  while (!orders.empty() && orders.front().first <= acked) {
+    orders.pop_front();
+  }
+  return {orders.begin(), orders.end()};
+}
+
+void job_scheduler::OrderStart(scheduled_worker& worker,
+                               scheduled_job& job,
+                               const task_name& key,
+                               scheduled_task& task,
+                               std::uint64_t number,
+                               millis now) {
+  task.highest_run = number;
+  task_run run;
+  run.agent = worker.agent;
+  run.boot = worker.description.boot;
+  run.run = number;
+  run.since = now;
+  run.percent_at = now;
+  task.runs.push_back(run);
+  Occupy(worker, job, key);
+  if (worker.health.IsSuspect()) {
+    worker.health.OnProbe(now);
+  }
+  ++job.started_tasks;
+  job.state = job_state::kRunning;
+  worker_order order;
+  order.kind = order_kind::kStart;
+  order.boot = worker.description.boot;
+  order.task = key;
+  order.run = number;
+  order.payload = job.record.spec.payload;
+  order.checkpoint = task.checkpoint;
+  AddOrder(worker.agent, std::move(order));
+  Emit("start_ordered", key.ToString(), worker.agent,
+       "run=" + std::to_string(number) +
+           " waited_ms=" + std::to_string(now - task.ready_since) +
+           " used_milli=" + std::to_string(worker.used.milli_processors) +
+           " filler_milli=" + std::to_string(worker.filler_milli) +
+           " failures=" + std::to_string(task.failures));
+}
+
+void job_scheduler::OrderStop(const task_name& key,
+                              task_run& run,
+                              const char* reason) {
+  if (run.phase == run_phase::kStopping) {
+    return;
+  }
+  run.phase = run_phase::kStopping;
+  worker_order order;
+  order.kind = order_kind::kStop;
+  order.boot = run.boot;
+  order.task = key;
+  order.run = run.run;
+  order.reason = reason;
+  AddOrder(run.agent, std::move(order));
+  Emit("stop_ordered", key.ToString(), run.agent,
+       "run=" + std::to_string(run.run) + " reason=\"" + reason + "\"");
+}
+
+std::vector<job_scheduler::waiting_task> job_scheduler::WaitingTasks(
+    millis now) {
+  std::vector<waiting_task> waiting;
+  for (const std::string& id : active_) {
+    scheduled_job& job = jobs_.at(id);
+    if (!job.has_waiting) {
+      continue;
+    }
+    job.has_waiting = false;
+    const std::int64_t age =
+        std::max<std::int64_t>(wall_ms_ - job.record.accepted_ms, 0);
+    const double objective =
+        job.policy.stretch * static_cast<double>(job.path) +
+        static_cast<double>(job.policy.latency_target);
+    for (auto& [number, occurrence] : job.occurrences) {
+      for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+        scheduled_step& step = occurrence.steps[s];
+        const job_step& spec = job.record.spec.steps[s];
+        if (!step.ready || step.done == step.tasks.size()) {
+          continue;
+        }
+        const double expected_end =
+            static_cast<double>(age) + static_cast<double>(spec.expected);
+        int lateness = 0;
+        if (!spec.service && job.record.spec.repeats == 0) {
+          lateness = expected_end > kWorthlessAfter * objective ? 2
+                     : expected_end > objective                 ? 1
+                                                                : 0;
+        }
+        const double rank =
+            static_cast<double>(step.tasks.size() - step.done) *
+            static_cast<double>(spec.size.milli_processors) *
+            static_cast<double>(spec.expected);
+        for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+          const scheduled_task& task = step.tasks[i];
+          if (task.done || !task.runs.empty()) {
+            continue;
+          }
+          job.has_waiting = true;
+          if (!task.unaccounted || unheard_.empty()) {
+            waiting.push_back({&job, number, s, i, lateness, rank});
+          }
+        }
+      }
+    }
+  }
+  std::sort(waiting.begin(), waiting.end(),
+            [](const waiting_task& left, const waiting_task& right) {
+              const auto key = [](const waiting_task& task) {
+                return std::make_tuple(
+                    task.lateness == 2, task.job->policy.priority,
+                    task.lateness, task.rank, task.job->record.accepted_ms,
+                    std::cref(task.job->record.id).get(), task.occurrence,
+                    task.step, task.index);
+              };
+              return key(left) < key(right);
+            });
+  return waiting;
+}
+
+void job_scheduler::PlaceWaiting(millis now) {
+  // Tasks of one step are alike: once one found no worker, its siblings won't.
+  std::set<std::tuple<std::string, std::uint32_t, std::uint32_t>> stuck;
+  for (const waiting_task& waiting : WaitingTasks(now)) {
+    const auto step = std::make_tuple(waiting.job->record.id,
+                                      waiting.occurrence, waiting.step);
+    if (stuck.count(step) != 0) {
+      continue;
+    }
+    const job_step& spec = waiting.job->record.spec.steps[waiting.step];
+    if (spec.gang) {
+      PlaceGang(waiting, now);
+      stuck.insert(step);
+    } else if (!PlaceTask(waiting, now)) {
+      stuck.insert(step);
+    }
+  }
+}
+
+bool job_scheduler::PlaceTask(const waiting_task& waiting, millis now) {
+  scheduled_job& job = *waiting.job;
+  const task_name key{job.record.id, waiting.occurrence, waiting.step,
+                     waiting.index};
+  scheduled_task* task = FindTask(key);
+  scheduled_worker* worker = ChooseWorker(job, key, *task, now);
+  if (worker == nullptr) {
+    return false;
+  }
+  OrderStart(*worker, job, key, *task, NextRun(*task), now);
+  return true;
+}
+
+// Starts all members of a gang under one run number, or none.
+bool job_scheduler::PlaceGang(const waiting_task& waiting, millis now) {
+  scheduled_job& job = *waiting.job;
+  scheduled_step& step =
+      job.occurrences.at(waiting.occurrence).steps[waiting.step];
+  std::uint64_t run = 0;
+  for (const scheduled_task& task : step.tasks) {
+    if (!task.runs.empty()) {
+      return false;
+    }
+    run = std::max(run, NextRun(task));
+  }
+  std::vector<scheduled_worker*> chosen;
+  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+    const task_name key{job.record.id, waiting.occurrence, waiting.step, i};
+    scheduled_worker* worker = ChooseWorker(job, key, step.tasks[i], now);
+    if (worker == nullptr) {
+      break;
+    }
+    Occupy(*worker, job, key);
+    chosen.push_back(worker);
+  }
+  for (std::uint32_t i = 0; i < chosen.size(); ++i) {
+    Release(*chosen[i], job,
+            {job.record.id, waiting.occurrence, waiting.step, i});
+  }
+  if (chosen.size() < step.tasks.size()) {
+    return false;
+  }
+  // Any member's checkpoint stands for all of them.
+  std::string checkpoint;
+  for (const scheduled_task& task : step.tasks) {
+    checkpoint = std::max(checkpoint, task.checkpoint);
+  }
+  for (std::uint32_t i = 0; i < chosen.size(); ++i) {
+    step.tasks[i].checkpoint = checkpoint;
+    OrderStart(*chosen[i], job,
+               {job.record.id, waiting.occurrence, waiting.step, i},
+               step.tasks[i], run, now);
+  }
+  return true;
+}
+
+bool job_scheduler::MayRun(const scheduled_worker& worker,
+                           const scheduled_job& job,
+                           const task_name& key,
+                           const scheduled_task& task,
+                           millis now) const {
+  const executor_description& about = worker.description;
+  const job_step& step = job.record.spec.steps[key.step];
+  if (!worker.known || about.draining || about.service != job.policy.service ||
+      now < worker.full_until || !IsMember(worker.agent) ||
+      !worker.health.MayStart(now) || worker.tasks.count(key) != 0) {
+    return false;
+  }
+  if (!step.required_label.empty() &&
+      std::find(about.labels.begin(), about.labels.end(),
+                step.required_label) == about.labels.end()) {
+    return false;
+  }
+  amount need = step.size;
+  if (step.filler) {
+    const std::int64_t left = about.capacity.milli_processors -
+                              worker.used.milli_processors -
+                              worker.filler_milli;
+    if (left < need.milli_processors) {
+      return false;
+    }
+    need.milli_processors = 0;
+  }
+  if (!Fits(need, about.capacity - worker.used)) {
+    return false;
+  }
+  if (step.most_per_worker > 0) {
+    const auto first = worker.tasks.lower_bound(
+        task_name{key.job, key.occurrence, key.step, 0});
+    const auto last = worker.tasks.upper_bound(
+        task_name{key.job, key.occurrence, key.step, kMaxTasksPerStep});
+    if (std::distance(first, last) >= step.most_per_worker) {
+      return false;
+    }
+  }
+  (void)task;
+  return true;
+}
+
+scheduled_worker* job_scheduler::ChooseWorker(const scheduled_job& job,
+                                              const task_name& key,
+                                              const scheduled_task& task,
+                                              millis now) {
+  const job_step& step = job.record.spec.steps[key.step];
+  scheduled_worker* best = nullptr;
+  double best_score = 0;
+  for (auto& [agent, worker] : workers_) {
+    if (!MayRun(worker, job, key, task, now)) {
+      continue;
+    }
+    const auto size = static_cast<double>(
+        std::max<std::int64_t>(worker.description.capacity.milli_processors, 1));
+    const auto free = static_cast<double>(
+        worker.description.capacity.milli_processors -
+        worker.used.milli_processors - worker.filler_milli);
+    double score = free / size;
+    score -= 2.0 * worker.health.Penalty();
+    score -= 1.0 * static_cast<double>(std::count(
+                       task.failed_on.begin(), task.failed_on.end(), agent));
+    if (!step.data_rack.empty() &&
+        RackOf(worker.description) == step.data_rack) {
+      score += 1.0;
+    }
+    if (best == nullptr || score > best_score) {
+      best = &worker;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+// Starts a second copy of tasks that allow it and take longer than expected.
+void job_scheduler::CopySlowTasks(millis now) {
+  for (const std::string& id : active_) {
+    scheduled_job& job = jobs_.at(id);
+    for (auto& [number, occurrence] : job.occurrences) {
+      for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+        const job_step& spec = job.record.spec.steps[s];
+        scheduled_step& step = occurrence.steps[s];
+        if (!spec.speculative || !step.ready) {
+          continue;
+        }
+        const millis limit =
+            kCopyGrace + static_cast<millis>(
+                             kCopyAfter * static_cast<double>(spec.expected));
+        for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+          scheduled_task& task = step.tasks[i];
+          if (task.done || task.runs.size() != 1 ||
+              now - task.runs.front().since < limit) {
+            continue;
+          }
+          const task_name key{id, number, s, i};
+          scheduled_worker* worker = ChooseWorker(job, key, task, now);
+          if (worker != nullptr) {
+            OrderStart(*worker, job, key, task, NextRun(task), now);
+          }
+        }
+      }
+    }
+  }
+}
+
+// Stops runs that make no progress, so that they start elsewhere.
+void job_scheduler::MoveStuckTasks(millis now) {
+  for (auto& [agent, worker] : workers_) {
+    for (const task_name& key : worker.tasks) {
+      scheduled_task* task = FindTask(key);
+      const job_step& step = jobs_.at(key.job).record.spec.steps[key.step];
+      for (task_run& run : task->runs) {
+        if (run.agent != agent || run.phase != run_phase::kRunning ||
+            now - run.percent_at < kStuckAfter || run.pace < 100 ||
+            (step.service && run.percent >= 100) || step.gang) {
+          continue;
+        }
+        worker.health.OnUnresponsive(now);
+        task->failed_on.push_back(agent);
+        OrderStop(key, run, "it makes no progress");
+      }
+    }
+  }
+}
+
+// Slows the fillers of a worker whose services answer too slowly, all at once,
+// and gives the pace back in steps.
+void job_scheduler::PaceFillers(millis now) {
+  if (now < next_pace_) {
+    return;
+  }
+  next_pace_ = now + kPaceInterval;
+  for (auto& [agent, worker] : workers_) {
+    double ratio = 0;
+    std::vector<std::pair<task_name, task_run*>> fillers;
+    for (const task_name& key : worker.tasks) {
+      scheduled_task* task = FindTask(key);
+      const job_step& step = jobs_.at(key.job).record.spec.steps[key.step];
+      for (task_run& run : task->runs) {
+        if (run.agent != agent || run.phase != run_phase::kRunning) {
+          continue;
+        }
+        if (step.tail_target > 0) {
+          ratio = std::max(ratio, static_cast<double>(run.load) /
+                                      static_cast<double>(step.tail_target));
+        } else if (step.filler) {
+          fillers.emplace_back(key, &run);
+        }
+      }
+    }
+    for (const auto& [key, run] : fillers) {
+      std::uint32_t pace = run->pace;
+      if (ratio >= kTailHigh) {
+        pace = std::max(pace * 2 / 3, kLowestPace);
+      } else if (ratio < kTailLow) {
+        pace = std::min(pace + kPaceStep, 100U);
+      }
+      if (pace == run->pace) {
+        continue;
+      }
+      Emit("filler_paced", key.ToString(), agent,
+           PaceText(run->pace, pace, ratio));
+      run->pace = pace;
+      run->percent_at = now;
+      worker_order order;
+      order.kind = order_kind::kPace;
+      order.boot = run->boot;
+      order.task = key;
+      order.run = run->run;
+      order.percent = pace;
+      AddOrder(agent, std::move(order));
+    }
+  }
+}
+
+double job_scheduler::BacklogSeconds(const std::string& service) const {
+  double cores = 0;
+  for (const auto& [agent, worker] : workers_) {
+    if (worker.known && !worker.description.draining &&
+        worker.description.service == service) {
+      cores += static_cast<double>(
+                   worker.description.capacity.milli_processors) /
+               1'000.0;
+    }
+  }
+  double work = 0;
+  for (const std::string& id : active_) {
+    const scheduled_job& job = jobs_.at(id);
+    if (job.policy.service != service) {
+      continue;
+    }
+    for (const auto& [number, occurrence] : job.occurrences) {
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        const job_step& spec = job.record.spec.steps[s];
+        if (!spec.service) {
+          work += static_cast<double>(spec.tasks - occurrence.steps[s].done) *
+                  static_cast<double>(spec.size.milli_processors) *
+                  static_cast<double>(spec.expected) / 1e6;
+        }
+      }
+    }
+  }
+  return cores > 0 ? work / cores : 0;
+}
+
+}  // namespace chervilkeel
--- a/src/libshell/plugins.cpp
+++ b/src/libshell/plugins.cpp
@@ -1,4 +1,5 @@
 // The registries of plug-ins.
+#include "chervilkeel/platform_adapter.h"
 #include "chervilkeel/registry.h"
 #include "chervilkeel/store.h"
 #include "chervilkeel/worker.h"
@@ -17,8 +18,25 @@
   return registry;
 }
 
+plugin_registry<adapter_factory>& Adapters() {
+  static plugin_registry<adapter_factory> registry;
+  return registry;
+}
+
 }  // namespace
 
+bool RegisterAdapter(const std::string& kind, adapter_factory factory) {
+  return Adapters().Add(kind, std::move(factory));
+}
+
+result<std::unique_ptr<platform_adapter>> MakeAdapter(const std::string& kind) {
+  const auto factory = Adapters().Find(kind);
+  if (!factory) {
+    return factory.as_failure();
+  }
+  return factory.value()();
+}
+
 bool RegisterStore(const std::string& kind, store_factory factory) {
   return Stores().Add(kind, std::move(factory));
 }
--- a/src/libshell/settings.cpp
+++ b/src/libshell/settings.cpp
@@ -16,7 +16,15 @@
 
 namespace {
 
-enum class needed_by { kBoth, kEntry, kAgent, kNobody };
+enum class needed_by {
+  kAll,
+  kBoth,
+  kEntry,
+  kAgent,
+  kJobEntry,
+  kJobAgent,
+  kNobody
+};
 
 // One setting: where it stands, who has to set it, and how it is read. `read`
 // returns what is wrong with the text, or nothing.
@@ -164,7 +172,8 @@
   return failure ? "must be an IP number" : "";
 }
 
-std::string ReadEntries(process_settings& out, const std::string& text) {
+// Reads a list of endpoints; what is wrong with it, or nothing.
+std::string ReadEndpoints(std::vector<endpoint>& out, const std::string& text) {
   std::stringstream parts(text);
   std::string part;
   while (std::getline(parts, part, ',')) {
@@ -174,9 +183,19 @@
     if (!ParseEndpoint(part, parsed)) {
       return "\"" + part + "\" must be an IP number and a port";
     }
-    out.entries.push_back(parsed);
+    out.push_back(parsed);
   }
-  return out.entries.empty() ? "must name one or more entries" : "";
+  return "";
+}
+
+std::string ReadEntries(process_settings& out, const std::string& text) {
+  const std::string wrong = ReadEndpoints(out.entries, text);
+  return wrong.empty() && out.entries.empty() ? "must name one or more entries"
+                                              : wrong;
+}
+
+std::string ReadSeeds(process_settings& out, const std::string& text) {
+  return ReadEndpoints(out.seeds, text);
 }
 
 std::string ReadLogLevel(process_settings& out, const std::string& text) {
@@ -189,18 +208,18 @@
 std::vector<setting> ProcessSettings() {
   using settings = process_settings;
   return {
-      Choice("process", "role", needed_by::kBoth, kRoleNames, &settings::role,
+      Choice("process", "role", needed_by::kAll, kRoleNames, &settings::role,
              "What the daemon does."),
-      Text("process", "name", needed_by::kBoth, &settings::name,
+      Text("process", "name", needed_by::kAll, &settings::name,
            "The process's name, unique in the fleet."),
-      {"process", "address", needed_by::kBoth, "IP",
+      {"process", "address", needed_by::kAll, "IP",
        "The address that others reach this process at.", ReadAddress,
        [](const settings&) { return std::string(); }},
-      Port("process", "rpc_port", needed_by::kBoth, &settings::rpc_port,
+      Port("process", "rpc_port", needed_by::kAll, &settings::rpc_port,
            "gRPC between the processes."),
-      Port("process", "http_port", needed_by::kBoth, &settings::http_port,
+      Port("process", "http_port", needed_by::kAll, &settings::http_port,
            "Operators: reports, /metrics, /dump."),
-      Text("process", "data_centre", needed_by::kBoth, &settings::data_centre,
+      Text("process", "data_centre", needed_by::kAll, &settings::data_centre,
            "The data centre of this VM."),
       Text("process", "rack", needed_by::kNobody, &settings::rack,
            "The rack of this VM."),
@@ -219,7 +238,7 @@
   return {
       Text("store", "kind", needed_by::kNobody, &settings::store_kind,
            "The plug-in that speaks to the store."),
-      Endpoint("store", "endpoint", needed_by::kBoth, &settings::store,
+      Endpoint("store", "endpoint", needed_by::kAll, &settings::store,
                "The platform's key-value store."),
       Number("store", "timeout_ms", &settings::store_timeout, 50, 60'000, "ms",
              "Of one call."),
@@ -274,10 +293,43 @@
   };
 }
 
+std::vector<setting> JobSettings() {
+  using settings = process_settings;
+  return {
+      Text("jobs", "adapter", needed_by::kNobody, &settings::adapter_kind,
+           "The plug-in that speaks to the platform."),
+      Endpoint("jobs", "front", needed_by::kJobEntry, &settings::job_front,
+               "Where callers submit jobs."),
+      Endpoint("jobs", "readiness", needed_by::kJobEntry,
+               &settings::job_readiness, "Where the balancer asks."),
+      Endpoint("jobs", "announcements", needed_by::kJobAgent,
+               &settings::announcements, "Where the executor reports."),
+      Endpoint("jobs", "executor", needed_by::kJobAgent,
+               &settings::job_executor, "The executor of this VM."),
+      {"jobs", "seeds", needed_by::kNobody, "IP:PORT, ...",
+       "VMs to ask for the owner when the store is down; the gRPC port is "
+       "this process's own.",
+       ReadSeeds, [](const settings&) { return std::string(); }},
+      Number("jobs", "longest_lease_ms", &settings::longest_lease, 500, 60'000,
+             "ms", "The longest lease that an executor grants its runs."),
+      Number("jobs", "grant_ms", &settings::grant, 500, 60'000, "ms",
+             "How long an agent keeps runs alive after the owner's last word; "
+             "less than the longest lease."),
+      Number("jobs", "owner_ttl_ms", &settings::owner_ttl, 1'000, 60'000, "ms",
+             "The lease in the store by which an entry owns the jobs."),
+      Number("jobs", "retention_s", &settings::job_retention, 1, 86'400, "s",
+             "How long ended jobs are remembered."),
+      Number("jobs", "shutdown_ms", &settings::shutdown_time, 100, 600'000,
+             "ms", "From SIGTERM to the end of the process."),
+      Number("jobs", "commit_interval_ms", &settings::job_commit_interval, 1,
+             10'000, "ms", "Least time between two commits of progress."),
+  };
+}
+
 const std::vector<setting>& Table() {
   static const std::vector<setting> kTable = [] {
     std::vector<setting> all = ProcessSettings();
-    for (auto part : {PlatformSettings(), RoleSettings()}) {
+    for (auto part : {PlatformSettings(), RoleSettings(), JobSettings()}) {
       all.insert(all.end(), part.begin(), part.end());
     }
     return all;
@@ -340,9 +392,23 @@
 }
 
 bool IsNeeded(needed_by needed, process_role role) {
-  return needed == needed_by::kBoth ||
-         (needed == needed_by::kEntry && role == process_role::kEntry) ||
-         (needed == needed_by::kAgent && role == process_role::kAgent);
+  switch (needed) {
+    case needed_by::kAll:
+      return true;
+    case needed_by::kBoth:
+      return role == process_role::kEntry || role == process_role::kAgent;
+    case needed_by::kEntry:
+      return role == process_role::kEntry;
+    case needed_by::kAgent:
+      return role == process_role::kAgent;
+    case needed_by::kJobEntry:
+      return role == process_role::kJobEntry;
+    case needed_by::kJobAgent:
+      return role == process_role::kJobAgent;
+    case needed_by::kNobody:
+      return false;
+  }
+  return false;
 }
 
 }  // namespace
