Pack services on few workers, and slow only what presses on them

Cause: fillers beside services were slowed by any high tail, whichever of them pressed; tails behave like 1/(1-u), with u growing by a few heavy pairs of images only. Change: pressure_model learns what a core of each batch image adds to a service; services share few workers, so that fillers find workers without any.

--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -12,11 +12,11 @@
 namespace {
 
 constexpr const char* kPart = "agent";
-constexpr millis kHoldWait = 500;       // The executor answers at an end, or then.
+constexpr millis kHoldWait = 250;       // The executor answers at an end, or then.
 constexpr millis kHoldTimeout = 1'200;  // Of the call; above the wait.
 constexpr millis kHoldRetry = 150;      // After a failed call.
 constexpr millis kUnrecordedPause = 40;  // While ends wait to be recorded.
-constexpr millis kRunsInterval = 500;   // Between two full lists to the owner.
+constexpr millis kRunsInterval = 250;   // Between two full lists to the owner.
 constexpr millis kSyncTimeout = 1'000;  // Above what the owner holds a call.
 constexpr millis kSyncRetry = 150;
 constexpr millis kListingFresh = 1'000;  // An older list is not reported.
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "chervilkeel/job.h"
+#include "chervilkeel/pressure_model.h"
 #include "chervilkeel/worker_health.h"
 #include "chervilkeel/worker_report.h"
 
@@ -56,6 +57,7 @@
   std::uint32_t percent = 0;   // Last reported.
   millis percent_at = 0;       // When the percent changed last.
   std::uint32_t pace = 100;    // Last ordered.
+  millis paced_at = 0;         // When.
   std::int64_t load = 0;       // Last reported.
   std::string checkpoint;
 };
@@ -108,6 +110,7 @@
   std::uint64_t seen_end = 0;  // Highest end that was taken in.
   std::uint64_t recorded_end = 0;  // Highest end that is durable.
   amount used;                 // By all but fillers.
+  std::int64_t service_milli = 0;  // Of it, by services.
   std::int64_t filler_milli = 0;
   std::set<task_name> tasks;
   worker_health health;
@@ -285,7 +288,24 @@
   void AddOrder(const std::string& agent, worker_order order);
   void CopySlowTasks(millis now);
   void MoveStuckTasks(millis now);
+
+  // job_scheduler_sharing.cpp: batch tasks beside services.
+  struct worker_runs;
+  worker_runs RunsOf(const scheduled_worker& worker);
+  void LearnPressure(const scheduled_worker& worker, millis now);
   void PaceFillers(millis now);
+  void PaceWorker(scheduled_worker& worker, millis now);
+  double KeptPace(const worker_runs& runs,
+                  const std::string& service,
+                  double utilization,
+                  const job_step& filler);
+  void OrderPace(const task_name& name,
+                 task_run& run,
+                 std::uint32_t percent,
+                 millis now);
+  double PaceBeside(const scheduled_worker& worker,
+                    const job_step& filler,
+                    millis now);
 
   void Emit(const char* event,
             const std::string& subject,
@@ -317,6 +337,7 @@
   std::map<std::string, recorded_ends> committing_ends_;  // By agent.
   std::map<std::string, std::int64_t> committing_final_;  // Job to its end.
   millis next_pace_ = 0;
+  pressure_model pressure_;
   std::int64_t wall_ms_ = 0;
   std::uint64_t rotation_ = 0;
 };
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -18,13 +18,10 @@
 // A run whose progress stands still this long is moved.
 constexpr millis kStuckAfter = 2'000;
 
-// Between two steps of the control of fillers; executors measure tails over
-// half a second.
-constexpr millis kPaceInterval = 500;
-constexpr std::uint32_t kPaceStep = 20;    // Percent given back a step.
-constexpr std::uint32_t kLowestPace = 10;  // Percent.
-constexpr double kTailHigh = 1.0;          // Of the target: slow fillers down.
-constexpr double kTailLow = 0.85;          // Of the target: speed them up.
+// A filler is started when it may work at this share of its speed at least, or
+// when it has waited for a better worker this long.
+constexpr double kLeastStartPace = 0.5;
+constexpr millis kPatience = 2'500;
 
 // Where the rack stands among an executor's labels.
 constexpr std::size_t kRackLabel = 1;
@@ -34,12 +31,6 @@
   return worker.labels.size() > kRackLabel ? worker.labels[kRackLabel] : kNone;
 }
 
-std::string PaceText(std::uint32_t from, std::uint32_t to, double ratio) {
-  return "from_percent=" + std::to_string(from) +
-         " to_percent=" + std::to_string(to) +
-         " tail_of_target=" + std::to_string(ratio);
-}
-
 }  // namespace
 
 std::uint64_t job_scheduler::NextRun(const scheduled_task& task) const {
@@ -317,6 +308,17 @@
         worker.description.capacity.milli_processors -
         worker.used.milli_processors - worker.filler_milli);
     double score = free / size;
+    if (!step.filler) {
+      // Services share few workers, and short tasks fill the gaps there, so
+      // that fillers find workers without services to disturb.
+      score = static_cast<double>(worker.service_milli) / size + 0.1 * score;
+    } else {
+      const double pace = PaceBeside(worker, step, now);
+      if (pace < kLeastStartPace && now - task.ready_since < kPatience) {
+        continue;
+      }
+      score -= 2.0 * (1.0 - pace);
+    }
     score -= 2.0 * worker.health.Penalty();
     score -= 1.0 * static_cast<double>(std::count(
                        task.failed_on.begin(), task.failed_on.end(), agent));
@@ -383,56 +385,6 @@
   }
 }
 
-// Slows the fillers of a worker whose services answer too slowly, all at once,
-// and gives the pace back in steps.
-void job_scheduler::PaceFillers(millis now) {
-  if (now < next_pace_) {
-    return;
-  }
-  next_pace_ = now + kPaceInterval;
-  for (auto& [agent, worker] : workers_) {
-    double ratio = 0;
-    std::vector<std::pair<task_name, task_run*>> fillers;
-    for (const task_name& key : worker.tasks) {
-      scheduled_task* task = FindTask(key);
-      const job_step& step = jobs_.at(key.job).record.spec.steps[key.step];
-      for (task_run& run : task->runs) {
-        if (run.agent != agent || run.phase != run_phase::kRunning) {
-          continue;
-        }
-        if (step.tail_target > 0) {
-          ratio = std::max(ratio, static_cast<double>(run.load) /
-                                      static_cast<double>(step.tail_target));
-        } else if (step.filler) {
-          fillers.emplace_back(key, &run);
-        }
-      }
-    }
-    for (const auto& [key, run] : fillers) {
-      std::uint32_t pace = run->pace;
-      if (ratio >= kTailHigh) {
-        pace = std::max(pace * 2 / 3, kLowestPace);
-      } else if (ratio < kTailLow) {
-        pace = std::min(pace + kPaceStep, 100U);
-      }
-      if (pace == run->pace) {
-        continue;
-      }
-      Emit("filler_paced", key.ToString(), agent,
-           PaceText(run->pace, pace, ratio));
-      run->pace = pace;
-      run->percent_at = now;
-      worker_order order;
-      order.kind = order_kind::kPace;
-      order.boot = run->boot;
-      order.task = key;
-      order.run = run->run;
-      order.percent = pace;
-      AddOrder(agent, std::move(order));
-    }
-  }
-}
-
 double job_scheduler::BacklogSeconds(const std::string& service) const {
   double cores = 0;
   for (const auto& [agent, worker] : workers_) {
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -25,6 +25,9 @@
     worker.filler_milli += need.milli_processors;
     need.milli_processors = 0;
   }
+  if (step.service) {
+    worker.service_milli += need.milli_processors;
+  }
   worker.used += need;
 }
 
@@ -40,6 +43,9 @@
     worker.filler_milli -= need.milli_processors;
     need.milli_processors = 0;
   }
+  if (step.service) {
+    worker.service_milli -= need.milli_processors;
+  }
   worker.used -= need;
 }
 
@@ -114,6 +120,7 @@
     listed.insert(status.task);
     AdoptRun(worker, status, now);
   }
+  LearnPressure(worker, now);
   // A run that was confirmed and is no longer listed has ended without an end
   // that reached this process.
   const std::set<task_name> held = worker.tasks;
@@ -355,6 +362,7 @@
   worker.tasks.clear();
   worker.used = amount();
   worker.filler_milli = 0;
+  worker.service_milli = 0;
 }
 
 void job_scheduler::ExpireSilentWorkers(millis now) {
