--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -260,7 +260,8 @@
   if (wait && syncing_) {
     return;
   }
-  if (!wait && news_open_) {
+  // After a failure only the call that waits finds the owner again.
+  if (!wait && (news_open_ || !owner_answers_)) {
     news_waiting_ = true;
     return;
   }
@@ -327,8 +328,7 @@
     told_end_ = recorded_end_;
     runs_told_ = 0;
     if (address == locator_.Address()) {
-      LogEvent(kPart, "owner_unreachable",
-               {{"address", address}, {"error", ToString(reply.error())}});
+      NoteOwner(false, address, ToString(reply.error()));
       locator_.Failed();
     }
     pause = kSyncRetry;
@@ -338,6 +338,7 @@
       AdoptEpoch(orders.epoch());
     }
     if (!orders.is_owner()) {
+      NoteOwner(false, address, "it does not own the jobs");
       told_end_ = recorded_end_;
       runs_told_ = 0;
       if (orders.owner_address().empty() || orders.owner_address() == address) {
@@ -347,6 +348,7 @@
       }
       pause = kSyncRetry;
     } else if (orders.epoch() == epoch_) {
+      NoteOwner(true, address, "");
       starts_.erase(starts_.begin(),
                     starts_.begin() + static_cast<std::ptrdiff_t>(
                                           std::min(starts, starts_.size())));
@@ -373,11 +375,27 @@
         Sync(true);
       }
     });
-  } else if (std::exchange(news_waiting_, false)) {
+  }
+  if (owner_answers_ && !news_open_ && std::exchange(news_waiting_, false)) {
     Sync(false);
   }
 }
 
+void job_agent_process::NoteOwner(bool answers,
+                                  const std::string& address,
+                                  const std::string& cause) {
+  if (answers == owner_answers_) {
+    return;
+  }
+  owner_answers_ = answers;
+  LogEvent(kPart, answers ? "owner_regained" : "owner_lost",
+           {{"address", address},
+            {"cause", cause},
+            {"epoch", epoch_},
+            {"granted_for_ms", granted_until_ - BootNow()}},
+           true);
+}
+
 void job_agent_process::AdoptEpoch(std::uint64_t epoch) {
   LogEvent(kPart, "epoch_adopted", {{"from", epoch_}, {"to", epoch}}, true);
   epoch_ = epoch;
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -70,6 +70,9 @@
                millis asked,
                std::size_t starts,
                bool wait);
+  void NoteOwner(bool answers,
+                 const std::string& address,
+                 const std::string& cause);
   void TakeOrders(const wire::agent_orders& reply);
   void AdoptEpoch(std::uint64_t epoch);
 
@@ -112,6 +115,7 @@
   bool syncing_ = false;   // A call that waits for orders is open.
   bool news_open_ = false;  // A call that carries news is open.
   bool news_waiting_ = false;
+  bool owner_answers_ = false;
   bool leaving_ = false;
   std::vector<run_status> runs_;
   bool runs_listed_ = false;
--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -193,7 +193,7 @@
 void job_owner::Recovered() {
   scheduler_options options;
   options.grant = static_cast<millis>(settings_.grant);
-  options.longest_lease = static_cast<millis>(settings_.longest_lease);
+  options.longest_lease = options.grant;
   options.retention = static_cast<millis>(settings_.job_retention) * 1'000;
   options.epoch = ownership_.epoch;
   const millis now = BootNow();
--- a/src/chervilkeeld/owner_locator.cpp
+++ b/src/chervilkeeld/owner_locator.cpp
@@ -30,8 +30,12 @@
     entries_ = entries;
   }
   if (!owner.empty() && owner != address_) {
-    LogEvent(kPart, "owner_changed", {{"from", address_}, {"to", owner}}, true);
     address_ = owner;
+    if (owner != reported_) {
+      LogEvent(kPart, "owner_changed", {{"from", reported_}, {"to", owner}},
+               true);
+      reported_ = owner;
+    }
   }
 }
 
--- a/src/chervilkeeld/owner_locator.h
+++ b/src/chervilkeeld/owner_locator.h
@@ -33,6 +33,7 @@
 
   store_link& store_;
   std::string address_;
+  std::string reported_;  // The owner that the log named last.
   std::vector<std::string> entries_;
   std::size_t next_ = 0;
   bool looking_ = false;
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -272,6 +272,7 @@
                                  const task_name& key,
                                  const scheduled_task& task,
                                  millis now);
+  static std::int64_t FillerRoom(const scheduled_worker& worker);
   bool MayRun(const scheduled_worker& worker,
               const scheduled_job& job,
               const task_name& key,
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -141,9 +141,17 @@
     OpenOccurrence(job, 0);
     UpdateReadiness(job, 0, now);
   }
+  std::uint64_t tasks = 0;
+  std::int64_t milli = 0;
+  for (const job_step& step : record.spec.steps) {
+    tasks += step.tasks;
+    milli += step.tasks * step.size.milli_processors;
+  }
   Emit("job_added", record.id, "",
-       "queue=" + record.queue + " steps=" +
-           std::to_string(record.spec.steps.size()) +
+       "queue=" + record.queue +
+           " steps=" + std::to_string(record.spec.steps.size()) +
+           " tasks=" + std::to_string(tasks) +
+           " milli_processors=" + std::to_string(milli) +
            " path_ms=" + std::to_string(job.path));
 }
 
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -18,6 +18,9 @@
 // A run whose progress stands still this long is moved.
 constexpr millis kStuckAfter = 2'000;
 
+// Of the cores that a service reserves, what it uses most of the time.
+constexpr double kServiceUse = 0.6;
+
 // A filler is started when it may work at this share of its speed at least, or
 // when it has waited for a better worker this long.
 constexpr double kLeastStartPace = 0.5;
@@ -248,6 +251,14 @@
   return true;
 }
 
+// Services reserve cores for their crests; what they leave unused is for fillers.
+std::int64_t job_scheduler::FillerRoom(const scheduled_worker& worker) {
+  const auto unused = static_cast<std::int64_t>(
+      (1.0 - kServiceUse) * static_cast<double>(worker.service_milli));
+  return worker.description.capacity.milli_processors -
+         worker.used.milli_processors + unused - worker.filler_milli;
+}
+
 bool job_scheduler::MayRun(const scheduled_worker& worker,
                            const scheduled_job& job,
                            const task_name& key,
@@ -267,10 +278,7 @@
   }
   amount need = step.size;
   if (step.filler) {
-    const std::int64_t left = about.capacity.milli_processors -
-                              worker.used.milli_processors -
-                              worker.filler_milli;
-    if (left < need.milli_processors) {
+    if (FillerRoom(worker) < need.milli_processors) {
       return false;
     }
     need.milli_processors = 0;
@@ -304,9 +312,7 @@
     }
     const auto size = static_cast<double>(
         std::max<std::int64_t>(worker.description.capacity.milli_processors, 1));
-    const auto free = static_cast<double>(
-        worker.description.capacity.milli_processors -
-        worker.used.milli_processors - worker.filler_milli);
+    const auto free = static_cast<double>(FillerRoom(worker));
     double score = free / size;
     if (!step.filler) {
       // Services share few workers, and short tasks fill the gaps there, so
--- /dev/null
+++ b/src/libkernel/job_scheduler_test.cpp
@@ -0,0 +1,401 @@
+#include "chervilkeel/job_scheduler.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr std::int64_t kWall = 1'700'000'000'000;
+
+// A scheduler with workers that do what they are told, when the test says so.
+struct scheduler_fixture {
+  scheduler_options options;
+  job_scheduler scheduler{options, 0};
+  millis now = 1'000;
+  std::map<std::string, std::uint64_t> acked;
+  std::map<std::string, std::uint64_t> ends;
+
+  scheduler_fixture() {
+    scheduling_config config;
+    config.version = 1;
+    queue_policy queue;
+    queue.name = "paths";
+    queue.service = "cutting";
+    queue.max_attempts = 3;
+    config.queues["paths"] = queue;
+    queue.name = "previews";
+    queue.priority = 0;
+    config.queues["previews"] = queue;
+    scheduler.SetConfig(config);
+  }
+
+  static job_record MakeJob(const std::string& id, std::uint32_t tasks) {
+    job_record record;
+    record.id = id;
+    record.queue = "paths";
+    record.service = "cutting";
+    record.accepted_ms = kWall;
+    job_step step;
+    step.tasks = tasks;
+    step.size = {1'000, 100, 0};
+    step.expected = 1'000;
+    record.spec.steps.push_back(step);
+    return record;
+  }
+
+  worker_report MakeReport(const std::string& agent) const {
+    worker_report report;
+    report.agent = agent;
+    report.worker.boot = {"executor-" + agent, 5};
+    report.worker.service = "cutting";
+    report.worker.labels = {"a", "rack-1"};
+    report.worker.capacity = {4'000, 8'000, 0};
+    return report;
+  }
+
+  void Tick() { scheduler.Tick(now, kWall + now); }
+
+  // Commits until nothing is left to write.
+  void Commit() {
+    while (const auto changes = scheduler.TakeChanges(kWall + now)) {
+      scheduler.Committed(changes->number);
+    }
+  }
+
+  // Makes an agent known, with nothing running.
+  void Join(const std::string& agent) {
+    worker_report report = MakeReport(agent);
+    report.has_runs = true;
+    scheduler.OnReport(report, now);
+    Commit();
+    Tick();
+  }
+
+  // Returns the orders that an agent has not taken yet, and takes them.
+  std::vector<worker_order> Orders(const std::string& agent) {
+    std::vector<worker_order> orders;
+    for (const auto& [number, order] :
+         scheduler.OrdersFor(agent, acked[agent])) {
+      acked[agent] = number;
+      orders.push_back(order);
+    }
+    return orders;
+  }
+
+  void ReportStart(const std::string& agent,
+                   const worker_order& order,
+                   start_outcome outcome) {
+    worker_report report = MakeReport(agent);
+    report.starts.push_back({order.task, order.run, outcome});
+    scheduler.OnReport(report, now);
+    Tick();
+  }
+
+  void ReportEnd(const std::string& agent,
+                 const worker_order& order,
+                 run_end end) {
+    worker_report report = MakeReport(agent);
+    report.ends.push_back({++ends[agent], order.task, order.run, end, ""});
+    scheduler.OnReport(report, now);
+    Tick();
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(job_scheduler_decisions, scheduler_fixture)
+
+BOOST_AUTO_TEST_CASE(job_whose_tasks_are_done_completes_once_that_is_stored) {
+  Join("a");
+  scheduler.AddJob(MakeJob("j", 2), now);
+  Tick();
+  const auto orders = Orders("a");
+  BOOST_REQUIRE_EQUAL(orders.size(), 2);
+  for (const worker_order& order : orders) {
+    ReportStart("a", order, start_outcome::kStarted);
+    ReportEnd("a", order, run_end::kDone);
+  }
+  BOOST_TEST(NameOf(*scheduler.StateOf("j")) == "running");
+  Commit();
+  BOOST_TEST(NameOf(*scheduler.StateOf("j")) == "completed");
+}
+
+BOOST_AUTO_TEST_CASE(end_that_is_not_stored_yet_is_not_acknowledged) {
+  Join("a");
+  scheduler.AddJob(MakeJob("j", 1), now);
+  Tick();
+  ReportEnd("a", Orders("a").at(0), run_end::kDone);
+  BOOST_TEST(scheduler.RecordedEnd("a") == 0);
+  const auto changes = scheduler.TakeChanges(kWall);
+  BOOST_REQUIRE(changes);
+  BOOST_TEST(scheduler.RecordedEnd("a") == 0);
+  scheduler.CommitFailed(*changes);
+  BOOST_TEST(scheduler.RecordedEnd("a") == 0);
+  Commit();
+  BOOST_TEST(scheduler.RecordedEnd("a") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(run_missing_from_a_list_older_than_its_start_is_kept) {
+  Join("a");
+  scheduler.AddJob(MakeJob("j", 1), now);
+  Tick();
+  ReportStart("a", Orders("a").at(0), start_outcome::kStarted);
+  now += 300;
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  report.runs_age = 400;
+  scheduler.OnReport(report, now);
+  Tick();
+  BOOST_TEST(Orders("a").empty());
+}
+
+BOOST_AUTO_TEST_CASE(run_missing_from_a_fresh_list_starts_under_a_higher_run) {
+  Join("a");
+  scheduler.AddJob(MakeJob("j", 1), now);
+  Tick();
+  const worker_order first = Orders("a").at(0);
+  ReportStart("a", first, start_outcome::kStarted);
+  now += 2'000;
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  scheduler.OnReport(report, now);
+  Tick();
+  const auto orders = Orders("a");
+  BOOST_REQUIRE_EQUAL(orders.size(), 1);
+  BOOST_TEST(orders[0].run > first.run);
+}
+
+BOOST_AUTO_TEST_CASE(step_waits_until_every_task_before_it_is_done) {
+  Join("a");
+  job_record record = MakeJob("j", 2);
+  record.spec.steps.push_back(record.spec.steps[0]);
+  record.spec.steps[1].after = {0};
+  scheduler.AddJob(record, now);
+  Tick();
+  const auto orders = Orders("a");
+  BOOST_REQUIRE_EQUAL(orders.size(), 2);
+  ReportEnd("a", orders[0], run_end::kDone);
+  BOOST_TEST(Orders("a").empty());
+  ReportEnd("a", orders[1], run_end::kDone);
+  const auto next = Orders("a");
+  BOOST_REQUIRE_EQUAL(next.size(), 2);
+  BOOST_TEST(next[0].task.step == 1);
+}
+
+BOOST_AUTO_TEST_CASE(cancelled_job_stops_its_runs_and_starts_no_more) {
+  Join("a");
+  scheduler.AddJob(MakeJob("j", 6), now);
+  Tick();
+  const auto orders = Orders("a");
+  BOOST_REQUIRE_EQUAL(orders.size(), 4);
+  BOOST_TEST(scheduler.CancelJob("j", now));
+  const auto stops = Orders("a");
+  BOOST_REQUIRE_EQUAL(stops.size(), 4);
+  for (const worker_order& stop : stops) {
+    BOOST_CHECK(stop.kind == order_kind::kStop);
+  }
+  ReportEnd("a", orders[0], run_end::kStopped);
+  BOOST_TEST(Orders("a").empty());
+  BOOST_TEST(NameOf(*scheduler.StateOf("j")) == "cancelled");
+}
+
+BOOST_AUTO_TEST_CASE(task_that_is_being_stopped_keeps_its_room) {
+  Join("a");
+  scheduler.AddJob(MakeJob("first", 4), now);
+  Tick();
+  const auto orders = Orders("a");
+  BOOST_REQUIRE_EQUAL(orders.size(), 4);
+  scheduler.CancelJob("first", now);
+  scheduler.AddJob(MakeJob("second", 1), now);
+  Tick();
+  BOOST_TEST(Orders("a").size() == 4);  // Stops only.
+  ReportEnd("a", orders[0], run_end::kStopped);
+  const auto next = Orders("a");
+  BOOST_REQUIRE_EQUAL(next.size(), 1);
+  BOOST_TEST(next[0].task.job == "second");
+}
+
+BOOST_AUTO_TEST_CASE(job_fails_after_its_last_attempt) {
+  Join("a");
+  scheduler.AddJob(MakeJob("j", 1), now);
+  Tick();
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    now += 5'000;
+    Join("a");
+    const auto orders = Orders("a");
+    BOOST_REQUIRE_EQUAL(orders.size(), 1);
+    ReportEnd("a", orders[0], run_end::kFailed);
+  }
+  Commit();
+  BOOST_TEST(NameOf(*scheduler.StateOf("j")) == "failed");
+  BOOST_TEST(Orders("a").empty());
+}
+
+BOOST_AUTO_TEST_CASE(tasks_of_a_silent_agent_move_only_after_its_grant) {
+  Join("a");
+  scheduler.AddJob(MakeJob("j", 1), now);
+  Tick();
+  const worker_order first = Orders("a").at(0);
+  ReportStart("a", first, start_outcome::kStarted);
+  const millis granted = now;
+  now += options.grant;
+  Join("b");
+  BOOST_TEST(Orders("b").empty());
+  now = granted + options.grant + options.grant / 10 + options.grant_margin;
+  Tick();
+  const auto moved = Orders("b");
+  BOOST_REQUIRE_EQUAL(moved.size(), 1);
+  BOOST_TEST(moved[0].run > first.run);
+}
+
+BOOST_AUTO_TEST_CASE(step_with_a_limit_per_worker_keeps_it) {
+  Join("a");
+  Join("b");
+  job_record record = MakeJob("j", 4);
+  record.spec.steps[0].most_per_worker = 1;
+  scheduler.AddJob(record, now);
+  Tick();
+  BOOST_TEST(Orders("a").size() == 1);
+  BOOST_TEST(Orders("b").size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(draining_worker_gets_no_new_task) {
+  Join("a");
+  worker_report report = MakeReport("a");
+  report.worker.draining = true;
+  report.worker.remaining = 10'000;
+  scheduler.OnReport(report, now);
+  scheduler.AddJob(MakeJob("j", 1), now);
+  Tick();
+  BOOST_TEST(Orders("a").empty());
+}
+
+BOOST_AUTO_TEST_CASE(agent_whose_membership_is_not_stored_gets_no_task) {
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  scheduler.OnReport(report, now);
+  scheduler.AddJob(MakeJob("j", 1), now);
+  Tick();
+  BOOST_TEST(Orders("a").empty());
+  Commit();
+  Tick();
+  BOOST_TEST(Orders("a").size() == 1);
+}
+
+// A crest of batch work beside services that arrived first: services that share
+// few workers leave whole workers to what presses on them.
+BOOST_AUTO_TEST_CASE(services_share_few_workers_and_leave_others_free) {
+  for (const char* agent : {"a", "b", "c", "d"}) {
+    Join(agent);
+  }
+  job_record record = MakeJob("service", 4);
+  record.spec.steps[0].service = true;
+  record.spec.steps[0].tail_target = 20;
+  scheduler.AddJob(record, now);
+  Tick();
+  std::size_t workers = 0;
+  for (const char* agent : {"a", "b", "c", "d"}) {
+    workers += Orders(agent).empty() ? 0 : 1;
+  }
+  BOOST_TEST(workers == 1);
+}
+
+BOOST_AUTO_TEST_CASE(unknown_run_of_a_job_that_is_over_is_stopped) {
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  run_status status;
+  status.task = {"forgotten", 0, 0, 0};
+  status.run = 7;
+  report.runs.push_back(status);
+  scheduler.OnReport(report, now);
+  Commit();
+  const auto orders = Orders("a");
+  BOOST_REQUIRE_EQUAL(orders.size(), 1);
+  BOOST_CHECK(orders[0].kind == order_kind::kStop);
+  BOOST_TEST(orders[0].run == 7);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+// A scheduler that takes over from another one.
+struct takeover_fixture : scheduler_fixture {
+  takeover_fixture() {
+    options.epoch = 2;
+    scheduler = job_scheduler(options, 0);
+    scheduling_config config;
+    config.version = 1;
+    queue_policy queue;
+    queue.name = "paths";
+    queue.service = "cutting";
+    config.queues["paths"] = queue;
+    scheduler.SetConfig(config);
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(job_scheduler_takeover, takeover_fixture)
+
+BOOST_AUTO_TEST_CASE(task_found_running_is_adopted_and_not_started_again) {
+  scheduler.Restore({MakeJob("j", 1)}, {}, {}, {"a"}, now);
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  run_status status;
+  status.task = {"j", 0, 0, 0};
+  status.run = 1;
+  report.runs.push_back(status);
+  scheduler.OnReport(report, now);
+  Commit();
+  Tick();
+  BOOST_TEST(Orders("a").empty());
+}
+
+BOOST_AUTO_TEST_CASE(task_waits_for_a_former_worker_that_was_not_heard) {
+  scheduler.Restore({MakeJob("j", 1)}, {}, {}, {"a", "b"}, now);
+  Join("a");
+  BOOST_TEST(Orders("a").empty());
+  Join("b");
+  BOOST_TEST(Orders("a").size() + Orders("b").size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(task_starts_once_the_unheard_worker_can_run_nothing) {
+  scheduler.Restore({MakeJob("j", 1)}, {}, {}, {"a", "b"}, now);
+  Join("a");
+  now += options.longest_lease + options.longest_lease / 10 +
+         options.grant_margin;
+  Join("a");
+  const auto orders = Orders("a");
+  BOOST_REQUIRE_EQUAL(orders.size(), 1);
+  BOOST_TEST(orders[0].run > options.runs_per_epoch);
+}
+
+BOOST_AUTO_TEST_CASE(job_added_later_needs_no_wait) {
+  scheduler.Restore({MakeJob("old", 1)}, {}, {}, {"a", "b"}, now);
+  Join("a");
+  scheduler.AddJob(MakeJob("new", 1), now);
+  Tick();
+  const auto orders = Orders("a");
+  BOOST_REQUIRE_EQUAL(orders.size(), 1);
+  BOOST_TEST(orders[0].task.job == "new");
+}
+
+BOOST_AUTO_TEST_CASE(done_tasks_are_not_started_again) {
+  job_progress progress;
+  progress.id = "j";
+  progress.state = job_state::kRunning;
+  step_progress step;
+  step.done = "101";
+  progress.steps.push_back(step);
+  scheduler.Restore({MakeJob("j", 3)}, {progress}, {}, {"a"}, now);
+  Join("a");
+  const auto orders = Orders("a");
+  BOOST_REQUIRE_EQUAL(orders.size(), 1);
+  BOOST_TEST(orders[0].task.index == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/libkernel/job_test.cpp
@@ -0,0 +1,146 @@
+#include "chervilkeel/job.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "chervilkeel/pressure_model.h"
+#include "chervilkeel/worker_health.h"
+
+namespace chervilkeel {
+
+namespace {
+
+job_spec TwoSteps() {
+  job_spec spec;
+  spec.payload = "spec";
+  job_step first;
+  first.tasks = 3;
+  first.expected = 400;
+  first.size = {500, 256, 0};
+  job_step second = first;
+  second.after = {0};
+  second.expected = 700;
+  second.filler = true;
+  second.image = "ink";
+  spec.steps = {first, second};
+  return spec;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(job_values)
+
+BOOST_AUTO_TEST_CASE(record_written_and_read_is_the_same) {
+  job_record record;
+  record.id = "0123456789abcdef";
+  record.queue = "paths";
+  record.service = "cutting";
+  record.accepted_ms = 12;
+  record.spec = TwoSteps();
+  const auto read = DecodeJobRecord(EncodeJobRecord(record));
+  BOOST_REQUIRE(read);
+  BOOST_TEST(EncodeJobRecord(read.value()) == EncodeJobRecord(record));
+  BOOST_TEST(read.value().spec.steps[1].image == "ink");
+}
+
+BOOST_AUTO_TEST_CASE(progress_written_and_read_is_the_same) {
+  job_progress progress;
+  progress.id = "j";
+  progress.state = job_state::kRunning;
+  step_progress step;
+  step.done = "010";
+  step.failures[2] = 1;
+  step.checkpoints[0] = "saved";
+  progress.steps.push_back(step);
+  const auto read = DecodeJobProgress(EncodeJobProgress(progress));
+  BOOST_REQUIRE(read);
+  BOOST_TEST(EncodeJobProgress(read.value()) == EncodeJobProgress(progress));
+}
+
+BOOST_AUTO_TEST_CASE(record_that_is_not_json_is_invalid) {
+  const auto read = DecodeJobRecord("{\"id\":");
+  BOOST_REQUIRE(!read);
+  BOOST_CHECK(read.error().code == error_code::kInvalid);
+}
+
+BOOST_AUTO_TEST_CASE(critical_path_follows_the_steps) {
+  BOOST_TEST(CriticalPath(TwoSteps()) == 1'100);
+}
+
+BOOST_AUTO_TEST_CASE(check_of_a_bad_job_finds_every_fault) {
+  job_spec spec = TwoSteps();
+  spec.payload.assign(20, 'x');
+  spec.steps[0].tasks = 0;
+  spec.steps[1].after = {1};
+  const findings found = CheckJob(spec, 10);
+  BOOST_TEST(found.size() == 3);
+  BOOST_TEST(found[2].place == "step 1");
+}
+
+BOOST_AUTO_TEST_CASE(task_name_that_is_cut_off_is_refused) {
+  task_name name;
+  BOOST_TEST(ParseTaskName("abc.0.1.17", name));
+  BOOST_TEST(name.index == 17);
+  BOOST_TEST(!ParseTaskName("abc.0.1", name));
+  BOOST_TEST(!ParseTaskName("abc.0.1.x", name));
+  BOOST_TEST(!ParseTaskName(".0.1.2", name));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(worker_health_judgement)
+
+BOOST_AUTO_TEST_CASE(worker_that_fails_most_runs_gets_one_probe_at_a_time) {
+  worker_health health;
+  for (int i = 0; i < 3; ++i) {
+    health.OnFailure(0);
+  }
+  BOOST_TEST(health.IsSuspect());
+  BOOST_TEST(!health.MayStart(100));
+  BOOST_TEST(health.MayStart(1'000));
+  health.OnProbe(1'000);
+  BOOST_TEST(!health.MayStart(1'001));
+  health.OnSuccess(1'500);
+  BOOST_TEST(health.MayStart(1'501));
+}
+
+BOOST_AUTO_TEST_CASE(worker_with_a_few_failures_among_successes_is_trusted) {
+  worker_health health;
+  for (int i = 0; i < 4; ++i) {
+    health.OnSuccess(0);
+  }
+  for (int i = 0; i < 3; ++i) {
+    health.OnFailure(0);
+  }
+  BOOST_TEST(!health.IsSuspect());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(pressure_learning)
+
+// One image saturates a service, another one beside it does nothing: the first
+// is blamed, so that only it is slowed.
+BOOST_AUTO_TEST_CASE(pair_that_saturates_a_service_is_told_from_a_light_one) {
+  pressure_model model;
+  for (int i = 0; i < 30; ++i) {
+    model.Observe("proofs", 8, 18, {{"light", 2.0}});
+    model.Observe("proofs", 150, 18, {{"heavy", 2.0}, {"light", 1.0}});
+    model.Observe("proofs", 8, 18, {});
+  }
+  BOOST_TEST(model.PerCore("proofs", "heavy") > 0.2);
+  BOOST_TEST(model.PerCore("proofs", "light") < 0.1);
+}
+
+BOOST_AUTO_TEST_CASE(utilization_rises_with_the_tail_up_to_saturation) {
+  const pressure_model model;
+  BOOST_TEST(model.Utilization("proofs", 6, 18) <
+             model.Utilization("proofs", 17, 18));
+  BOOST_TEST(model.Utilization("proofs", 18, 18) >=
+             model.Limit("proofs") - 0.001);
+  BOOST_TEST(model.Utilization("proofs", 200, 18) ==
+             model.Utilization("proofs", 400, 18));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chervilkeel
