Tell a service's own load from what presses on it, and move slowed fillers

Change: a Kalman filter with a load of its own a service task and a factor a pair of images, in shares of a worker; the images that press most are slowed; after 2 s over the target all are; a filler that has to crawl moves to a worker that lets it work.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -59,6 +59,7 @@
   std::uint32_t pace = 100;    // Last ordered.
   millis paced_at = 0;         // When.
   std::int64_t load = 0;       // Last reported.
+  millis over_since = 0;       // A service: over its target; 0: it is not.
   std::string checkpoint;
 };
 
@@ -289,6 +290,7 @@
   void AddOrder(const std::string& agent, worker_order order);
   void CopySlowTasks(millis now);
   void MoveStuckTasks(millis now);
+  void MoveSlowedFillers(millis now);
 
   // job_scheduler_sharing.cpp: batch tasks beside services.
   struct worker_runs;
@@ -296,7 +298,8 @@
   void LearnPressure(const scheduled_worker& worker, millis now);
   void PaceFillers(millis now);
   void PaceWorker(scheduled_worker& worker, millis now);
-  double KeptPace(const worker_runs& runs,
+  double KeptPace(const scheduled_worker& worker,
+                  const worker_runs& runs,
                   const std::string& service,
                   double utilization,
                   const job_step& filler);
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -469,6 +469,7 @@
   MoveStuckTasks(now);
   EvacuateDraining(now);
   PaceFillers(now);
+  MoveSlowedFillers(now);
   PlaceWaiting(now);
   CopySlowTasks(now);
   ForgetOldJobs(wall_ms);
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -26,6 +26,13 @@
 constexpr double kLeastStartPace = 0.5;
 constexpr millis kPatience = 2'500;
 
+// A filler at this pace or less, for so long, is moved if another worker lets it
+// work at kFreePace; without checkpoints only while little would be lost.
+constexpr std::uint32_t kSlowPace = 30;      // Percent.
+constexpr millis kSlowPatience = 700;
+constexpr double kFreePace = 0.9;            // Of its speed.
+constexpr std::uint32_t kCheapPercent = 30;  // Of its work.
+
 // Where the rack stands among an executor's labels.
 constexpr std::size_t kRackLabel = 1;
 
@@ -295,7 +302,6 @@
       return false;
     }
   }
-  (void)task;
   return true;
 }
 
@@ -391,6 +397,34 @@
   }
 }
 
+// Moves fillers that have to be slow where they are, when another worker lets
+// them work.
+void job_scheduler::MoveSlowedFillers(millis now) {
+  for (auto& [agent, worker] : workers_) {
+    for (const task_name& key : worker.tasks) {
+      scheduled_task* task = FindTask(key);
+      if (task == nullptr || task->runs.size() != 1) {
+        continue;
+      }
+      scheduled_job& job = jobs_.at(key.job);
+      const job_step& step = job.record.spec.steps[key.step];
+      task_run& run = task->runs.front();
+      const bool slowed = step.filler && run.phase == run_phase::kRunning &&
+                          run.pace <= kSlowPace &&
+                          now - run.paced_at > kSlowPatience;
+      const bool cheap = step.checkpoints || run.percent < kCheapPercent;
+      if (!slowed || !cheap) {
+        continue;
+      }
+      const scheduled_worker* other = ChooseWorker(job, key, *task, now);
+      if (other != nullptr && PaceBeside(*other, step, now) > kFreePace) {
+        OrderStop(key, run, "it works faster on another worker");
+        return;
+      }
+    }
+  }
+}
+
 double job_scheduler::BacklogSeconds(const std::string& service) const {
   double cores = 0;
   for (const auto& [agent, worker] : workers_) {
--- a/src/libkernel/job_scheduler_sharing.cpp
+++ b/src/libkernel/job_scheduler_sharing.cpp
@@ -15,9 +15,19 @@
 // its list and the report.
 constexpr millis kPaceShows = 900;
 
-// What one core of a batch image must add to a service's utilization to be
-// held responsible for its tail.
-constexpr double kHeavyPerCore = 0.1;
+// A pair with a smaller factor is not held responsible for a service's tail.
+constexpr double kLeastFactor = 0.5;
+
+// Images that press at least this part as much as the worst one share its blame.
+constexpr double kBlamedPart = 0.5;
+
+// A service that has been over its target for so long gets all fillers beside it
+// stopped; well below the time after which operators count it as harmed, less
+// what reports lag.
+constexpr millis kPatienceOver = 2'000;
+
+// A filler that started lately does not show in the tails yet.
+constexpr millis kStartShows = 500;
 
 // What is kept of the pace when the cause of an excess is not known.
 constexpr double kSlowDown = 0.6;
@@ -30,6 +40,7 @@
 // The runs of a worker that matter for sharing.
 struct job_scheduler::worker_runs {
   struct service_run {
+    task_name name;
     task_run* run = nullptr;
     const job_step* step = nullptr;
   };
@@ -44,8 +55,13 @@
 
 namespace {
 
-double CoresAt(const job_step& step, std::uint32_t pace) {
-  return static_cast<double>(step.size.milli_processors) / 1'000.0 *
+// The share of a worker's cores that a filler uses at a pace.
+double ShareAt(const scheduled_worker& worker,
+               const job_step& step,
+               std::uint32_t pace) {
+  const auto cores = static_cast<double>(std::max<std::int64_t>(
+      worker.description.capacity.milli_processors, 1));
+  return static_cast<double>(step.size.milli_processors) / cores *
          static_cast<double>(pace) / 100.0;
 }
 
@@ -65,7 +81,7 @@
         continue;
       }
       if (step.tail_target > 0) {
-        runs.services.push_back({&run, &step});
+        runs.services.push_back({name, &run, &step});
       } else if (step.filler) {
         runs.fillers.push_back({name, &run, &step});
       }
@@ -78,17 +94,24 @@
   const worker_runs runs = RunsOf(worker);
   std::vector<pressing_work> beside;
   for (const auto& filler : runs.fillers) {
-    // What started or changed lately does not show in the tails yet.
-    if (now - std::max(filler.run->since, filler.run->paced_at) < kPaceShows) {
-      return;
+    if (now - filler.run->since < kStartShows) {
+      continue;
     }
     beside.push_back(
-        {filler.step->image, CoresAt(*filler.step, filler.run->pace)});
+        {filler.step->image, ShareAt(worker, *filler.step, filler.run->pace)});
   }
   for (const auto& service : runs.services) {
+    const double used = pressure_.Utilization(
+        service.step->image, service.run->load, service.step->tail_target);
+    if (used < pressure_.Limit(service.step->image)) {
+      service.run->over_since = 0;
+    } else if (service.run->over_since == 0) {
+      service.run->over_since = now;
+    }
     if (service.run->percent >= 100 && service.run->pace == 100) {
-      pressure_.Observe(service.step->image, service.run->load,
-                        service.step->tail_target, beside);
+      pressure_.Observe({service.name.ToString(), service.step->image,
+                         service.run->load, service.step->tail_target},
+                        beside);
     }
   }
 }
@@ -107,13 +130,13 @@
                                         service.step->tail_target);
     for (const auto& other : runs.fillers) {
       if (now - std::max(other.run->since, other.run->paced_at) < kPaceShows) {
-        room -= pressure_.PerCore(image, other.step->image) *
-                CoresAt(*other.step, other.run->pace);
+        room -= pressure_.Factor(image, other.step->image) *
+                ShareAt(worker, *other.step, other.run->pace);
       }
     }
     const double adds =
-        pressure_.PerCore(image, filler.image) * CoresAt(filler, 100);
-    if (adds >= kHeavyPerCore) {
+        pressure_.Factor(image, filler.image) * ShareAt(worker, filler, 100);
+    if (adds > 0.01) {
       pace = std::min(pace, std::max(room, 0.0) / adds);
     }
   }
@@ -131,24 +154,32 @@
 }
 
 // Says how much of its present pace a filler may keep beside a service that is
-// over its target. What presses most is slowed first.
-double job_scheduler::KeptPace(const worker_runs& runs,
+// over its target. Those whose images press most are slowed, by the excess.
+double job_scheduler::KeptPace(const scheduled_worker& worker,
+                               const worker_runs& runs,
                                const std::string& service,
                                double utilization,
                                const job_step& filler) {
-  double heavy = 0;
+  double highest = 0;
   for (const auto& other : runs.fillers) {
-    const double per_core = pressure_.PerCore(service, other.step->image);
-    if (per_core >= kHeavyPerCore) {
-      heavy += per_core * CoresAt(*other.step, other.run->pace);
+    if (other.run->pace > 0) {
+      highest = std::max(highest, pressure_.Factor(service, other.step->image));
     }
   }
-  const double excess = utilization - pressure_model::kComfortable;
-  if (pressure_.PerCore(service, filler.image) < kHeavyPerCore) {
-    // Light ones are slowed only when no heavy one explains the excess.
-    return heavy > 0.1 ? 1.0 : kSlowDown;
+  const double blamed = std::max(kBlamedPart * highest, kLeastFactor);
+  if (pressure_.Factor(service, filler.image) < blamed) {
+    return highest < kLeastFactor ? kSlowDown : 1.0;
   }
-  return std::clamp(1.0 - excess / heavy, 0.0, 1.0);
+  double pressing = 0;
+  for (const auto& other : runs.fillers) {
+    const double factor = pressure_.Factor(service, other.step->image);
+    if (factor >= blamed) {
+      pressing += factor * ShareAt(worker, *other.step, other.run->pace);
+    }
+  }
+  const double excess = utilization - pressure_model::kComfortable;
+  return pressing > 0 ? std::clamp(1.0 - excess / pressing, 0.0, kSlowDown)
+                      : kSlowDown;
 }
 
 // Slows the fillers beside a service that is over its target, by as much as it
@@ -160,8 +191,7 @@
   }
   for (const auto& filler : runs.fillers) {
     const std::uint32_t before = filler.run->pace;
-    if (filler.run->phase != run_phase::kRunning ||
-        now - filler.run->paced_at < kPaceShows) {
+    if (filler.run->phase != run_phase::kRunning) {
       continue;
     }
     double wanted = 100;
@@ -171,14 +201,20 @@
       const std::string& image = service.step->image;
       const double used = pressure_.Utilization(image, service.run->load,
                                                 service.step->tail_target);
-      const double per_core = pressure_.PerCore(image, filler.step->image);
+      const double factor = pressure_.Factor(image, filler.step->image);
       const double room = pressure_model::kComfortable - used;
       double allowed = 100;
-      if (used >= pressure_.Limit(image)) {
-        allowed = before * KeptPace(runs, image, used, *filler.step);
-      } else if (per_core >= kHeavyPerCore && before < 100) {
+      const bool over_long = service.run->over_since != 0 &&
+                             now - service.run->over_since > kPatienceOver;
+      if (over_long) {
+        allowed = 0;
+      } else if (now - filler.run->paced_at < kPaceShows) {
+        allowed = before;
+      } else if (used >= pressure_.Limit(image)) {
+        allowed = before * KeptPace(worker, runs, image, used, *filler.step);
+      } else if (before < 100 && factor > 0.01) {
         allowed = before + 100.0 * std::max(room, 0.0) /
-                               (per_core * CoresAt(*filler.step, 100));
+                               (factor * ShareAt(worker, *filler.step, 100));
       }
       if (allowed < wanted) {
         wanted = allowed;
@@ -196,8 +232,8 @@
          "image=" + filler.step->image + " from_percent=" +
              std::to_string(before) + " to_percent=" + std::to_string(next) +
              " service_image=" + (victim != nullptr ? *victim : "-") +
-             " utilization=" + std::to_string(worst) + " per_core=" +
-             std::to_string(victim != nullptr ? pressure_.PerCore(
+             " utilization=" + std::to_string(worst) + " factor=" +
+             std::to_string(victim != nullptr ? pressure_.Factor(
                                                     *victim, filler.step->image)
                                               : 0.0));
     OrderPace(filler.name, *filler.run, next, now);
