Let an owner that lost the store yield at once, and agents look elsewhere

The owner went on when half of its peers had no store; its agents stayed with it for 8 s although it granted nothing; a taker's wait left out the time that a former owner's lease is valid by its own clock. Change: an owner goes on without its lease only if every entry heard lately has no store; it yields when a peer shows a higher epoch; without the right to grant it sends agents away; the wait covers lease and grant. Fillers that press on nobody prefer workers with services.

--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -17,6 +17,7 @@
 constexpr millis kGossipInterval = 400;
 constexpr millis kGossipTimeout = 350;
 constexpr millis kEntryGone = 3'000;    // An entry not heard is left out.
+constexpr millis kEntryForgotten = 20'000;  // One silent for so long is gone.
 constexpr millis kPeerStoreFresh = 1'000;  // Its store answered this lately.
 constexpr std::uint64_t kFrontBodyLimit = 4U << 20U;
 
@@ -183,22 +184,27 @@
           WatchConfig();
           return;
         }
-        config_timer_.expires_after(std::chrono::milliseconds(kConfigRetry));
-        config_timer_.async_wait([this](boost::system::error_code failure) {
-          if (!failure) {
-            ReadConfig();
-          }
-        });
+        ReadConfigAfter(kConfigRetry);
       });
 }
 
+void job_entry_process::ReadConfigAfter(millis delay) {
+  config_timer_.expires_after(std::chrono::milliseconds(delay));
+  config_timer_.async_wait([this](boost::system::error_code failure) {
+    if (!failure) {
+      ReadConfig();
+    }
+  });
+}
+
 void job_entry_process::WatchConfig() {
   store_.Client().Watch(
       adapter_->ConfigKey(), config_revision_, kConfigWait,
       kConfigWait + kConfigGrace, [this](const result<item_changes>& changes) {
         store_.Note(changes);
         if (!changes || changes.value().history_lost) {
-          ReadConfig();
+          // At once the store might say the same again and again.
+          ReadConfigAfter(kConfigRetry);
           return;
         }
         for (const stored_item& item : changes.value().items) {
@@ -326,8 +332,8 @@
   return live;
 }
 
-// While the store answers nobody, no other owner can be elected: the jobs go
-// on. An entry that alone has lost the store lets its grants lapse.
+// While the store answers no entry, no other owner can be elected: the jobs go
+// on. An entry that can't tell lets its grants lapse.
 bool job_entry_process::MayGrant() {
   if (election_->IsLeaseValid()) {
     return true;
@@ -336,22 +342,20 @@
     return false;
   }
   std::size_t others = 0;
-  std::size_t without_store = 0;
   for (const auto& [address, entry] : entries_) {
-    if (entry.heard == 0) {
+    const millis silent = BootNow() - entry.heard;
+    if (entry.heard == 0 || silent > kEntryForgotten) {
       continue;
     }
-    ++others;
-    const bool fresh = BootNow() - entry.heard < kPeerStoreFresh;
-    if (fresh && entry.epoch > election_->View().epoch) {
+    const bool lost_store = silent < kPeerStoreFresh &&
+                            (entry.store_silent < 0 ||
+                             entry.store_silent > kPeerStoreFresh);
+    if (!lost_store) {
       return false;
     }
-    if (fresh && (entry.store_silent < 0 ||
-                  entry.store_silent > kPeerStoreFresh)) {
-      ++without_store;
-    }
+    ++others;
   }
-  return without_store > 0 && without_store * 2 >= others;
+  return others > 0;
 }
 
 void job_entry_process::Ask(wire::job_question question,
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -49,6 +49,7 @@
 
   void WatchConfig();
   void ReadConfig();
+  void ReadConfigAfter(millis delay);
   void TakeConfig(const std::string& text, const char* source);
   void Gossip();
   void AskFleet(const std::string& address);
--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -106,7 +106,13 @@
   for (const std::string& entry : entries_) {
     reply.add_entries(entry);
   }
-  if (!scheduler_->IsMember(agent) || !may_grant_()) {
+  if (!may_grant_()) {
+    // Another entry may own the jobs by now; the agent shall look for it.
+    reply.set_is_owner(false);
+    reply.clear_owner_address();
+    return;
+  }
+  if (!scheduler_->IsMember(agent)) {
     return;
   }
   reply.set_grant_ms(static_cast<std::int64_t>(settings_.grant));
--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -193,7 +193,10 @@
 void job_owner::Recovered() {
   scheduler_options options;
   options.grant = static_cast<millis>(settings_.grant);
-  options.longest_lease = options.grant;
+  // A former owner that lost the store may grant until its lease has passed by
+  // its own clock.
+  options.longest_lease =
+      options.grant + static_cast<millis>(settings_.owner_ttl);
   options.retention = static_cast<millis>(settings_.job_retention) * 1'000;
   options.epoch = ownership_.epoch;
   const millis now = BootNow();
@@ -232,7 +235,7 @@
           return;
         }
         if (changes && changes.value().history_lost) {
-          ReadInboxAgain("");
+          Retry([this] { ReadInboxAgain(""); });
           return;
         }
         if (changes) {
--- a/src/chervilkeeld/owner_election.cpp
+++ b/src/chervilkeeld/owner_election.cpp
@@ -65,6 +65,9 @@
 }
 
 void owner_election::Learn(const owner_view& heard) {
+  if (is_owner_ && heard.epoch > last_own_epoch_) {
+    NoteLost("another entry has a higher epoch");
+  }
   if (heard.epoch > view_.epoch ||
       (heard.epoch == view_.epoch && view_.address.empty())) {
     view_ = heard;
@@ -137,7 +140,8 @@
           view_.seen = BootNow();
           Wait();
         } else {
-          After(changes ? 0 : kRetry, &owner_election::Look);
+          const bool changed = changes && !changes.value().history_lost;
+          After(changed ? 0 : kRetry, &owner_election::Look);
         }
       });
 }
@@ -245,7 +249,7 @@
   const millis asked = BootNow();
   const millis interval = options_.ttl / kRenewalsPerLease;
   store_.Client().RenewLease(
-      lease_, interval, [this, asked, interval](const result<store_lease>& kept) {
+      lease_, options_.ttl / 2, [this, asked, interval](const result<store_lease>& kept) {
         store_.Note(kept);
         if (!is_owner_ || resigned_) {
           return;
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -24,7 +24,8 @@
   millis grant = 5'000;         // How long an agent may keep its runs alive.
   millis grant_margin = 400;    // Added before a silent agent's runs are dead.
   double clock_drift = 0.02;    // Of an executor's clock.
-  millis longest_lease = 6'000;  // That any former scheduler may have granted.
+  millis longest_lease = 6'000;  // How long runs of a former scheduler may
+                                 // live after this one began.
   millis retention = 150'000;   // Of a job after its end.
   std::uint64_t runs_per_epoch = 1'000'000;  // Keeps runs of owners apart.
   std::uint64_t epoch = 1;
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -18,6 +18,10 @@
 // A run whose progress stands still this long is moved.
 constexpr millis kStuckAfter = 2'000;
 
+// How much a filler that presses on no service prefers a worker with services,
+// in shares of a worker's cores.
+constexpr double kBesideServices = 0.3;
+
 // Of the cores that a service reserves, what it uses most of the time.
 constexpr double kServiceUse = 0.6;
 
@@ -30,6 +34,7 @@
 // work at kFreePace; without checkpoints only while little would be lost.
 constexpr std::uint32_t kSlowPace = 30;      // Percent.
 constexpr millis kSlowPatience = 700;
+constexpr millis kLeastStay = 2'000;         // Between two moves.
 constexpr double kFreePace = 0.9;            // Of its speed.
 constexpr std::uint32_t kCheapPercent = 30;  // Of its work.
 
@@ -330,6 +335,10 @@
         continue;
       }
       score -= 2.0 * (1.0 - pace);
+      // Workers without services are kept for what presses on services.
+      if (pace >= kFreePace && worker.service_milli > 0) {
+        score += kBesideServices;
+      }
     }
     score -= 2.0 * worker.health.Penalty();
     score -= 1.0 * static_cast<double>(std::count(
@@ -411,7 +420,8 @@
       task_run& run = task->runs.front();
       const bool slowed = step.filler && run.phase == run_phase::kRunning &&
                           run.pace <= kSlowPace &&
-                          now - run.paced_at > kSlowPatience;
+                          now - run.paced_at > kSlowPatience &&
+                          now - run.since > kLeastStay;
       const bool cheap = step.checkpoints || run.percent < kCheapPercent;
       if (!slowed || !cheap) {
         continue;
