Ask peers for the store when an owner loses it, and keep grants through an outage

Change: entries say whether their last call to the store was answered and probe it when asked; an entry not heard for 4 s no longer counts; an owner yields to an agent's higher epoch. Grants of 2.6 s and an owner's lease of 1 s shorten a taker's wait.

--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -17,8 +17,9 @@
 constexpr millis kGossipInterval = 400;
 constexpr millis kGossipTimeout = 350;
 constexpr millis kEntryGone = 3'000;    // An entry not heard is left out.
-constexpr millis kEntryForgotten = 20'000;  // One silent for so long is gone.
-constexpr millis kPeerStoreFresh = 1'000;  // Its store answered this lately.
+constexpr millis kEntryForgotten = 4'000;  // One silent for so long is gone.
+constexpr millis kPeerStoreFresh = 1'000;  // What a peer said of the store.
+constexpr millis kProbeTimeout = 400;
 constexpr std::uint64_t kFrontBodyLimit = 4U << 20U;
 
 }  // namespace
@@ -36,6 +37,7 @@
                   const owner_view& view = entry_.election_->View();
                   call.reply->set_owner_address(view.address);
                   call.reply->set_epoch(view.epoch);
+                  entry_.election_->Learn({"", call.request->epoch(), 0});
                   entry_.owner_->OnSync(call);
                 });
   }
@@ -268,6 +270,7 @@
   wire::fleet_question question;
   question.set_from(Address());
   question.set_config_version(config_ ? config_->version : 0);
+  question.set_store_lost(store_.IsLost());
   CallOwnerService<wire::fleet_question, wire::fleet_reply>(
       context_, peers_, address, kFleetMethod, std::move(question),
       kGossipTimeout,
@@ -303,7 +306,11 @@
   const owner_view& view = election_->View();
   call.reply->set_owner_address(view.address);
   call.reply->set_epoch(view.epoch);
-  call.reply->set_store_silent_ms(store_.Silent());
+  call.reply->set_store_silent_ms(
+      store_.IsLost() ? std::max<millis>(store_.Silent(), 1) : 0);
+  if (call.request->store_lost()) {
+    ProbeStore();
+  }
   call.reply->set_is_owner(owner_->IsActive());
   const std::uint64_t version = config_ ? config_->version : 0;
   call.reply->set_config_version(version);
@@ -319,6 +326,20 @@
   call.Finish();
 }
 
+// Another entry has lost the store: finds out whether this one has, too.
+void job_entry_process::ProbeStore() {
+  if (probing_) {
+    return;
+  }
+  probing_ = true;
+  store_.Client().Read(
+      adapter_->ConfigKey(), kProbeTimeout,
+      [this](const result<std::optional<stored_item>>& item) {
+        probing_ = false;
+        store_.Note(item);
+      });
+}
+
 std::vector<std::string> job_entry_process::LiveEntries() const {
   std::vector<std::string> live;
   if (!leaving_) {
@@ -347,9 +368,7 @@
     if (entry.heard == 0 || silent > kEntryForgotten) {
       continue;
     }
-    const bool lost_store = silent < kPeerStoreFresh &&
-                            (entry.store_silent < 0 ||
-                             entry.store_silent > kPeerStoreFresh);
+    const bool lost_store = silent < kPeerStoreFresh && entry.store_silent > 0;
     if (!lost_store) {
       return false;
     }
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -22,7 +22,7 @@
 // What is known of another entry.
 struct known_entry {
   millis heard = 0;
-  millis store_silent = -1;
+  millis store_silent = 0;  // 0: its store answers.
   std::uint64_t epoch = 0;
 };
 
@@ -51,6 +51,7 @@
   void ReadConfig();
   void ReadConfigAfter(millis delay);
   void TakeConfig(const std::string& text, const char* source);
+  void ProbeStore();
   void Gossip();
   void AskFleet(const std::string& address);
   void OnFleetReply(const std::string& address,
@@ -85,8 +86,8 @@
   std::string config_text_;
   std::uint64_t config_revision_ = 0;
   bool leaving_ = false;
+  bool probing_ = false;
   bool was_ready_ = false;
-  millis outage_confirmed_ = 0;
 };
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/store_link.h
+++ b/src/chervilkeeld/store_link.h
@@ -34,6 +34,9 @@
   // True while the last calls have been answered.
   bool IsUp() const { return failures_ < kFailuresToLost; }
 
+  // True when the call that ended last had no answer.
+  bool IsLost() const { return failures_ > 0; }
+
   // Since the store answered last; -1: it never has.
   millis Silent() const;
 
--- a/src/include/chervilkeel/settings.h
+++ b/src/include/chervilkeel/settings.h
@@ -81,8 +81,8 @@
   endpoint job_executor;
   std::vector<endpoint> seeds;
   std::uint64_t longest_lease = 6'000;
-  std::uint64_t grant = 3'600;
-  std::uint64_t owner_ttl = 1'200;
+  std::uint64_t grant = 2'600;
+  std::uint64_t owner_ttl = 1'000;
   std::uint64_t job_retention = 180;
   std::uint64_t shutdown_time = 3'500;
   std::uint64_t job_commit_interval = 20;
