--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -20,7 +20,7 @@
 
 // How much a filler that presses on no service prefers a worker with services,
 // in shares of a worker's cores.
-constexpr double kBesideServices = 0.3;
+constexpr double kBesideServices = 0.1;
 
 // Of the cores that a service reserves, what it uses most of the time.
 constexpr double kServiceUse = 0.6;
