--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -9,8 +9,8 @@
 constexpr const char* kPart = "agent";
 constexpr millis kOrderTimeout = 400;  // A healthy executor takes a few ms.
 constexpr millis kOrderRetry = 100;
-constexpr int kStartTries = 3;         // Before the start is taken back.
-constexpr millis kLeastLease = 300;    // A start under less is not worth it.
+constexpr int kStartTries = 3;       // Before the start is taken back.
+constexpr millis kLeastLease = 300;  // A start under less is not worth it.
 
 start_outcome OutcomeOf(executor_verdict verdict) {
   switch (verdict) {
@@ -92,7 +92,7 @@
 }
 
 void job_agent_process::OnStartAnswer(const run_name& name,
-                              const result<executor_answer>& answer) {
+                                      const result<executor_answer>& answer) {
   const auto open = open_starts_.find(name);
   if (open == open_starts_.end()) {
     return;
@@ -105,8 +105,8 @@
     if (outcome == start_outcome::kOutdated && open->second.tries > 1) {
       outcome = start_outcome::kStarted;
     }
-    const bool certain = open->second.tries == 1 ||
-                         outcome == start_outcome::kStarted;
+    const bool certain =
+        open->second.tries == 1 || outcome == start_outcome::kStarted;
     if (certain) {
       open_starts_.erase(open);
       Report(name, outcome);
@@ -145,7 +145,7 @@
 }
 
 void job_agent_process::OnStopAnswer(const run_name& name,
-                             const result<executor_answer>& answer) {
+                                     const result<executor_answer>& answer) {
   const auto open = open_stops_.find(name);
   if (open == open_stops_.end()) {
     return;
--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -12,12 +12,12 @@
 namespace {
 
 constexpr const char* kPart = "agent";
-constexpr millis kHoldWait = 250;       // The executor answers at an end, or then.
-constexpr millis kHoldTimeout = 1'200;  // Of the call; above the wait.
-constexpr millis kHoldRetry = 150;      // After a failed call.
+constexpr millis kHoldWait = 250;  // The executor answers at an end, or then.
+constexpr millis kHoldTimeout = 1'200;   // Of the call; above the wait.
+constexpr millis kHoldRetry = 150;       // After a failed call.
 constexpr millis kUnrecordedPause = 40;  // While ends wait to be recorded.
-constexpr millis kRunsInterval = 250;   // Between two full lists to the owner.
-constexpr millis kSyncTimeout = 1'000;  // Above what the owner holds a call.
+constexpr millis kRunsInterval = 250;    // Between two full lists to the owner.
+constexpr millis kSyncTimeout = 1'000;   // Above what the owner holds a call.
 constexpr millis kSyncRetry = 150;
 constexpr millis kListingFresh = 1'000;  // An older list is not reported.
 constexpr int kHoldFailuresToLost = 3;
@@ -25,8 +25,8 @@
 }  // namespace
 
 job_agent_process::job_agent_process(boost::asio::io_context& context,
-                     const process_settings& settings,
-                     std::unique_ptr<platform_adapter> adapter)
+                                     const process_settings& settings,
+                                     std::unique_ptr<platform_adapter> adapter)
     : context_(context),
       settings_(settings),
       adapter_(std::move(adapter)),
@@ -68,7 +68,7 @@
 }
 
 void job_agent_process::OnAnnouncement(const http_request& request,
-                               const http_responder& respond) {
+                                       const http_responder& respond) {
   const auto said = adapter_->DecodeAnnouncement(request);
   if (!said) {
     LogEvent(kPart, "announcement_unreadable",
@@ -149,8 +149,8 @@
 void job_agent_process::Later(millis delay, std::function<void()> step) {
   auto timer = std::make_shared<boost::asio::steady_timer>(context_);
   timer->expires_after(std::chrono::milliseconds(delay));
-  timer->async_wait([timer, step = std::move(step)](
-                        boost::system::error_code) { step(); });
+  timer->async_wait(
+      [timer, step = std::move(step)](boost::system::error_code) { step(); });
 }
 
 // The clock was read before the answer came, so that the offset is never too
@@ -185,18 +185,18 @@
   const bool unrecorded = !ends_.empty();
   const bool first = obeyed_epoch_ != epoch_;
   const millis wait = first || unrecorded ? 0 : kHoldWait;
-  executor_->Hold(Context(wait + kHoldTimeout), granted ? LeaseEnd() : 0,
-                  recorded_end_, wait,
-                  [this, epoch = epoch_, now](
-                      const result<executor_listing>& listing) {
-                    holding_ = false;
-                    OnListing(listing, epoch, now);
-                  });
+  executor_->Hold(
+      Context(wait + kHoldTimeout), granted ? LeaseEnd() : 0, recorded_end_,
+      wait,
+      [this, epoch = epoch_, now](const result<executor_listing>& listing) {
+        holding_ = false;
+        OnListing(listing, epoch, now);
+      });
 }
 
 void job_agent_process::OnListing(const result<executor_listing>& listing,
-                          std::uint64_t epoch,
-                          millis asked) {
+                                  std::uint64_t epoch,
+                                  millis asked) {
   if (!listing || listing.value().verdict != executor_verdict::kAccepted) {
     if (++hold_failures_ == kHoldFailuresToLost) {
       LogEvent(kPart, "executor_lost",
@@ -229,7 +229,7 @@
 }
 
 void job_agent_process::TakeListing(const executor_listing& listing,
-                            std::uint64_t epoch) {
+                                    std::uint64_t epoch) {
   NoteClock(listing.clock);
   const bool first = epoch == epoch_ && obeyed_epoch_ != epoch;
   if (epoch == epoch_) {
@@ -319,10 +319,10 @@
 }
 
 void job_agent_process::OnReply(const result<wire::agent_orders>& reply,
-                        const std::string& address,
-                        millis asked,
-                        std::size_t starts,
-                        bool wait) {
+                                const std::string& address,
+                                millis asked,
+                                std::size_t starts,
+                                bool wait) {
   millis pause = 0;
   if (!reply) {
     told_end_ = recorded_end_;
@@ -437,7 +437,7 @@
 }
 
 void job_agent_process::HandleOperator(const http_request& request,
-                               const http_responder& respond) {
+                                       const http_responder& respond) {
   http_response response;
   if (request.path == "/metrics") {
     response.content_type = "text/plain; version=0.0.4";
@@ -449,16 +449,16 @@
                                          {"run", status.run},
                                          {"percent", status.percent}});
     }
-    response.body = boost::json::serialize(boost::json::object{
-        {"name", settings_.name},
-        {"owner", locator_.Address()},
-        {"epoch", epoch_},
-        {"executor", worker_.boot.id},
-        {"granted_for_ms", granted_until_ - BootNow()},
-        {"runs", std::move(runs)},
-        {"unrecorded_ends", ends_.size()},
-        {"open_starts", open_starts_.size()},
-        {"open_stops", open_stops_.size()}});
+    response.body = boost::json::serialize(
+        boost::json::object{{"name", settings_.name},
+                            {"owner", locator_.Address()},
+                            {"epoch", epoch_},
+                            {"executor", worker_.boot.id},
+                            {"granted_for_ms", granted_until_ - BootNow()},
+                            {"runs", std::move(runs)},
+                            {"unrecorded_ends", ends_.size()},
+                            {"open_starts", open_starts_.size()},
+                            {"open_stops", open_stops_.size()}});
   } else if (request.path == "/healthz") {
     response.status = epoch_ != 0 ? 200 : 503;
   } else {
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -25,8 +25,8 @@
 class job_agent_process {
  public:
   job_agent_process(boost::asio::io_context& context,
-            const process_settings& settings,
-            std::unique_ptr<platform_adapter> adapter);
+                    const process_settings& settings,
+                    std::unique_ptr<platform_adapter> adapter);
 
   result<void> Start();
 
@@ -112,7 +112,7 @@
   bool clock_known_ = false;
   bool holding_ = false;
   int hold_failures_ = 0;
-  bool syncing_ = false;   // A call that waits for orders is open.
+  bool syncing_ = false;    // A call that waits for orders is open.
   bool news_open_ = false;  // A call that carries news is open.
   bool news_waiting_ = false;
   bool owner_answers_ = false;
--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -12,11 +12,11 @@
 constexpr const char* kPart = "entry";
 constexpr millis kCallTimeout = 800;
 constexpr millis kConfigRetry = 200;
-constexpr millis kConfigWait = 2'000;   // Of one watch.
-constexpr millis kConfigGrace = 400;    // Beyond it before it counts as dead.
+constexpr millis kConfigWait = 2'000;  // Of one watch.
+constexpr millis kConfigGrace = 400;   // Beyond it before it counts as dead.
 constexpr millis kGossipInterval = 400;
 constexpr millis kGossipTimeout = 350;
-constexpr millis kEntryGone = 3'000;    // An entry not heard is left out.
+constexpr millis kEntryGone = 3'000;       // An entry not heard is left out.
 constexpr millis kEntryForgotten = 4'000;  // One silent for so long is gone.
 constexpr millis kPeerStoreFresh = 1'000;  // What a peer said of the store.
 constexpr millis kProbeTimeout = 400;
@@ -25,7 +25,8 @@
 }  // namespace
 
 // Takes calls on gRPC's threads and hands them to the io_context's thread.
-class job_entry_process::rpc_server : public wire::job_owner_service::CallbackService {
+class job_entry_process::rpc_server
+    : public wire::job_owner_service::CallbackService {
  public:
   explicit rpc_server(job_entry_process& entry) : entry_(entry) {}
 
@@ -68,8 +69,8 @@
 };
 
 job_entry_process::job_entry_process(boost::asio::io_context& context,
-                     const process_settings& settings,
-                     std::unique_ptr<platform_adapter> adapter)
+                                     const process_settings& settings,
+                                     std::unique_ptr<platform_adapter> adapter)
     : context_(context),
       settings_(settings),
       adapter_(std::move(adapter)),
@@ -88,9 +89,8 @@
       [this](const std::string&) { owner_->End(); });
   front_ = std::make_unique<job_front>(
       context_, store_, metrics_, *adapter_,
-      [this](wire::job_question question, millis timeout, auto callback) {
-        Ask(std::move(question), timeout, std::move(callback));
-      });
+      [this](const wire::job_question& question, millis timeout,
+             auto callback) { Ask(question, timeout, std::move(callback)); });
 }
 
 job_entry_process::~job_entry_process() = default;
@@ -166,28 +166,26 @@
     owner_->End();
     election_->Resign();
   });
-  stop_timer_.expires_after(
-      std::chrono::milliseconds(settings_.shutdown_time));
-  stop_timer_.async_wait([this, done = std::move(done)](
-                             boost::system::error_code) {
-    election_->Resign();
-    done();
-  });
+  stop_timer_.expires_after(std::chrono::milliseconds(settings_.shutdown_time));
+  stop_timer_.async_wait(
+      [this, done = std::move(done)](boost::system::error_code) {
+        election_->Resign();
+        done();
+      });
 }
 
 void job_entry_process::ReadConfig() {
-  store_.Client().Read(
-      adapter_->ConfigKey(), kCallTimeout,
-      [this](const result<std::optional<stored_item>>& item) {
-        store_.Note(item);
-        if (item && item.value()) {
-          config_revision_ = item.value()->revision;
-          TakeConfig(item.value()->value, "store");
-          WatchConfig();
-          return;
-        }
-        ReadConfigAfter(kConfigRetry);
-      });
+  store_.Client().Read(adapter_->ConfigKey(), kCallTimeout,
+                       [this](const result<std::optional<stored_item>>& item) {
+                         store_.Note(item);
+                         if (item && item.value()) {
+                           config_revision_ = item.value()->revision;
+                           TakeConfig(item.value()->value, "store");
+                           WatchConfig();
+                           return;
+                         }
+                         ReadConfigAfter(kConfigRetry);
+                       });
 }
 
 void job_entry_process::ReadConfigAfter(millis delay) {
@@ -214,14 +212,14 @@
             TakeConfig(item.value, "store");
           }
         }
-        config_revision_ =
-            std::max(config_revision_, changes.value().revision);
+        config_revision_ = std::max(config_revision_, changes.value().revision);
         WatchConfig();
       });
 }
 
 // Versions only rise within the life of a process.
-void job_entry_process::TakeConfig(const std::string& text, const char* source) {
+void job_entry_process::TakeConfig(const std::string& text,
+                                   const char* source) {
   auto config = adapter_->DecodeConfig(text);
   if (!config) {
     LogEvent(kPart, "config_unreadable",
@@ -273,14 +271,13 @@
   question.set_store_lost(store_.IsLost());
   CallOwnerService<wire::fleet_question, wire::fleet_reply>(
       context_, peers_, address, kFleetMethod, std::move(question),
-      kGossipTimeout,
-      [this, address](const result<wire::fleet_reply>& reply) {
+      kGossipTimeout, [this, address](const result<wire::fleet_reply>& reply) {
         OnFleetReply(address, reply);
       });
 }
 
 void job_entry_process::OnFleetReply(const std::string& address,
-                             const result<wire::fleet_reply>& reply) {
+                                     const result<wire::fleet_reply>& reply) {
   if (!reply) {
     return;
   }
@@ -332,12 +329,11 @@
     return;
   }
   probing_ = true;
-  store_.Client().Read(
-      adapter_->ConfigKey(), kProbeTimeout,
-      [this](const result<std::optional<stored_item>>& item) {
-        probing_ = false;
-        store_.Note(item);
-      });
+  store_.Client().Read(adapter_->ConfigKey(), kProbeTimeout,
+                       [this](const result<std::optional<stored_item>>& item) {
+                         probing_ = false;
+                         store_.Note(item);
+                       });
 }
 
 std::vector<std::string> job_entry_process::LiveEntries() const {
@@ -377,19 +373,15 @@
   return others > 0;
 }
 
-void job_entry_process::Ask(wire::job_question question,
-                    millis timeout,
-                    std::function<void(result<wire::job_reply>)> callback) {
+void job_entry_process::Ask(
+    const wire::job_question& question,
+    millis timeout,
+    std::function<void(result<wire::job_reply>)> callback) {
   if (owner_->IsActive()) {
     // The same path as a remote question, without the network.
-    struct local_call {
-      wire::job_question question;
-      wire::job_reply reply;
-    };
-    auto local = std::make_shared<local_call>();
-    local->question = std::move(question);
-    owner_->AnswerQuestion(local->question, local->reply);
-    callback(std::move(local->reply));
+    wire::job_reply reply;
+    owner_->AnswerQuestion(question, reply);
+    callback(std::move(reply));
     return;
   }
   const std::string address = election_->View().address;
@@ -398,25 +390,24 @@
     return;
   }
   CallOwnerService<wire::job_question, wire::job_reply>(
-      context_, peers_, address, kAskMethod, std::move(question), timeout,
+      context_, peers_, address, kAskMethod, question, timeout,
       std::move(callback));
 }
 
 void job_entry_process::HandleOperator(const http_request& request,
-                               const http_responder& respond) {
+                                       const http_responder& respond) {
   http_response response;
   if (request.path == "/metrics") {
     response.content_type = "text/plain; version=0.0.4";
     response.body = metrics_.Text();
   } else if (request.path == "/dump") {
-    boost::json::object dump{
-        {"name", settings_.name},
-        {"owner", election_->View().address},
-        {"epoch", election_->View().epoch},
-        {"is_owner", owner_->IsActive()},
-        {"config_version", config_ ? config_->version : 0},
-        {"store_silent_ms", store_.Silent()},
-        {"requests_in_flight", front_->InFlight()}};
+    boost::json::object dump{{"name", settings_.name},
+                             {"owner", election_->View().address},
+                             {"epoch", election_->View().epoch},
+                             {"is_owner", owner_->IsActive()},
+                             {"config_version", config_ ? config_->version : 0},
+                             {"store_silent_ms", store_.Silent()},
+                             {"requests_in_flight", front_->InFlight()}};
     boost::json::array entries;
     for (const std::string& entry : LiveEntries()) {
       entries.emplace_back(entry);
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -6,9 +6,9 @@
 #include <memory>
 #include <string>
 
+#include <grpcpp/grpcpp.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <grpcpp/grpcpp.h>
 
 #include "chervilkeel/http_server.h"
 #include "chervilkeel/platform_adapter.h"
@@ -29,8 +29,8 @@
 class job_entry_process {
  public:
   job_entry_process(boost::asio::io_context& context,
-            const process_settings& settings,
-            std::unique_ptr<platform_adapter> adapter);
+                    const process_settings& settings,
+                    std::unique_ptr<platform_adapter> adapter);
   ~job_entry_process();
   job_entry_process(const job_entry_process&) = delete;
   job_entry_process& operator=(const job_entry_process&) = delete;
@@ -56,8 +56,9 @@
   void AskFleet(const std::string& address);
   void OnFleetReply(const std::string& address,
                     const result<wire::fleet_reply>& reply);
-  void AnswerFleet(const held_call<wire::fleet_question, wire::fleet_reply>& call);
-  void Ask(wire::job_question question,
+  void AnswerFleet(
+      const held_call<wire::fleet_question, wire::fleet_reply>& call);
+  void Ask(const wire::job_question& question,
            millis timeout,
            std::function<void(result<wire::job_reply>)> callback);
   bool MayGrant();
--- a/src/chervilkeeld/job_front.cpp
+++ b/src/chervilkeeld/job_front.cpp
@@ -17,7 +17,7 @@
 constexpr millis kStoreTimeout = 700;       // Of one call.
 constexpr millis kAskTimeout = 500;         // Of one question to the owner.
 constexpr millis kPause = 100;              // Before another try.
-constexpr millis kRefuseAfter = 600;  // Nothing was stored in this time.
+constexpr millis kRefuseAfter = 600;        // Nothing was stored in this time.
 constexpr millis kRetryAfter = 1'000;
 constexpr std::size_t kMaxPayload = 4'000;  // Bytes.
 constexpr std::size_t kMaxIdLength = 100;
@@ -96,10 +96,10 @@
   request->respond = std::move(respond);
   request->call = adapter_.DecodeCall(request->request);
   request->began = BootNow();
-  const millis deadline = request->call.deadline > 0 ? request->call.deadline
-                                                     : kDefaultDeadline;
-  request->until = request->began + std::max<millis>(deadline - kAnswerMargin,
-                                                     deadline / 2);
+  const millis deadline =
+      request->call.deadline > 0 ? request->call.deadline : kDefaultDeadline;
+  request->until =
+      request->began + std::max<millis>(deadline - kAnswerMargin, deadline / 2);
   if (!config_) {
     Answer(request, Refusal(job_result::kUnavailable, "no configuration yet"),
            "no configuration");
@@ -160,8 +160,8 @@
   ++request->tries;
   auto timer = std::make_shared<boost::asio::steady_timer>(context_);
   timer->expires_after(std::chrono::milliseconds(kPause));
-  timer->async_wait([timer, step = std::move(step)](
-                        boost::system::error_code) { step(); });
+  timer->async_wait(
+      [timer, step = std::move(step)](boost::system::error_code) { step(); });
 }
 
 void job_front::Submit(const job_request_ptr& request,
@@ -173,8 +173,8 @@
   }
   auto spec = adapter_.DecodeJob(request->request.body);
   if (!spec) {
-    Answer(request,
-           Refusal(job_result::kInvalid, spec.error().message), "unreadable");
+    Answer(request, Refusal(job_result::kInvalid, spec.error().message),
+           "unreadable");
     return;
   }
   const findings found = CheckJob(spec.value(), kMaxPayload);
@@ -202,8 +202,7 @@
   store_transaction transaction;
   transaction.conditions = {{kJobPrefix + request->id, 0}};
   transaction.writes = {{kJobPrefix + request->id, record, 0}};
-  const millis timeout =
-      std::min(kStoreTimeout, request->until - BootNow());
+  const millis timeout = std::min(kStoreTimeout, request->until - BootNow());
   store_.Client().Commit(
       transaction, std::max<millis>(timeout, 1),
       [this, request, record](const result<transaction_outcome>& outcome) {
@@ -220,13 +219,12 @@
     wire::job_question question;
     question.set_kind(wire::job_question::added);
     question.set_id(request->id);
-    question.set_record(outcome.value().applied
-                            ? record
-                            : outcome.value().conflicts.empty()
-                                  ? std::string()
-                                  : outcome.value().conflicts.front().value);
+    question.set_record(outcome.value().applied ? record
+                        : outcome.value().conflicts.empty()
+                            ? std::string()
+                            : outcome.value().conflicts.front().value);
     if (!question.record().empty()) {
-      ask_(std::move(question), kAskTimeout, [](const auto&) {});
+      ask_(question, kAskTimeout, [](const auto&) {});
     }
     Answer(request, Success(job_result::kAccepted),
            outcome.value().applied ? "stored" : "stored before");
@@ -257,7 +255,7 @@
   wire::job_question question;
   question.set_kind(wire::job_question::state);
   question.set_id(request->id);
-  ask_(std::move(question), kAskTimeout,
+  ask_(question, kAskTimeout,
        [this, request](const result<wire::job_reply>& reply) {
          if (reply && reply.value().is_owner() && reply.value().is_known()) {
            job_answer answer = Success(job_result::kState);
@@ -322,7 +320,7 @@
   wire::job_question question;
   question.set_kind(wire::job_question::state);
   question.set_id(request->id);
-  ask_(std::move(question), kAskTimeout,
+  ask_(question, kAskTimeout,
        [this, request](const result<wire::job_reply>& reply) {
          if (reply && reply.value().is_owner() && reply.value().is_known()) {
            StoreCancel(request);
@@ -345,7 +343,7 @@
           wire::job_question question;
           question.set_kind(wire::job_question::cancelled);
           question.set_id(request->id);
-          ask_(std::move(question), kAskTimeout, [](const auto&) {});
+          ask_(question, kAskTimeout, [](const auto&) {});
           Answer(request, Success(job_result::kCancelled), "stored");
         } else if (BootNow() + kPause < request->until) {
           Again(request, [this, request] { StoreCancel(request); });
@@ -361,7 +359,7 @@
   wire::job_question question;
   question.set_kind(wire::job_question::pending);
   question.set_id(request->queue);
-  ask_(std::move(question), kAskTimeout,
+  ask_(question, kAskTimeout,
        [this, request](const result<wire::job_reply>& reply) {
          if (reply && reply.value().is_owner()) {
            job_answer answer = Success(job_result::kCount);
--- a/src/chervilkeeld/job_front.h
+++ b/src/chervilkeeld/job_front.h
@@ -21,11 +21,11 @@
   http_request request;
   http_responder respond;
   job_call call;
-  std::string id;     // Of the job.
+  std::string id;  // Of the job.
   std::string queue;
   std::string service;
   millis began = 0;
-  millis until = 0;        // Answered by then.
+  millis until = 0;            // Answered by then.
   bool may_be_stored = false;  // A try without an answer may take effect.
   int tries = 0;
 };
@@ -37,7 +37,7 @@
  public:
   // Asks the owner, wherever it is.
   using ask_function =
-      std::function<void(wire::job_question question,
+      std::function<void(const wire::job_question& question,
                          millis timeout,
                          std::function<void(result<wire::job_reply>)>)>;
 
--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr const char* kPart = "owner";
-constexpr millis kTick = 50;            // Between looks at what is due by time.
-constexpr millis kHoldAnswer = 400;     // An agent's call waits this long.
+constexpr millis kTick = 50;         // Between looks at what is due by time.
+constexpr millis kHoldAnswer = 400;  // An agent's call waits this long.
 
 }  // namespace
 
@@ -82,13 +82,14 @@
 
 void job_owner::ScheduleTick() {
   tick_timer_.expires_after(std::chrono::milliseconds(kTick));
-  tick_timer_.async_wait([this, term = term_](boost::system::error_code failure) {
-    if (failure || term != term_ || !active_) {
-      return;
-    }
-    Step();
-    ScheduleTick();
-  });
+  tick_timer_.async_wait(
+      [this, term = term_](boost::system::error_code failure) {
+        if (failure || term != term_ || !active_) {
+          return;
+        }
+        Step();
+        ScheduleTick();
+      });
 }
 
 // Lets the scheduler decide, and carries out what follows.
@@ -173,7 +174,8 @@
   waiting_sync waiting{call, now + kHoldAnswer, sync.acked_order()};
   const bool has_orders =
       !scheduler_->OrdersFor(sync.agent(), sync.acked_order()).empty();
-  if (sync.wait() && obeys && !has_orders && scheduler_->IsMember(sync.agent())) {
+  if (sync.wait() && obeys && !has_orders &&
+      scheduler_->IsMember(sync.agent())) {
     waiting_[sync.agent()] = waiting;
   } else {
     Answer(sync.agent(), waiting);
@@ -208,7 +210,7 @@
       break;
     }
     case wire::job_question::cancelled:
-      reply.set_is_known(scheduler_->CancelJob(question.id(), now));
+      reply.set_is_known(scheduler_->CancelJob(question.id()));
       Step();
       break;
     case wire::job_question::pending:
@@ -222,8 +224,8 @@
     default: {
       const auto state = scheduler_->StateOf(question.id());
       reply.set_is_known(state.has_value());
-      reply.set_state(static_cast<std::uint32_t>(
-          state.value_or(job_state::kQueued)));
+      reply.set_state(
+          static_cast<std::uint32_t>(state.value_or(job_state::kQueued)));
       break;
     }
   }
--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -12,9 +12,9 @@
 constexpr const char* kPart = "owner";
 constexpr millis kCallTimeout = 1'000;
 constexpr millis kRetryDelay = 150;
-constexpr millis kInboxPause = 300;    // Between two watches on the inbox.
-constexpr millis kInboxWait = 3'000;   // Of one watch.
-constexpr millis kInboxGrace = 500;    // Beyond it before it counts as dead.
+constexpr millis kInboxPause = 300;   // Between two watches on the inbox.
+constexpr millis kInboxWait = 3'000;  // Of one watch.
+constexpr millis kInboxGrace = 500;   // Beyond it before it counts as dead.
 
 // Left of a transaction beside the condition on the owner, and the condition
 // and write of the commit's key.
@@ -62,7 +62,7 @@
   if (item.key.rfind(cancel_prefix, 0) == 0) {
     const std::string id = item.key.substr(cancel_prefix.size());
     if (scheduler_ != nullptr) {
-      scheduler_->CancelJob(id, now);
+      scheduler_->CancelJob(id);
     } else {
       recovered_.cancelled.insert(id);
     }
@@ -127,10 +127,9 @@
           if (progress) {
             recovered_.progress.push_back(std::move(progress.value()));
           } else {
-            LogEvent(
-                kPart, "progress_unreadable",
-                {{"key", item.key}, {"error", ToString(progress.error())}},
-                true);
+            LogEvent(kPart, "progress_unreadable",
+                     {{"key", item.key}, {"error", ToString(progress.error())}},
+                     true);
           }
         }
         if (page.value().has_more && !page.value().items.empty()) {
@@ -246,11 +245,12 @@
           Step();
         }
         inbox_timer_.expires_after(std::chrono::milliseconds(kInboxPause));
-        inbox_timer_.async_wait([this, term](boost::system::error_code failure) {
-          if (!failure && term == term_) {
-            WatchInbox();
-          }
-        });
+        inbox_timer_.async_wait(
+            [this, term](boost::system::error_code failure) {
+              if (!failure && term == term_) {
+                WatchInbox();
+              }
+            });
       });
 }
 
@@ -329,11 +329,12 @@
       committed_at_ + static_cast<millis>(settings_.job_commit_interval);
   if (now < due) {
     commit_timer_.expires_after(std::chrono::milliseconds(due - now));
-    commit_timer_.async_wait([this, term = term_](boost::system::error_code failure) {
-      if (!failure && term == term_) {
-        Commit();
-      }
-    });
+    commit_timer_.async_wait(
+        [this, term = term_](boost::system::error_code failure) {
+          if (!failure && term == term_) {
+            Commit();
+          }
+        });
     return;
   }
   committed_at_ = now;
--- a/src/chervilkeeld/main.cpp
+++ b/src/chervilkeeld/main.cpp
@@ -14,11 +14,11 @@
 #include "agent_process.h"
 #include "chervilkeel/event_log.h"
 #include "chervilkeel/http_server.h"
-#include "job_agent_process.h"
-#include "job_entry_process.h"
 #include "chervilkeel/log.h"
 #include "chervilkeel/version.h"
 #include "entry_process.h"
+#include "job_agent_process.h"
+#include "job_entry_process.h"
 #include "process_core.h"
 
 namespace chervilkeel {
--- a/src/chervilkeeld/owner_election.cpp
+++ b/src/chervilkeeld/owner_election.cpp
@@ -11,13 +11,13 @@
 namespace {
 
 constexpr const char* kPart = "election";
-constexpr millis kCallTimeout = 800;     // Well above a calm answer of 4 ms.
-constexpr millis kRetry = 200;           // After a failed call.
-constexpr millis kWatchWait = 2'000;     // Of one watch on the owner's key.
-constexpr millis kWatchGrace = 500;      // Beyond it before it counts as dead.
+constexpr millis kCallTimeout = 800;  // Well above a calm answer of 4 ms.
+constexpr millis kRetry = 200;        // After a failed call.
+constexpr millis kWatchWait = 2'000;  // Of one watch on the owner's key.
+constexpr millis kWatchGrace = 500;   // Beyond it before it counts as dead.
 constexpr int kRenewalsPerLease = 4;
-constexpr millis kReturnDelay = 400;     // Leaves a former owner the lead.
-constexpr millis kSpread = 150;          // Keeps entries from racing.
+constexpr millis kReturnDelay = 400;  // Leaves a former owner the lead.
+constexpr millis kSpread = 150;       // Keeps entries from racing.
 
 std::uint64_t ParseEpoch(const std::string& text) {
   std::uint64_t epoch = 0;
@@ -79,12 +79,11 @@
   if (resigned_) {
     return;
   }
-  store_.Client().Read(
-      kOwnerKey, kCallTimeout,
-      [this](const result<std::optional<stored_item>>& found) {
-        store_.Note(found);
-        OnLook(found);
-      });
+  store_.Client().Read(kOwnerKey, kCallTimeout,
+                       [this](const result<std::optional<stored_item>>& found) {
+                         store_.Note(found);
+                         OnLook(found);
+                       });
 }
 
 void owner_election::OnLook(const result<std::optional<stored_item>>& found) {
@@ -113,8 +112,7 @@
     return;
   }
   // The former owner goes first: it needs no recovery. The others spread.
-  const bool was_owner =
-      last_own_epoch_ != 0 && last_own_epoch_ == view_.epoch;
+  const bool was_owner = last_own_epoch_ != 0 && last_own_epoch_ == view_.epoch;
   const millis delay =
       was_owner || view_.epoch == 0
           ? static_cast<millis>(std::hash<std::string>()(options_.name) % 20)
@@ -148,35 +146,34 @@
 
 void owner_election::Campaign() {
   lease_asked_ = BootNow();
-  store_.Client().GrantLease(
-      options_.ttl, kCallTimeout, [this](const result<store_lease>& granted) {
-        store_.Note(granted);
-        if (resigned_) {
-          return;
-        }
-        if (!granted) {
-          After(kRetry, &owner_election::Look);
-          return;
-        }
-        lease_ = granted.value().id;
-        ReadEpoch();
-      });
+  store_.Client().GrantLease(options_.ttl, kCallTimeout,
+                             [this](const result<store_lease>& granted) {
+                               store_.Note(granted);
+                               if (resigned_) {
+                                 return;
+                               }
+                               if (!granted) {
+                                 After(kRetry, &owner_election::Look);
+                                 return;
+                               }
+                               lease_ = granted.value().id;
+                               ReadEpoch();
+                             });
 }
 
 void owner_election::ReadEpoch() {
-  store_.Client().Read(
-      kEpochKey, kCallTimeout,
-      [this](const result<std::optional<stored_item>>& epoch) {
-        store_.Note(epoch);
-        if (resigned_) {
-          return;
-        }
-        if (epoch) {
-          TakeOwnership(epoch.value());
-        } else {
-          After(kRetry, &owner_election::Look);
-        }
-      });
+  store_.Client().Read(kEpochKey, kCallTimeout,
+                       [this](const result<std::optional<stored_item>>& epoch) {
+                         store_.Note(epoch);
+                         if (resigned_) {
+                           return;
+                         }
+                         if (epoch) {
+                           TakeOwnership(epoch.value());
+                         } else {
+                           After(kRetry, &owner_election::Look);
+                         }
+                       });
 }
 
 void owner_election::TakeOwnership(const std::optional<stored_item>& epoch) {
@@ -249,7 +246,8 @@
   const millis asked = BootNow();
   const millis interval = options_.ttl / kRenewalsPerLease;
   store_.Client().RenewLease(
-      lease_, options_.ttl / 2, [this, asked, interval](const result<store_lease>& kept) {
+      lease_, options_.ttl / 2,
+      [this, asked, interval](const result<store_lease>& kept) {
         store_.Note(kept);
         if (!is_owner_ || resigned_) {
           return;
--- a/src/chervilkeeld/owner_locator.cpp
+++ b/src/chervilkeeld/owner_locator.cpp
@@ -19,8 +19,7 @@
                              const process_settings& settings)
     : store_(store) {
   for (const endpoint& seed : settings.seeds) {
-    entries_.push_back(
-        endpoint{seed.address, settings.rpc_port}.ToString());
+    entries_.push_back(endpoint{seed.address, settings.rpc_port}.ToString());
   }
 }
 
@@ -56,16 +55,15 @@
   }
   looking_ = true;
   looked_ = BootNow();
-  store_.Client().Read(
-      kOwnerKey, kLookTimeout,
-      [this](const result<std::optional<stored_item>>& item) {
-        store_.Note(item);
-        looking_ = false;
-        if (item && item.value()) {
-          const std::string& text = item.value()->value;
-          Learn(text.substr(0, text.find(' ')), {});
-        }
-      });
+  store_.Client().Read(kOwnerKey, kLookTimeout,
+                       [this](const result<std::optional<stored_item>>& item) {
+                         store_.Note(item);
+                         looking_ = false;
+                         if (item && item.value()) {
+                           const std::string& text = item.value()->value;
+                           Learn(text.substr(0, text.find(' ')), {});
+                         }
+                       });
 }
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/rpc_async.h
+++ b/src/chervilkeeld/rpc_async.h
@@ -45,18 +45,18 @@
         if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
           peers.Forget(address);
         }
-        boost::asio::post(context, [call, address, status,
-                                    callback = std::move(callback)] {
-          if (status.ok()) {
-            callback(std::move(call->reply));
-          } else {
-            callback(Fail(status.error_code() == grpc::StatusCode::UNAVAILABLE
-                              ? error_code::kUnavailable
-                              : error_code::kUnknown,
-                          "process " + address + ": " +
-                              status.error_message()));
-          }
-        });
+        boost::asio::post(
+            context, [call, address, status, callback = std::move(callback)] {
+              if (status.ok()) {
+                callback(std::move(call->reply));
+              } else {
+                callback(
+                    Fail(status.error_code() == grpc::StatusCode::UNAVAILABLE
+                             ? error_code::kUnavailable
+                             : error_code::kUnknown,
+                         "process " + address + ": " + status.error_message()));
+              }
+            });
       });
 }
 
--- a/src/chervilkeeld/store_link.h
+++ b/src/chervilkeeld/store_link.h
@@ -21,10 +21,10 @@
   // To be told of the outcome of each call.
   template <class value_type>
   void Note(const result<value_type>& outcome) {
-    if (outcome) {
-      NoteAnswer();
-    } else if (outcome.error().code == error_code::kUnavailable ||
-               outcome.error().code == error_code::kUnknown) {
+    const bool unanswered =
+        !outcome && (outcome.error().code == error_code::kUnavailable ||
+                     outcome.error().code == error_code::kUnknown);
+    if (unanswered) {
       NoteFailure(outcome.error());
     } else {
       NoteAnswer();
--- a/src/include/chervilkeel/coordination_store.h
+++ b/src/include/chervilkeel/coordination_store.h
@@ -54,7 +54,7 @@
 
 struct transaction_outcome {
   bool applied = false;
-  std::uint64_t revision = 0;         // When it was applied.
+  std::uint64_t revision = 0;          // When it was applied.
   std::vector<stored_item> conflicts;  // Otherwise: the conditions' keys.
 };
 
--- a/src/include/chervilkeel/job.h
+++ b/src/include/chervilkeel/job.h
@@ -18,17 +18,17 @@
 // One step of a job: tasks that are alike.
 struct job_step {
   std::uint32_t tasks = 0;
-  amount size;  // What one task needs.
+  amount size;          // What one task needs.
   millis expected = 0;  // The submitter's rough estimate of a task's run time.
-  std::vector<std::uint32_t> after;  // Steps that have to be done before.
-  bool gang = false;                 // All tasks start and end together.
-  bool one_rack = false;             // A gang that is slower across racks.
-  bool checkpoints = false;          // A stop saves the progress.
-  bool speculative = false;          // Copies may run side by side.
-  bool service = false;              // Runs until the job is cancelled.
-  bool filler = false;               // Uses only cores that are left over.
-  std::string required_label;        // Empty: any worker.
-  std::string data_rack;             // Slower elsewhere. Empty: anywhere.
+  std::vector<std::uint32_t> after;   // Steps that have to be done before.
+  bool gang = false;                  // All tasks start and end together.
+  bool one_rack = false;              // A gang that is slower across racks.
+  bool checkpoints = false;           // A stop saves the progress.
+  bool speculative = false;           // Copies may run side by side.
+  bool service = false;               // Runs until the job is cancelled.
+  bool filler = false;                // Uses only cores that are left over.
+  std::string required_label;         // Empty: any worker.
+  std::string data_rack;              // Slower elsewhere. Empty: anywhere.
   std::uint32_t most_per_worker = 0;  // 0: no limit.
   std::uint32_t may_miss = 0;         // Tasks that may be away at once.
   std::string image;                  // Tasks of one image behave alike.
@@ -50,9 +50,9 @@
   std::string service;
   std::uint32_t priority = 0;  // 0 comes first.
   std::uint32_t max_attempts = 3;
-  double stretch = 2.0;         // Of the shortest possible run time.
-  millis latency_target = 0;    // Added to the stretched run time.
-  bool needs_advice = false;    // Only advised workers may run its steps.
+  double stretch = 2.0;       // Of the shortest possible run time.
+  millis latency_target = 0;  // Added to the stretched run time.
+  bool needs_advice = false;  // Only advised workers may run its steps.
 };
 
 // A job as it was accepted. Never changes afterwards.
@@ -90,8 +90,8 @@
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
   std::string done;  // A character a task: '1' once it has ended as done.
-  std::map<std::uint32_t, std::uint32_t> failures;      // By task.
-  std::map<std::uint32_t, std::string> checkpoints;     // By task.
+  std::map<std::uint32_t, std::uint32_t> failures;   // By task.
+  std::map<std::uint32_t, std::string> checkpoints;  // By task.
 };
 
 // The durable progress of a job, rewritten whole with each change.
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -21,12 +21,12 @@
 
 // Durations in milliseconds.
 struct scheduler_options {
-  millis grant = 5'000;         // How long an agent may keep its runs alive.
-  millis grant_margin = 400;    // Added before a silent agent's runs are dead.
-  double clock_drift = 0.02;    // Of an executor's clock.
+  millis grant = 5'000;          // How long an agent may keep its runs alive.
+  millis grant_margin = 400;     // Added before a silent agent's runs are dead.
+  double clock_drift = 0.02;     // Of an executor's clock.
   millis longest_lease = 6'000;  // How long runs of a former scheduler may
                                  // live after this one began.
-  millis retention = 150'000;   // Of a job after its end.
+  millis retention = 150'000;    // Of a job after its end.
   std::uint64_t runs_per_epoch = 1'000'000;  // Keeps runs of owners apart.
   std::uint64_t epoch = 1;
   // How far the time of day may be off when a due time is compared with it.
@@ -38,7 +38,7 @@
   const char* event;
   std::string subject;  // A job or a task.
   std::string worker;
-  std::string detail;   // key=value pairs.
+  std::string detail;  // key=value pairs.
 };
 
 // Where a run is in its life, as the scheduler believes.
@@ -54,13 +54,13 @@
   executor_boot boot;
   std::uint64_t run = 0;
   run_phase phase = run_phase::kOrdered;
-  millis since = 0;            // When it was ordered or adopted.
-  std::uint32_t percent = 0;   // Last reported.
-  millis percent_at = 0;       // When the percent changed last.
-  std::uint32_t pace = 100;    // Last ordered.
-  millis paced_at = 0;         // When.
-  std::int64_t load = 0;       // Last reported.
-  millis over_since = 0;       // A service: over its target; 0: it is not.
+  millis since = 0;           // When it was ordered or adopted.
+  std::uint32_t percent = 0;  // Last reported.
+  millis percent_at = 0;      // When the percent changed last.
+  std::uint32_t pace = 100;   // Last ordered.
+  millis paced_at = 0;        // When.
+  std::int64_t load = 0;      // Last reported.
+  millis over_since = 0;      // A service: over its target; 0: it is not.
   std::string checkpoint;
 };
 
@@ -95,8 +95,8 @@
   std::uint32_t occurrences_done = 0;
   std::uint32_t next_occurrence = 0;
   std::int64_t ended_ms = 0;
-  millis arrived = 0;    // On this process's monotonic clock.
-  millis path = 0;       // Length of the critical path.
+  millis arrived = 0;        // On this process's monotonic clock.
+  millis path = 0;           // Length of the critical path.
   bool has_waiting = false;  // Tasks of it may wait for a worker.
   bool durable_end = false;  // Its end has been written.
   std::uint64_t done_tasks = 0;
@@ -107,16 +107,16 @@
 struct scheduled_worker {
   std::string agent;
   executor_description description;
-  bool known = false;          // Its runs have been listed.
-  millis granted_until = 0;    // Its runs may live until then.
-  std::uint64_t seen_end = 0;  // Highest end that was taken in.
+  bool known = false;              // Its runs have been listed.
+  millis granted_until = 0;        // Its runs may live until then.
+  std::uint64_t seen_end = 0;      // Highest end that was taken in.
   std::uint64_t recorded_end = 0;  // Highest end that is durable.
-  amount used;                 // By all but fillers.
+  amount used;                     // By all but fillers.
   std::int64_t service_milli = 0;  // Of it, by services.
   std::int64_t filler_milli = 0;
   std::set<task_name> tasks;
   worker_health health;
-  millis full_until = 0;       // It refused a task for want of room.
+  millis full_until = 0;  // It refused a task for want of room.
   std::uint64_t order_number = 0;
   std::deque<std::pair<std::uint64_t, worker_order>> orders;  // Not yet acked.
 };
@@ -159,7 +159,7 @@
   void AddJob(const job_record& record, millis now);
 
   // Cancels a job; false when there is no such job.
-  bool CancelJob(const std::string& id, millis now);
+  bool CancelJob(const std::string& id);
 
   // Takes an agent's report in, and extends its grant.
   void OnReport(const worker_report& report, millis now);
@@ -257,7 +257,7 @@
                millis now);
   void DropAllRuns(scheduled_worker& worker, const char* reason, millis now);
   void ExpireSilentWorkers(millis now);
-  void EvacuateDraining(millis now);
+  void EvacuateDraining();
   void Release(scheduled_worker& worker,
                const scheduled_job& job,
                const task_name& key);
@@ -266,7 +266,7 @@
               const task_name& key);
 
   // job_scheduler_placement.cpp: who runs what.
-  std::vector<waiting_task> WaitingTasks(millis now);
+  std::vector<waiting_task> WaitingTasks();
   void PlaceWaiting(millis now);
   bool PlaceTask(const waiting_task& waiting, millis now);
   bool PlaceGang(const waiting_task& waiting, millis now);
@@ -278,7 +278,6 @@
   bool MayRun(const scheduled_worker& worker,
               const scheduled_job& job,
               const task_name& key,
-              const scheduled_task& task,
               millis now) const;
   std::uint64_t NextRun(const scheduled_task& task) const;
   void OrderStart(scheduled_worker& worker,
@@ -333,7 +332,7 @@
   std::set<std::string> active_;           // Jobs that have not ended.
   std::set<std::string> members_;          // As written last.
   std::set<std::string> wanted_members_;
-  std::set<std::string> dirty_;            // Jobs to be written.
+  std::set<std::string> dirty_;  // Jobs to be written.
   std::vector<std::string> forgotten_;
   std::set<std::string> woken_;
   std::uint64_t commit_number_ = 0;
--- a/src/include/chervilkeel/platform_adapter.h
+++ b/src/include/chervilkeel/platform_adapter.h
@@ -47,15 +47,15 @@
 // What became of a caller's request.
 enum class job_result {
   kAccepted,
-  kState,      // `state` holds it.
-  kCount,      // `count` holds it.
+  kState,  // `state` holds it.
+  kCount,  // `count` holds it.
   kCancelled,
-  kNoJob,      // There is no such job.
-  kNoQueue,    // No queue has that address.
-  kInvalid,    // `message` says what is wrong.
-  kOverloaded, // Not accepted; never runs. `retry_after` says when to return.
+  kNoJob,        // There is no such job.
+  kNoQueue,      // No queue has that address.
+  kInvalid,      // `message` says what is wrong.
+  kOverloaded,   // Not accepted; never runs. `retry_after` says when to return.
   kUnavailable,  // Not accepted; never runs.
-  kUnknown,    // It may have been accepted.
+  kUnknown,      // It may have been accepted.
 };
 
 struct job_result_name {
--- a/src/include/chervilkeel/pressure_model.h
+++ b/src/include/chervilkeel/pressure_model.h
@@ -21,7 +21,7 @@
 
 // A report of a service task.
 struct service_report {
-  std::string task;   // Names the task, as each has a load of its own.
+  std::string task;  // Names the task, as each has a load of its own.
   std::string image;
   std::int64_t tail = 0;  // ms.
   millis target = 0;
@@ -63,17 +63,17 @@
 
   double UnloadedTail(const std::string& image) const;
 
-  static constexpr double kUnloadedTail = 0.25;   // Tail over target.
-  static constexpr double kOwnLoad = 0.4;         // Before the first report.
+  static constexpr double kUnloadedTail = 0.25;  // Tail over target.
+  static constexpr double kOwnLoad = 0.4;        // Before the first report.
   static constexpr double kOwnVariance = 0.04;
-  static constexpr double kOwnDrift = 0.006;      // Variance gained a report.
-  static constexpr double kUnknownFactor = 0.8;   // Most pairs press little.
+  static constexpr double kOwnDrift = 0.006;     // Variance gained a report.
+  static constexpr double kUnknownFactor = 0.8;  // Most pairs press little.
   static constexpr double kFactorVariance = 4.0;
   static constexpr double kFactorDrift = 0.001;
-  static constexpr double kNoise = 0.01;          // Of a report.
+  static constexpr double kNoise = 0.01;  // Of a report.
   static constexpr double kLargestFactor = 16.0;
-  static constexpr double kSaturated = 1.1;       // Beyond it tails say no more.
-  static constexpr double kSaturatedRatio = 4.0;  // Of tail and target.
+  static constexpr double kSaturated = 1.1;  // Beyond it tails say no more.
+  static constexpr double kSaturatedRatio = 4.0;     // Of tail and target.
   static constexpr std::size_t kMostTasks = 20'000;  // Remembered at once.
 
   std::map<std::string, double> unloaded_;  // By image of a service.
--- a/src/include/chervilkeel/task_executor.h
+++ b/src/include/chervilkeel/task_executor.h
@@ -15,14 +15,14 @@
 // How an executor answered an order.
 enum class executor_verdict {
   kAccepted,
-  kFenced,         // It has seen a higher epoch.
-  kOutdated,       // That run, or a higher one, has been there.
-  kTooLate,        // The lease in the order is over.
+  kFenced,    // It has seen a higher epoch.
+  kOutdated,  // That run, or a higher one, has been there.
+  kTooLate,   // The lease in the order is over.
   kNoRoom,
   kBadTicket,
-  kInvalid,        // It can't read the order.
-  kUnhealthy,      // It has done nothing.
-  kOtherBoot,      // Another boot answered.
+  kInvalid,    // It can't read the order.
+  kUnhealthy,  // It has done nothing.
+  kOtherBoot,  // Another boot answered.
 };
 
 struct executor_verdict_name {
--- a/src/include/chervilkeel/worker_health.h
+++ b/src/include/chervilkeel/worker_health.h
@@ -34,7 +34,7 @@
   void Add(bool failed, millis now);
   void BecomeSuspect(millis now);
 
-  static constexpr std::size_t kWindow = 8;       // Outcomes remembered.
+  static constexpr std::size_t kWindow = 8;  // Outcomes remembered.
   static constexpr std::size_t kFailuresToSuspect = 3;
   static constexpr millis kFirstProbe = 1'000;    // After becoming suspect.
   static constexpr millis kLongestProbe = 4'000;  // Between two probes.
--- a/src/include/chervilkeel/worker_report.h
+++ b/src/include/chervilkeel/worker_report.h
@@ -47,9 +47,9 @@
 };
 
 inline constexpr run_end_name kRunEndNames[] = {
-    {run_end::kDone, "done"},     {run_end::kFailed, "failed"},
+    {run_end::kDone, "done"},       {run_end::kFailed, "failed"},
     {run_end::kStopped, "stopped"}, {run_end::kLapsed, "lapsed"},
-    {run_end::kBroken, "broken"}, {run_end::kAlone, "alone"},
+    {run_end::kBroken, "broken"},   {run_end::kAlone, "alone"},
 };
 
 const char* NameOf(run_end end);
@@ -115,9 +115,9 @@
   executor_boot boot;  // Only this boot may carry it out.
   task_name task;
   std::uint64_t run = 0;
-  std::string payload;     // Of a start.
-  std::string checkpoint;  // Of a start; empty: from the beginning.
-  std::string reason;      // For the logs.
+  std::string payload;          // Of a start.
+  std::string checkpoint;       // Of a start; empty: from the beginning.
+  std::string reason;           // For the logs.
   std::uint32_t percent = 100;  // Of a pace.
 };
 
--- a/src/libkernel/job.cpp
+++ b/src/libkernel/job.cpp
@@ -31,8 +31,7 @@
 template <class number_type>
 number_type ReadNumber(const json::object& object, const char* key) {
   const json::value* value = object.if_contains(key);
-  return value == nullptr ? number_type()
-                          : value->to_number<number_type>();
+  return value == nullptr ? number_type() : value->to_number<number_type>();
 }
 
 bool ReadFlag(const json::object& object, const char* key) {
@@ -76,7 +75,8 @@
 job_step DecodeStep(const json::object& object) {
   job_step step;
   step.tasks = ReadNumber<std::uint32_t>(object, "tasks");
-  step.size.milli_processors = ReadNumber<std::int64_t>(object, "milli_processors");
+  step.size.milli_processors =
+      ReadNumber<std::int64_t>(object, "milli_processors");
   step.size.memory_mb = ReadNumber<std::int64_t>(object, "memory_mb");
   step.size.accelerators = ReadNumber<std::int64_t>(object, "accelerators");
   step.expected = ReadNumber<millis>(object, "expected_ms");
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -150,9 +150,8 @@
   Emit("job_added", record.id, "",
        "queue=" + record.queue +
            " steps=" + std::to_string(record.spec.steps.size()) +
-           " tasks=" + std::to_string(tasks) +
-           " milli_processors=" + std::to_string(milli) +
-           " path_ms=" + std::to_string(job.path));
+           " tasks=" + std::to_string(tasks) + " milli_processors=" +
+           std::to_string(milli) + " path_ms=" + std::to_string(job.path));
 }
 
 void job_scheduler::OpenOccurrence(scheduled_job& job, std::uint32_t number) {
@@ -276,7 +275,7 @@
   }
 }
 
-bool job_scheduler::CancelJob(const std::string& id, millis /*now*/) {
+bool job_scheduler::CancelJob(const std::string& id) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) {
     return false;
@@ -467,7 +466,7 @@
   ExpireSilentWorkers(now);
   OpenDueOccurrences(wall_ms, now);
   MoveStuckTasks(now);
-  EvacuateDraining(now);
+  EvacuateDraining();
   PaceFillers(now);
   MoveSlowedFillers(now);
   PlaceWaiting(now);
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -30,9 +30,9 @@
 constexpr double kLeastStartPace = 0.5;
 constexpr millis kPatience = 2'500;
 
-// A filler at this pace or less, for so long, is moved if another worker lets it
-// work at kFreePace; without checkpoints only while little would be lost.
-constexpr std::uint32_t kSlowPace = 30;      // Percent.
+// A filler at this pace or less, for so long, is moved if another worker lets
+// it work at kFreePace; without checkpoints only while little would be lost.
+constexpr std::uint32_t kSlowPace = 30;  // Percent.
 constexpr millis kSlowPatience = 700;
 constexpr millis kLeastStay = 2'000;         // Between two moves.
 constexpr double kFreePace = 0.9;            // Of its speed.
@@ -128,8 +128,7 @@
        "run=" + std::to_string(run.run) + " reason=\"" + reason + "\"");
 }
 
-std::vector<job_scheduler::waiting_task> job_scheduler::WaitingTasks(
-    millis now) {
+std::vector<job_scheduler::waiting_task> job_scheduler::WaitingTasks() {
   std::vector<waiting_task> waiting;
   for (const std::string& id : active_) {
     scheduled_job& job = jobs_.at(id);
@@ -157,10 +156,9 @@
                      : expected_end > objective                 ? 1
                                                                 : 0;
         }
-        const double rank =
-            static_cast<double>(step.tasks.size() - step.done) *
-            static_cast<double>(spec.size.milli_processors) *
-            static_cast<double>(spec.expected);
+        const double rank = static_cast<double>(step.tasks.size() - step.done) *
+                            static_cast<double>(spec.size.milli_processors) *
+                            static_cast<double>(spec.expected);
         for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
           const scheduled_task& task = step.tasks[i];
           if (task.done || !task.runs.empty()) {
@@ -177,11 +175,11 @@
   std::sort(waiting.begin(), waiting.end(),
             [](const waiting_task& left, const waiting_task& right) {
               const auto key = [](const waiting_task& task) {
-                return std::make_tuple(
-                    task.lateness == 2, task.job->policy.priority,
-                    task.lateness, task.rank, task.job->record.accepted_ms,
-                    std::cref(task.job->record.id).get(), task.occurrence,
-                    task.step, task.index);
+                return std::make_tuple(task.lateness == 2,
+                                       task.job->policy.priority, task.lateness,
+                                       task.rank, task.job->record.accepted_ms,
+                                       std::cref(task.job->record.id).get(),
+                                       task.occurrence, task.step, task.index);
               };
               return key(left) < key(right);
             });
@@ -191,7 +189,7 @@
 void job_scheduler::PlaceWaiting(millis now) {
   // Tasks of one step are alike: once one found no worker, its siblings won't.
   std::set<std::tuple<std::string, std::uint32_t, std::uint32_t>> stuck;
-  for (const waiting_task& waiting : WaitingTasks(now)) {
+  for (const waiting_task& waiting : WaitingTasks()) {
     const auto step = std::make_tuple(waiting.job->record.id,
                                       waiting.occurrence, waiting.step);
     if (stuck.count(step) != 0) {
@@ -210,7 +208,7 @@
 bool job_scheduler::PlaceTask(const waiting_task& waiting, millis now) {
   scheduled_job& job = *waiting.job;
   const task_name key{job.record.id, waiting.occurrence, waiting.step,
-                     waiting.index};
+                      waiting.index};
   scheduled_task* task = FindTask(key);
   scheduled_worker* worker = ChooseWorker(job, key, *task, now);
   if (worker == nullptr) {
@@ -263,7 +261,8 @@
   return true;
 }
 
-// Services reserve cores for their crests; what they leave unused is for fillers.
+// Services reserve cores for their crests; what they leave unused is for
+// fillers.
 std::int64_t job_scheduler::FillerRoom(const scheduled_worker& worker) {
   const auto unused = static_cast<std::int64_t>(
       (1.0 - kServiceUse) * static_cast<double>(worker.service_milli));
@@ -274,7 +273,6 @@
 bool job_scheduler::MayRun(const scheduled_worker& worker,
                            const scheduled_job& job,
                            const task_name& key,
-                           const scheduled_task& task,
                            millis now) const {
   const executor_description& about = worker.description;
   const job_step& step = job.record.spec.steps[key.step];
@@ -318,11 +316,11 @@
   scheduled_worker* best = nullptr;
   double best_score = 0;
   for (auto& [agent, worker] : workers_) {
-    if (!MayRun(worker, job, key, task, now)) {
+    if (!MayRun(worker, job, key, now)) {
       continue;
     }
-    const auto size = static_cast<double>(
-        std::max<std::int64_t>(worker.description.capacity.milli_processors, 1));
+    const auto size = static_cast<double>(std::max<std::int64_t>(
+        worker.description.capacity.milli_processors, 1));
     const auto free = static_cast<double>(FillerRoom(worker));
     double score = free / size;
     if (!step.filler) {
@@ -341,8 +339,8 @@
       }
     }
     score -= 2.0 * worker.health.Penalty();
-    score -= 1.0 * static_cast<double>(std::count(
-                       task.failed_on.begin(), task.failed_on.end(), agent));
+    score -= 1.0 * static_cast<double>(std::count(task.failed_on.begin(),
+                                                  task.failed_on.end(), agent));
     if (!step.data_rack.empty() &&
         RackOf(worker.description) == step.data_rack) {
       score += 1.0;
@@ -440,9 +438,9 @@
   for (const auto& [agent, worker] : workers_) {
     if (worker.known && !worker.description.draining &&
         worker.description.service == service) {
-      cores += static_cast<double>(
-                   worker.description.capacity.milli_processors) /
-               1'000.0;
+      cores +=
+          static_cast<double>(worker.description.capacity.milli_processors) /
+          1'000.0;
     }
   }
   double work = 0;
--- a/src/libkernel/job_scheduler_sharing.cpp
+++ b/src/libkernel/job_scheduler_sharing.cpp
@@ -18,12 +18,13 @@
 // A pair with a smaller factor is not held responsible for a service's tail.
 constexpr double kLeastFactor = 0.5;
 
-// Images that press at least this part as much as the worst one share its blame.
+// Images that press at least this part as much as the worst one share its
+// blame.
 constexpr double kBlamedPart = 0.5;
 
-// A service that has been over its target for so long gets all fillers beside it
-// stopped; well below the time after which operators count it as harmed, less
-// what reports lag.
+// A service that has been over its target for so long gets all fillers beside
+// it stopped; well below the time after which operators count it as harmed,
+// less what reports lag.
 constexpr millis kPatienceOver = 2'000;
 
 // A filler that started lately does not show in the tails yet.
@@ -32,7 +33,7 @@
 // What is kept of the pace when the cause of an excess is not known.
 constexpr double kSlowDown = 0.6;
 
-constexpr std::uint32_t kPaceUp = 30;     // Most percent given back at a time.
+constexpr std::uint32_t kPaceUp = 30;  // Most percent given back at a time.
 constexpr std::uint32_t kSmallestStep = 8;  // Percent; less is not ordered.
 
 }  // namespace
@@ -59,8 +60,8 @@
 double ShareAt(const scheduled_worker& worker,
                const job_step& step,
                std::uint32_t pace) {
-  const auto cores = static_cast<double>(std::max<std::int64_t>(
-      worker.description.capacity.milli_processors, 1));
+  const auto cores = static_cast<double>(
+      std::max<std::int64_t>(worker.description.capacity.milli_processors, 1));
   return static_cast<double>(step.size.milli_processors) / cores *
          static_cast<double>(pace) / 100.0;
 }
@@ -222,8 +223,8 @@
         victim = &image;
       }
     }
-    const auto next = std::min(static_cast<std::uint32_t>(wanted),
-                               before + kPaceUp);
+    const auto next =
+        std::min(static_cast<std::uint32_t>(wanted), before + kPaceUp);
     if (next + kSmallestStep > before && next < before + kSmallestStep &&
         (next != 100 || before == 100)) {
       continue;
@@ -233,9 +234,9 @@
              std::to_string(before) + " to_percent=" + std::to_string(next) +
              " service_image=" + (victim != nullptr ? *victim : "-") +
              " utilization=" + std::to_string(worst) + " factor=" +
-             std::to_string(victim != nullptr ? pressure_.Factor(
-                                                    *victim, filler.step->image)
-                                              : 0.0));
+             std::to_string(victim != nullptr
+                                ? pressure_.Factor(*victim, filler.step->image)
+                                : 0.0));
     OrderPace(filler.name, *filler.run, next, now);
   }
 }
--- a/src/libkernel/job_scheduler_test.cpp
+++ b/src/libkernel/job_scheduler_test.cpp
@@ -189,7 +189,7 @@
   Tick();
   const auto orders = Orders("a");
   BOOST_REQUIRE_EQUAL(orders.size(), 4);
-  BOOST_TEST(scheduler.CancelJob("j", now));
+  BOOST_TEST(scheduler.CancelJob("j"));
   const auto stops = Orders("a");
   BOOST_REQUIRE_EQUAL(stops.size(), 4);
   for (const worker_order& stop : stops) {
@@ -206,7 +206,7 @@
   Tick();
   const auto orders = Orders("a");
   BOOST_REQUIRE_EQUAL(orders.size(), 4);
-  scheduler.CancelJob("first", now);
+  scheduler.CancelJob("first");
   scheduler.AddJob(MakeJob("second", 1), now);
   Tick();
   BOOST_TEST(Orders("a").size() == 4);  // Stops only.
@@ -364,8 +364,8 @@
 BOOST_AUTO_TEST_CASE(task_starts_once_the_unheard_worker_can_run_nothing) {
   scheduler.Restore({MakeJob("j", 1)}, {}, {}, {"a", "b"}, now);
   Join("a");
-  now += options.longest_lease + options.longest_lease / 10 +
-         options.grant_margin;
+  now +=
+      options.longest_lease + options.longest_lease / 10 + options.grant_margin;
   Join("a");
   const auto orders = Orders("a");
   BOOST_REQUIRE_EQUAL(orders.size(), 1);
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -279,8 +279,8 @@
   if (task == nullptr) {
     return;
   }
-  const auto run =
-      std::find_if(task->runs.begin(), task->runs.end(), [&](const auto& entry) {
+  const auto run = std::find_if(
+      task->runs.begin(), task->runs.end(), [&](const auto& entry) {
         return entry.agent == worker.agent && entry.run == result.run;
       });
   if (run == task->runs.end()) {
@@ -329,9 +329,9 @@
     return;
   }
   task->runs.erase(removed, task->runs.end());
-  const bool still_there = std::any_of(
-      task->runs.begin(), task->runs.end(),
-      [&](const task_run& entry) { return entry.agent == agent; });
+  const bool still_there =
+      std::any_of(task->runs.begin(), task->runs.end(),
+                  [&](const task_run& entry) { return entry.agent == agent; });
   const auto worker = workers_.find(agent);
   if (!still_there && worker != workers_.end()) {
     Release(worker->second, job, key);
@@ -399,7 +399,7 @@
 }
 
 // Moves what would not end before its draining executor leaves.
-void job_scheduler::EvacuateDraining(millis now) {
+void job_scheduler::EvacuateDraining() {
   for (auto& [agent, worker] : workers_) {
     if (!worker.description.draining) {
       continue;
@@ -419,7 +419,6 @@
       }
     }
   }
-  (void)now;
 }
 
 }  // namespace chervilkeel
--- a/src/libkernel/pressure_model.cpp
+++ b/src/libkernel/pressure_model.cpp
@@ -57,10 +57,11 @@
   double expected = own.value;
   double spread = own.variance + kNoise;
   for (const auto& [image, share] : shares) {
-    estimate& factor = factors_
-                           .try_emplace({report.image, image},
-                                        estimate{kUnknownFactor, kFactorVariance})
-                           .first->second;
+    estimate& factor =
+        factors_
+            .try_emplace({report.image, image},
+                         estimate{kUnknownFactor, kFactorVariance})
+            .first->second;
     factor.variance = std::min(factor.variance + kFactorDrift, kFactorVariance);
     expected += factor.value * share;
     spread += factor.variance * share * share;
@@ -77,8 +78,7 @@
   for (const auto& [image, share] : shares) {
     estimate& factor = factors_.at({report.image, image});
     const double gain = factor.variance * share / spread;
-    factor.value =
-        std::clamp(factor.value + gain * error, 0.0, kLargestFactor);
+    factor.value = std::clamp(factor.value + gain * error, 0.0, kLargestFactor);
     factor.variance *= 1.0 - gain * share;
   }
 }
--- a/src/libkernel/worker_health.cpp
+++ b/src/libkernel/worker_health.cpp
@@ -50,8 +50,7 @@
   if (failed_.empty()) {
     return 0;
   }
-  return static_cast<double>(
-             std::count(failed_.begin(), failed_.end(), true)) /
+  return static_cast<double>(std::count(failed_.begin(), failed_.end(), true)) /
          static_cast<double>(failed_.size());
 }
 
--- a/src/libshell/event_log.cpp
+++ b/src/libshell/event_log.cpp
@@ -26,9 +26,8 @@
   bool Admit(std::uint64_t& left_out) {
     const std::lock_guard lock(mutex_);
     const millis now = MonotonicNow();
-    lines_ = std::min(kBurstLines,
-                      lines_ + static_cast<double>(now - last_) *
-                                   kLinesPerSecond / 1'000.0);
+    lines_ = std::min(kBurstLines, lines_ + static_cast<double>(now - last_) *
+                                                kLinesPerSecond / 1'000.0);
     last_ = now;
     if (lines_ < 1) {
       ++left_out_;
@@ -57,12 +56,12 @@
 }
 
 const log4cxx::LoggerPtr& EventLogger() {
-  static const log4cxx::LoggerPtr logger =
-      log4cxx::Logger::getLogger("events");
+  static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("events");
   return logger;
 }
 
-void AppendField(std::string& line, std::string_view key,
+void AppendField(std::string& line,
+                 std::string_view key,
                  const std::string& value) {
   line += ' ';
   line += key;
