--- a/src/chervilkeeld/owner_election_test.cpp
+++ b/src/chervilkeeld/owner_election_test.cpp
@@ -23,9 +23,8 @@
             store_callback<std::optional<stored_item>> callback) override {
     const auto found = items.find(key);
     Answer<std::optional<stored_item>>(
-        std::move(callback), found == items.end()
-                                 ? std::nullopt
-                                 : std::optional(found->second));
+        std::move(callback),
+        found == items.end() ? std::nullopt : std::optional(found->second));
   }
 
   void List(const std::string& /*prefix*/,
@@ -96,8 +95,10 @@
  private:
   template <class value_type>
   void Answer(store_callback<value_type> callback, value_type value) {
-    boost::asio::post(context_, [callback = std::move(callback),
-                                 value = std::move(value)] { callback(value); });
+    boost::asio::post(
+        context_, [callback = std::move(callback), value = std::move(value)] {
+          callback(value);
+        });
   }
 
   boost::asio::io_context& context_;
--- a/src/libshell/event_log.cpp
+++ b/src/libshell/event_log.cpp
@@ -81,7 +81,7 @@
 
 void StartEventLog(const std::string& process) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>(
-      "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} process=" + process + " %m%n");
+      "time=\"%d{yyyy-MM-dd HH:mm:ss.SSS}\" process=" + process + " %m%n");
   const auto console = std::make_shared<log4cxx::ConsoleAppender>(
       layout, log4cxx::ConsoleAppender::getSystemOut());
   Queue() = std::make_shared<log4cxx::AsyncAppender>();
