Count each failed run once, and keep a job's queue as it was accepted

Jobs of a queue that a later configuration drops also fell back to three attempts. Change: progress keeps the numbers of failed runs; a job's record holds its queue's policy. Tests: failure_recorded_before_a_takeover_counts_once (fails when each listed end counts), job_of_a_queue_that_is_gone_keeps_its_attempts.

--- a/src/chervilkeeld/job_front.cpp
+++ b/src/chervilkeeld/job_front.cpp
@@ -185,8 +185,7 @@
   }
   job_record record;
   record.id = request->id;
-  record.queue = route.queue.name;
-  record.service = route.queue.service;
+  record.queue = route.queue;
   record.accepted_ms = static_cast<std::int64_t>(WallNow());
   record.spec = std::move(spec.value());
   if (!store_.IsUp() && store_.Silent() > kRefuseAfter) {
--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -251,7 +251,7 @@
   boost::json::array jobs;
   for (const auto& [id, job] : scheduler_->Jobs()) {
     jobs.push_back(boost::json::object{{"id", id},
-                                       {"queue", job.record.queue},
+                                       {"queue", job.record.queue.name},
                                        {"state", NameOf(job.state)},
                                        {"done_tasks", job.done_tasks},
                                        {"started_tasks", job.started_tasks},
--- a/src/include/chervilkeel/job.h
+++ b/src/include/chervilkeel/job.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,8 +59,7 @@
 // A job as it was accepted. Never changes afterwards.
 struct job_record {
   std::string id;
-  std::string queue;
-  std::string service;           // At the time of its acceptance.
+  queue_policy queue;            // At the time of its acceptance.
   std::int64_t accepted_ms = 0;  // Wall clock, since 1970.
   job_spec spec;
 };
@@ -90,7 +90,8 @@
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
   std::string done;  // A character a task: '1' once it has ended as done.
-  std::map<std::uint32_t, std::uint32_t> failures;   // By task.
+  // By task: the runs that failed, as an end may be listed more than once.
+  std::map<std::uint32_t, std::set<std::uint64_t>> failed_runs;
   std::map<std::uint32_t, std::string> checkpoints;  // By task.
 };
 
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -68,7 +68,7 @@
 struct scheduled_task {
   bool done = false;
   bool unaccounted = false;  // May run on a worker that was not heard yet.
-  std::uint32_t failures = 0;
+  std::set<std::uint64_t> failed_runs;
   std::uint64_t highest_run = 0;
   std::string checkpoint;
   std::vector<task_run> runs;
--- a/src/libkernel/job.cpp
+++ b/src/libkernel/job.cpp
@@ -100,11 +100,21 @@
   return step;
 }
 
-template <class value_type>
-json::array EncodePairs(const std::map<std::uint32_t, value_type>& values) {
+json::array EncodeCheckpoints(const step_progress& step) {
+  json::array out;
+  for (const auto& [task, checkpoint] : step.checkpoints) {
+    out.push_back(json::array{task, json::value(checkpoint)});
+  }
+  return out;
+}
+
+// Each row holds a task and then its failed runs.
+json::array EncodeFailedRuns(const step_progress& step) {
   json::array out;
-  for (const auto& [key, value] : values) {
-    out.push_back(json::array{key, json::value(value)});
+  for (const auto& [task, runs] : step.failed_runs) {
+    json::array row{task};
+    row.insert(row.end(), runs.begin(), runs.end());
+    out.push_back(std::move(row));
   }
   return out;
 }
@@ -112,22 +122,25 @@
 json::object EncodeStepProgress(const step_progress& step) {
   json::object out{{"step", step.step}, {"done", step.done}};
   AddIfSet(out, "occurrence", step.occurrence);
-  if (!step.failures.empty()) {
-    out["failures"] = EncodePairs(step.failures);
+  if (!step.failed_runs.empty()) {
+    out["failed_runs"] = EncodeFailedRuns(step);
   }
   if (!step.checkpoints.empty()) {
-    out["checkpoints"] = EncodePairs(step.checkpoints);
+    out["checkpoints"] = EncodeCheckpoints(step);
   }
   return out;
 }
 
-void DecodeCounts(const json::object& object,
-                  const char* key,
-                  std::map<std::uint32_t, std::uint32_t>& out) {
-  if (const json::value* pairs = object.if_contains(key)) {
-    for (const json::value& pair : pairs->as_array()) {
-      out[pair.at(0).to_number<std::uint32_t>()] =
-          pair.at(1).to_number<std::uint32_t>();
+void DecodeFailedRuns(const json::object& object, step_progress& step) {
+  const json::value* rows = object.if_contains("failed_runs");
+  if (rows == nullptr) {
+    return;
+  }
+  for (const json::value& row : rows->as_array()) {
+    const json::array& values = row.as_array();
+    auto& runs = step.failed_runs[values.at(0).to_number<std::uint32_t>()];
+    for (std::size_t i = 1; i < values.size(); ++i) {
+      runs.insert(values[i].to_number<std::uint64_t>());
     }
   }
 }
@@ -137,7 +150,7 @@
   step.step = ReadNumber<std::uint32_t>(object, "step");
   step.occurrence = ReadNumber<std::uint32_t>(object, "occurrence");
   step.done = ReadText(object, "done");
-  DecodeCounts(object, "failures", step.failures);
+  DecodeFailedRuns(object, step);
   if (const json::value* pairs = object.if_contains("checkpoints")) {
     for (const json::value& pair : pairs->as_array()) {
       step.checkpoints[pair.at(0).to_number<std::uint32_t>()] =
@@ -230,8 +243,12 @@
 
 std::string EncodeJobRecord(const job_record& record) {
   json::object out{{"id", record.id},
-                   {"queue", record.queue},
-                   {"service", record.service},
+                   {"queue", record.queue.name},
+                   {"service", record.queue.service},
+                   {"priority", record.queue.priority},
+                   {"max_attempts", record.queue.max_attempts},
+                   {"stretch", record.queue.stretch},
+                   {"latency_target_ms", record.queue.latency_target},
                    {"accepted_ms", record.accepted_ms},
                    {"payload", record.spec.payload}};
   AddIfSet(out, "repeats", record.spec.repeats);
@@ -249,8 +266,14 @@
   return Decode<job_record>(text, "job record", [](const json::object& object) {
     job_record record;
     record.id = ReadText(object, "id");
-    record.queue = ReadText(object, "queue");
-    record.service = ReadText(object, "service");
+    record.queue.name = ReadText(object, "queue");
+    record.queue.service = ReadText(object, "service");
+    record.queue.priority = ReadNumber<std::uint32_t>(object, "priority");
+    record.queue.max_attempts =
+        ReadNumber<std::uint32_t>(object, "max_attempts");
+    record.queue.stretch = ReadNumber<double>(object, "stretch");
+    record.queue.latency_target =
+        ReadNumber<millis>(object, "latency_target_ms");
     record.accepted_ms = ReadNumber<std::int64_t>(object, "accepted_ms");
     record.spec.payload = ReadText(object, "payload");
     record.spec.repeats = ReadNumber<std::uint32_t>(object, "repeats");
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -81,9 +81,9 @@
         ++job.started_tasks;
       }
     }
-    for (const auto& [index, failures] : saved.failures) {
+    for (const auto& [index, runs] : saved.failed_runs) {
       if (index < step.tasks.size()) {
-        step.tasks[index].failures = failures;
+        step.tasks[index].failed_runs = runs;
         ++job.started_tasks;
       }
     }
@@ -114,7 +114,7 @@
   config_ = std::move(config);
   for (const std::string& id : active_) {
     scheduled_job& job = jobs_.at(id);
-    const auto queue = config_.queues.find(job.record.queue);
+    const auto queue = config_.queues.find(job.record.queue.name);
     if (queue != config_.queues.end()) {
       job.policy = queue->second;
     }
@@ -129,13 +129,9 @@
   job.record = record;
   job.arrived = now;
   job.path = CriticalPath(record.spec);
-  const auto queue = config_.queues.find(record.queue);
-  if (queue != config_.queues.end()) {
-    job.policy = queue->second;
-  } else {
-    job.policy.name = record.queue;
-    job.policy.service = record.service;
-  }
+  // Jobs of a queue that is gone are finished as they were accepted.
+  const auto queue = config_.queues.find(record.queue.name);
+  job.policy = queue != config_.queues.end() ? queue->second : record.queue;
   active_.insert(record.id);
   if (record.spec.repeats == 0) {
     OpenOccurrence(job, 0);
@@ -148,7 +144,7 @@
     milli += step.tasks * step.size.milli_processors;
   }
   Emit("job_added", record.id, "",
-       "queue=" + record.queue +
+       "queue=" + record.queue.name +
            " steps=" + std::to_string(record.spec.steps.size()) +
            " tasks=" + std::to_string(tasks) + " milli_processors=" +
            std::to_string(milli) + " path_ms=" + std::to_string(job.path));
@@ -304,14 +300,14 @@
       for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
         const scheduled_task& task = step.tasks[i];
         saved.done += task.done ? '1' : '0';
-        if (task.failures > 0 && !task.done) {
-          saved.failures[i] = task.failures;
+        if (!task.failed_runs.empty() && !task.done) {
+          saved.failed_runs[i] = task.failed_runs;
         }
         if (!task.checkpoint.empty()) {
           saved.checkpoints[i] = task.checkpoint;
         }
       }
-      if (step.done > 0 || !saved.failures.empty() ||
+      if (step.done > 0 || !saved.failed_runs.empty() ||
           !saved.checkpoints.empty()) {
         progress.steps.push_back(std::move(saved));
       }
@@ -453,7 +449,7 @@
   return static_cast<std::uint64_t>(
       std::count_if(active_.begin(), active_.end(), [&](const auto& id) {
         const scheduled_job& job = jobs_.at(id);
-        return job.record.queue == queue && job.started_tasks == 0;
+        return job.record.queue.name == queue && job.started_tasks == 0;
       }));
 }
 
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -107,7 +107,7 @@
            " waited_ms=" + std::to_string(now - task.ready_since) +
            " used_milli=" + std::to_string(worker.used.milli_processors) +
            " filler_milli=" + std::to_string(worker.filler_milli) +
-           " failures=" + std::to_string(task.failures));
+           " failures=" + std::to_string(task.failed_runs.size()));
 }
 
 void job_scheduler::OrderStop(const task_name& key,
--- a/src/libkernel/job_scheduler_test.cpp
+++ b/src/libkernel/job_scheduler_test.cpp
@@ -33,8 +33,8 @@
   static job_record MakeJob(const std::string& id, std::uint32_t tasks) {
     job_record record;
     record.id = id;
-    record.queue = "paths";
-    record.service = "cutting";
+    record.queue.name = "paths";
+    record.queue.service = "cutting";
     record.accepted_ms = kWall;
     job_step step;
     step.tasks = tasks;
@@ -382,6 +382,39 @@
   BOOST_TEST(orders[0].task.job == "new");
 }
 
+// An executor lists an end until it is told that it was recorded. An owner that
+// dies between recording and telling leaves both.
+BOOST_AUTO_TEST_CASE(failure_recorded_before_a_takeover_counts_once) {
+  job_progress progress;
+  progress.id = "j";
+  progress.state = job_state::kRunning;
+  step_progress step;
+  step.done = "0";
+  step.failed_runs[0] = {1, 2};
+  progress.steps.push_back(step);
+  scheduler.Restore({MakeJob("j", 1)}, {progress}, {}, {"a"}, now);
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  report.ends.push_back({1, {"j", 0, 0, 0}, 1, run_end::kFailed, ""});
+  report.ends.push_back({2, {"j", 0, 0, 0}, 2, run_end::kFailed, ""});
+  scheduler.OnReport(report, now);
+  Commit();
+  Tick();
+  BOOST_TEST(NameOf(*scheduler.StateOf("j")) == "running");
+  BOOST_TEST(Orders("a").size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(job_of_a_queue_that_is_gone_keeps_its_attempts) {
+  job_record record = MakeJob("j", 1);
+  record.queue.name = "dropped";
+  record.queue.max_attempts = 1;
+  scheduler.Restore({record}, {}, {}, {"a"}, now);
+  Join("a");
+  ReportEnd("a", Orders("a").at(0), run_end::kFailed);
+  Commit();
+  BOOST_TEST(NameOf(*scheduler.StateOf("j")) == "failed");
+}
+
 BOOST_AUTO_TEST_CASE(done_tasks_are_not_started_again) {
   job_progress progress;
   progress.id = "j";
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -253,10 +253,10 @@
       if (step.service) {
         return;
       }
-      ++task->failures;
+      task->failed_runs.insert(ended.run);
       task->failed_on.push_back(worker.agent);
       dirty_.insert(ended.task.job);
-      if (task->failures >= job.policy.max_attempts) {
+      if (task->failed_runs.size() >= job.policy.max_attempts) {
         Finish(job, job_state::kFailed);
       }
       return;
--- a/src/libkernel/job_test.cpp
+++ b/src/libkernel/job_test.cpp
@@ -32,8 +32,9 @@
 BOOST_AUTO_TEST_CASE(record_written_and_read_is_the_same) {
   job_record record;
   record.id = "0123456789abcdef";
-  record.queue = "paths";
-  record.service = "cutting";
+  record.queue.name = "paths";
+  record.queue.service = "cutting";
+  record.queue.max_attempts = 4;
   record.accepted_ms = 12;
   record.spec = TwoSteps();
   const auto read = DecodeJobRecord(EncodeJobRecord(record));
@@ -48,7 +49,7 @@
   progress.state = job_state::kRunning;
   step_progress step;
   step.done = "010";
-  step.failures[2] = 1;
+  step.failed_runs[2] = {1, 1'000'002};
   step.checkpoints[0] = "saved";
   progress.steps.push_back(step);
   const auto read = DecodeJobProgress(EncodeJobProgress(progress));
