--- a/src/include/chervilkeel/job.h
+++ b/src/include/chervilkeel/job.h
@@ -21,19 +21,19 @@
   std::uint32_t tasks = 0;
   amount size;          // What one task needs.
   millis expected = 0;  // The submitter's rough estimate of a task's run time.
-  std::vector<std::uint32_t> after;   // Steps that have to be done before.
-  bool gang = false;                  // All tasks start and end together.
-  bool one_rack = false;              // A gang that is slower across racks.
-  bool checkpoints = false;           // A stop saves the progress.
-  bool speculative = false;           // Copies may run side by side.
-  bool service = false;               // Runs until the job is cancelled.
-  bool filler = false;                // Uses only cores that are left over.
-  std::string required_label;         // Empty: any worker.
-  std::string data_rack;              // Slower elsewhere. Empty: anywhere.
-  std::uint32_t most_per_worker = 0;  // 0: no limit.
-  std::uint32_t may_miss = 0;         // Tasks that may be away at once.
-  std::string image;                  // Tasks of one image behave alike.
-  millis tail_target = 0;             // Of a service's answers; 0: none.
+  std::vector<std::uint32_t> after;    // Steps that have to be done before.
+  bool gang = false;                   // All tasks start and end together.
+  bool one_rack = false;               // A gang that is slower across racks.
+  bool checkpoints = false;            // A stop saves the progress.
+  bool speculative = false;            // Copies may run side by side.
+  bool service = false;                // Runs until the job is cancelled.
+  bool filler = false;                 // Uses only cores that are left over.
+  std::string required_label;          // Empty: any worker.
+  std::string data_rack;               // Slower elsewhere. Empty: anywhere.
+  std::uint32_t most_per_worker = 0;   // 0: no limit.
+  std::uint32_t tolerated_misses = 0;  // Tasks that may be away at once.
+  std::string image;                   // Tasks of one image behave alike.
+  millis tail_target = 0;              // Of a service's answers; 0: none.
 };
 
 // What a client submits.
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -298,6 +298,7 @@
   void LearnPressure(const scheduled_worker& worker, millis now);
   void PaceFillers(millis now);
   void PaceWorker(scheduled_worker& worker, millis now);
+  double LeastBlamed(const worker_runs& runs, const std::string& service);
   double KeptPace(const scheduled_worker& worker,
                   const worker_runs& runs,
                   const std::string& service,
--- a/src/libkernel/job.cpp
+++ b/src/libkernel/job.cpp
@@ -66,7 +66,7 @@
   AddIfSet(out, "required_label", step.required_label);
   AddIfSet(out, "data_rack", step.data_rack);
   AddIfSet(out, "most_per_worker", step.most_per_worker);
-  AddIfSet(out, "may_miss", step.may_miss);
+  AddIfSet(out, "tolerated_misses", step.tolerated_misses);
   AddIfSet(out, "image", step.image);
   AddIfSet(out, "tail_target_ms", step.tail_target);
   return out;
@@ -94,7 +94,7 @@
   step.required_label = ReadText(object, "required_label");
   step.data_rack = ReadText(object, "data_rack");
   step.most_per_worker = ReadNumber<std::uint32_t>(object, "most_per_worker");
-  step.may_miss = ReadNumber<std::uint32_t>(object, "may_miss");
+  step.tolerated_misses = ReadNumber<std::uint32_t>(object, "tolerated_misses");
   step.image = ReadText(object, "image");
   step.tail_target = ReadNumber<millis>(object, "tail_target_ms");
   return step;
--- a/src/libkernel/job_scheduler_sharing.cpp
+++ b/src/libkernel/job_scheduler_sharing.cpp
@@ -22,10 +22,11 @@
 // blame.
 constexpr double kBlamedPart = 0.5;
 
-// A service that has been over its target for so long gets all fillers beside
-// it stopped; well below the time after which operators count it as harmed,
-// less what reports lag.
-constexpr millis kPatienceOver = 2'000;
+// A service over its target for so long has the fillers that press most on it
+// paused, and a little later all of them: operators count it as harmed after
+// 4 s, and reports lag by up to a second.
+constexpr millis kPauseWorstAfter = 1'800;
+constexpr millis kPauseAllAfter = 2'600;
 
 // A filler that started lately does not show in the tails yet.
 constexpr millis kStartShows = 500;
@@ -33,7 +34,7 @@
 // What is kept of the pace when the cause of an excess is not known.
 constexpr double kSlowDown = 0.6;
 
-constexpr std::uint32_t kPaceUp = 30;  // Most percent given back at a time.
+constexpr std::uint32_t kPaceUp = 50;  // Most percent given back at a time.
 constexpr std::uint32_t kSmallestStep = 8;  // Percent; less is not ordered.
 
 }  // namespace
@@ -154,6 +155,19 @@
   }
 }
 
+// Returns the factor from which on an image shares the blame for a service's
+// tail.
+double job_scheduler::LeastBlamed(const worker_runs& runs,
+                                  const std::string& service) {
+  double highest = 0;
+  for (const auto& other : runs.fillers) {
+    if (other.run->pace > 0) {
+      highest = std::max(highest, pressure_.Factor(service, other.step->image));
+    }
+  }
+  return std::max(kBlamedPart * highest, kLeastFactor);
+}
+
 // Says how much of its present pace a filler may keep beside a service that is
 // over its target. Those whose images press most are slowed, by the excess.
 double job_scheduler::KeptPace(const scheduled_worker& worker,
@@ -161,15 +175,9 @@
                                const std::string& service,
                                double utilization,
                                const job_step& filler) {
-  double highest = 0;
-  for (const auto& other : runs.fillers) {
-    if (other.run->pace > 0) {
-      highest = std::max(highest, pressure_.Factor(service, other.step->image));
-    }
-  }
-  const double blamed = std::max(kBlamedPart * highest, kLeastFactor);
+  const double blamed = LeastBlamed(runs, service);
   if (pressure_.Factor(service, filler.image) < blamed) {
-    return highest < kLeastFactor ? kSlowDown : 1.0;
+    return blamed <= kLeastFactor ? kSlowDown : 1.0;
   }
   double pressing = 0;
   for (const auto& other : runs.fillers) {
@@ -205,9 +213,12 @@
       const double factor = pressure_.Factor(image, filler.step->image);
       const double room = pressure_model::kComfortable - used;
       double allowed = 100;
-      const bool over_long = service.run->over_since != 0 &&
-                             now - service.run->over_since > kPatienceOver;
-      if (over_long) {
+      const millis over =
+          service.run->over_since == 0 ? 0 : now - service.run->over_since;
+      const bool pause =
+          over > kPauseAllAfter ||
+          (over > kPauseWorstAfter && factor >= LeastBlamed(runs, image));
+      if (pause) {
         allowed = 0;
       } else if (now - filler.run->paced_at < kPaceShows) {
         allowed = before;
