--- a/src/chervilkeeld/owner_election.h
+++ b/src/chervilkeeld/owner_election.h
@@ -89,7 +89,6 @@
   boost::asio::steady_timer timer_;
   owner_view view_;
   std::uint64_t view_revision_ = 0;
-  std::uint64_t store_revision_ = 0;
   std::uint64_t lease_ = 0;
   std::uint64_t last_own_epoch_ = 0;
   std::string claim_;  // What the owner's key holds if this entry wrote it.
