--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -1,5 +1,7 @@
 #include "job_owner.h"
 
+#include <algorithm>
+
 #include <boost/json.hpp>
 
 #include "chervilkeel/event_log.h"
@@ -22,10 +24,11 @@
                      const process_settings& settings,
                      may_grant_function may_grant,
                      deposed_function deposed)
-    : context_(context),
-      store_(store),
+    : store_(store),
       metrics_(metrics),
       settings_(settings),
+      grant_(static_cast<millis>(
+          std::min(settings.grant, settings.longest_lease))),
       may_grant_(std::move(may_grant)),
       deposed_(std::move(deposed)),
       tick_timer_(context),
@@ -116,7 +119,7 @@
   if (!scheduler_->IsMember(agent)) {
     return;
   }
-  reply.set_grant_ms(static_cast<std::int64_t>(settings_.grant));
+  reply.set_grant_ms(grant_);
   reply.set_recorded_end(scheduler_->RecordedEnd(agent));
   for (const auto& [number, order] : scheduler_->OrdersFor(agent, acked)) {
     *reply.add_orders() = ToWire(number, order);
--- a/src/chervilkeeld/job_owner.h
+++ b/src/chervilkeeld/job_owner.h
@@ -111,10 +111,10 @@
                  std::uint64_t acked,
                  wire::agent_orders& reply);
 
-  boost::asio::io_context& context_;
   store_link& store_;
   process_metrics& metrics_;
   const process_settings& settings_;
+  const millis grant_;  // Given to agents with each answer.
   const may_grant_function may_grant_;
   const deposed_function deposed_;
   boost::asio::steady_timer tick_timer_;
--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -191,7 +191,7 @@
 
 void job_owner::Recovered() {
   scheduler_options options;
-  options.grant = static_cast<millis>(settings_.grant);
+  options.grant = grant_;
   // A former owner that lost the store may grant until its lease has passed by
   // its own clock.
   options.longest_lease =
--- a/src/chervilkeeld/owner_election_test.cpp
+++ b/src/chervilkeeld/owner_election_test.cpp
@@ -1,111 +1,16 @@
 #include "owner_election.h"
 
-#include <map>
 #include <optional>
 
-#include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "job_keys.h"
+#include "store_in_memory.h"
 
 namespace chervilkeel {
 
 namespace {
 
-// A store in memory. It can lose the answer of a commit that took effect.
-class store_in_memory : public coordination_store {
- public:
-  explicit store_in_memory(boost::asio::io_context& context)
-      : context_(context) {}
-
-  void Read(const std::string& key,
-            millis /*timeout*/,
-            store_callback<std::optional<stored_item>> callback) override {
-    const auto found = items.find(key);
-    Answer<std::optional<stored_item>>(
-        std::move(callback),
-        found == items.end() ? std::nullopt : std::optional(found->second));
-  }
-
-  void List(const std::string& /*prefix*/,
-            const std::string& /*after*/,
-            bool /*stale_allowed*/,
-            millis /*timeout*/,
-            store_callback<item_page> callback) override {
-    Answer<item_page>(std::move(callback), item_page());
-  }
-
-  // Never answers: nothing changes while a test runs.
-  void Watch(const std::string& /*prefix*/,
-             std::uint64_t /*after_revision*/,
-             millis /*wait*/,
-             millis /*timeout*/,
-             store_callback<item_changes> /*callback*/) override {}
-
-  void Commit(const store_transaction& transaction,
-              millis /*timeout*/,
-              store_callback<transaction_outcome> callback) override {
-    transaction_outcome outcome;
-    outcome.applied = true;
-    for (const store_condition& condition : transaction.conditions) {
-      const auto found = items.find(condition.key);
-      const std::uint64_t revision =
-          found == items.end() ? 0 : found->second.revision;
-      outcome.applied = outcome.applied && revision == condition.revision;
-    }
-    if (outcome.applied) {
-      outcome.revision = ++revision_;
-      for (const store_write& write : transaction.writes) {
-        items[write.key] = {write.key, write.value, revision_, write.lease};
-      }
-    }
-    if (lose_next_commit) {
-      lose_next_commit = false;
-      boost::asio::post(context_, [callback = std::move(callback)] {
-        callback(Fail(error_code::kUnknown, "no answer"));
-      });
-      return;
-    }
-    Answer<transaction_outcome>(std::move(callback), outcome);
-  }
-
-  void GrantLease(millis duration,
-                  millis /*timeout*/,
-                  store_callback<store_lease> callback) override {
-    Answer<store_lease>(std::move(callback), {++lease_, duration});
-  }
-
-  void RenewLease(std::uint64_t lease,
-                  millis /*timeout*/,
-                  store_callback<store_lease> callback) override {
-    Answer<store_lease>(std::move(callback), {lease, 0});
-  }
-
-  void EndLease(std::uint64_t lease,
-                millis /*timeout*/,
-                store_callback<bool> callback) override {
-    std::erase_if(items,
-                  [&](const auto& item) { return item.second.lease == lease; });
-    Answer<bool>(std::move(callback), true);
-  }
-
-  std::map<std::string, stored_item> items;
-  bool lose_next_commit = false;
-
- private:
-  template <class value_type>
-  void Answer(store_callback<value_type> callback, value_type value) {
-    boost::asio::post(
-        context_, [callback = std::move(callback), value = std::move(value)] {
-          callback(value);
-        });
-  }
-
-  boost::asio::io_context& context_;
-  std::uint64_t revision_ = 0;
-  std::uint64_t lease_ = 0;
-};
-
 struct election_fixture {
   boost::asio::io_context context;
   store_in_memory* memory = new store_in_memory(context);
@@ -146,7 +51,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(claim_whose_answer_was_lost_is_found_again) {
-  memory->lose_next_commit = true;
+  memory->lost_answers = 1;
   Win();
   BOOST_REQUIRE(won);
   BOOST_TEST(won->epoch == 1);
--- a/src/libshell/settings.cpp
+++ b/src/libshell/settings.cpp
@@ -312,9 +312,10 @@
        ReadSeeds, [](const settings&) { return std::string(); }},
       Number("jobs", "longest_lease_ms", &settings::longest_lease, 500, 60'000,
              "ms", "The longest lease that an executor grants its runs."),
-      Number("jobs", "grant_ms", &settings::grant, 500, 60'000, "ms",
-             "How long an agent keeps runs alive after the owner's last word; "
-             "less than the longest lease."),
+      Number(
+          "jobs", "grant_ms", &settings::grant, 500, 60'000, "ms",
+          "How long an agent keeps runs alive after the owner's last word, at "
+          "most the longest lease."),
       Number("jobs", "owner_ttl_ms", &settings::owner_ttl, 1'000, 60'000, "ms",
              "The lease in the store by which an entry owns the jobs."),
       Number("jobs", "retention_s", &settings::job_retention, 1, 86'400, "s",
