Let the runs of an executor that gives no lists lapse

Change: an agent reports as obeying only with a list of the last second, and only such reports get a grant.

--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -288,7 +288,10 @@
   if (!gone_.id.empty()) {
     *sync.mutable_gone() = ToWire(gone_);
   }
-  const bool obeys = obeyed_epoch_ == epoch_ && epoch_ != 0 && runs_listed_;
+  // An executor that gives no lists may be gone: its runs must not count as
+  // alive for as long as this process lives.
+  const bool obeys = obeyed_epoch_ == epoch_ && epoch_ != 0 && runs_listed_ &&
+                     now - listed_ < kListingFresh;
   if (obeys) {
     sync.set_obeys(true);
     *sync.mutable_worker() = ToWire(worker_);
--- a/src/chervilkeeld/job_front_test.cpp
+++ b/src/chervilkeeld/job_front_test.cpp
@@ -133,16 +133,16 @@
   BOOST_TEST(IsStored());
 }
 
-// A refusal says that the job never runs; a try without an answer may be stored.
+// A refusal says that the job never runs; a try without an answer may be
+// stored.
 BOOST_AUTO_TEST_CASE(job_that_may_be_stored_is_never_refused) {
   memory->lost_answers = 1;
   http_request request;
   request.method = "POST";
   request.path = path;
   std::string answer;
-  front.Handle(request, [&](const http_response& response) {
-    answer = response.body;
-  });
+  front.Handle(request,
+               [&](const http_response& response) { answer = response.body; });
   context.run_one();
   memory->items.clear();
   memory->refused_commits = kAlways;
--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -103,7 +103,7 @@
 }
 
 void job_owner::FillReply(const std::string& agent,
-                          std::uint64_t acked,
+                          const waiting_sync& waiting,
                           wire::agent_orders& reply) {
   reply.set_is_owner(true);
   reply.set_epoch(ownership_.epoch);
@@ -119,9 +119,11 @@
   if (!scheduler_->IsMember(agent)) {
     return;
   }
-  reply.set_grant_ms(grant_);
+  // Without a report of the runs nothing says that they are kept alive.
+  reply.set_grant_ms(waiting.obeys ? grant_ : 0);
   reply.set_recorded_end(scheduler_->RecordedEnd(agent));
-  for (const auto& [number, order] : scheduler_->OrdersFor(agent, acked)) {
+  for (const auto& [number, order] :
+       scheduler_->OrdersFor(agent, waiting.acked)) {
     *reply.add_orders() = ToWire(number, order);
   }
   const auto worker = scheduler_->Workers().find(agent);
@@ -130,7 +132,7 @@
 }
 
 void job_owner::Answer(const std::string& agent, waiting_sync& waiting) {
-  FillReply(agent, waiting.acked, *waiting.call.reply);
+  FillReply(agent, waiting, *waiting.call.reply);
   waiting.call.Finish();
 }
 
@@ -174,7 +176,7 @@
     waiting_.erase(former);
   }
   scheduler_->Tick(now, static_cast<std::int64_t>(WallNow()));
-  waiting_sync waiting{call, now + kHoldAnswer, sync.acked_order()};
+  waiting_sync waiting{call, now + kHoldAnswer, sync.acked_order(), obeys};
   const bool has_orders =
       !scheduler_->OrdersFor(sync.agent(), sync.acked_order()).empty();
   if (sync.wait() && obeys && !has_orders &&
--- a/src/chervilkeeld/job_owner.h
+++ b/src/chervilkeeld/job_owner.h
@@ -80,6 +80,7 @@
     sync_call call;
     millis until = 0;
     std::uint64_t acked = 0;
+    bool obeys = false;  // It came with a report of the worker.
   };
 
   // Reading the store.
@@ -108,7 +109,7 @@
   void Answer(const std::string& agent, waiting_sync& waiting);
   void AnswerWoken();
   void FillReply(const std::string& agent,
-                 std::uint64_t acked,
+                 const waiting_sync& waiting,
                  wire::agent_orders& reply);
 
   store_link& store_;
--- a/src/chervilkeeld/store_in_memory.h
+++ b/src/chervilkeeld/store_in_memory.h
@@ -13,8 +13,8 @@
 
 namespace chervilkeel {
 
-// A store in memory. It can refuse commits, and lose the answers of commits that
-// took effect.
+// A store in memory. It can refuse commits, and lose the answers of commits
+// that took effect.
 class store_in_memory : public coordination_store {
  public:
   explicit store_in_memory(boost::asio::io_context& context)
@@ -59,9 +59,9 @@
       const std::uint64_t revision =
           found == items.end() ? 0 : found->second.revision;
       outcome.applied = outcome.applied && revision == condition.revision;
-      outcome.conflicts.push_back(
-          found == items.end() ? stored_item{condition.key, "", 0, 0}
-                               : found->second);
+      outcome.conflicts.push_back(found == items.end()
+                                      ? stored_item{condition.key, "", 0, 0}
+                                      : found->second);
     }
     if (outcome.applied) {
       outcome.revision = ++revision_;
