--- a/src/libshell/event_log.cpp
+++ b/src/libshell/event_log.cpp
@@ -57,7 +57,7 @@
 
 const log4cxx::LoggerPtr& EventLogger() {
   static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("events");
-  return logger;
+  return kLogger;
 }
 
 void AppendField(std::string& line,
