--- a/src/libshell/event_log.cpp
+++ b/src/libshell/event_log.cpp
@@ -56,7 +56,8 @@
 }
 
 const log4cxx::LoggerPtr& EventLogger() {
-  static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("events");
+  static const log4cxx::LoggerPtr kLogger =
+      log4cxx::Logger::getLogger("events");
   return kLogger;
 }
 
