Follow a service's load by its job, and pace batch tasks by what they press

Cause: the model took the swing of a service's own load, 0.21 to 0.63 within 10 s, for pressure of whatever ran beside it: harmless batch tasks were paused.

Change: a filter a job follows its load and trend; a pair learns only from what a tail shows beyond it, with more doubt right after a start, a change of pace or an end. Paces leave each service the room it needs 0.7 s ahead, when new tails come, instead of by steps; unknown pairs are tried one at a time.

--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -16,12 +16,12 @@
 constexpr millis kConfigGrace = 400;   // Beyond it before it counts as dead.
 constexpr millis kGossipInterval = 400;
 constexpr millis kGossipTimeout = 350;
-// Up to so many others are asked in each interval; with more the interval grows,
-// so that an entry's share does not grow with the fleet.
+// Up to so many others are asked in each interval; with more the interval
+// grows, so that an entry's share does not grow with the fleet.
 constexpr std::size_t kAskedAtOnce = 8;
 constexpr millis kLeastTerm = 1'000;  // Of a slow owner, before it hands over.
 constexpr double kMuchFaster = 2.0;   // Worth a change of owner.
-constexpr millis kEntryGone = 3'000;       // An entry not heard is left out.
+constexpr millis kEntryGone = 3'000;  // An entry not heard is left out.
 constexpr millis kEntryForgotten = 4'000;  // One silent for so long is gone.
 constexpr millis kPeerStoreFresh = 1'000;  // What a peer said of the store.
 constexpr millis kProbeTimeout = 400;
@@ -278,9 +278,8 @@
 // An entry that has lost the store needs fresh news of all others.
 millis job_entry_process::GossipInterval() const {
   const std::size_t asked = store_.IsLost() ? 0 : entries_.size();
-  return kGossipInterval *
-         static_cast<millis>(std::max<std::size_t>(
-             1, (asked + kAskedAtOnce - 1) / kAskedAtOnce));
+  return kGossipInterval * static_cast<millis>(std::max<std::size_t>(
+                               1, (asked + kAskedAtOnce - 1) / kAskedAtOnce));
 }
 
 // An owner on a slow VM leaves the jobs to a faster one: its work grows with
--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr const char* kPart = "owner";
-constexpr millis kTick = 50;         // Between looks at what is due by time.
+constexpr millis kTick = 50;  // Between looks at what is due by time.
 
 // Reports and questions that arrive within this time are decided on together:
 // a decision looks at all workers. Short against a task, some 300 ms at least.
@@ -22,7 +22,13 @@
 // Decisions take at most about this part of the time, so that a slow VM goes on
 // answering: the pause after one is this many times as long as it took.
 constexpr millis kPauseAfter = 2;
-constexpr millis kHoldAnswer = 400;  // An agent's call waits this long.
+
+// An agent's call waits this long, and comes back with a list of runs: often
+// enough to pace batch tasks by the tails of services. With many agents longer,
+// so that their calls grow no faster than the VM of an owner can answer.
+constexpr millis kHoldAnswer = 250;
+constexpr millis kHoldAnswerPerAgent = 4;
+constexpr millis kLongestHoldAnswer = 600;
 
 }  // namespace
 
@@ -211,7 +217,10 @@
     former->second.call.Finish();
     waiting_.erase(former);
   }
-  waiting_sync waiting{call, now + kHoldAnswer, sync.acked_order(), obeys};
+  const millis hold = std::clamp(
+      kHoldAnswerPerAgent * static_cast<millis>(scheduler_->Workers().size()),
+      kHoldAnswer, kLongestHoldAnswer);
+  waiting_sync waiting{call, now + hold, sync.acked_order(), obeys};
   const bool has_orders =
       !scheduler_->OrdersFor(sync.agent(), sync.acked_order()).empty();
   // An agent that doesn't know the epoch yet has to hear of it at once.
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -54,13 +54,18 @@
   executor_boot boot;
   std::uint64_t run = 0;
   run_phase phase = run_phase::kOrdered;
-  millis since = 0;           // When it was ordered or adopted.
-  std::uint32_t percent = 0;  // Last reported.
-  millis percent_at = 0;      // When the percent changed last.
-  std::uint32_t pace = 100;   // Last ordered.
-  millis paced_at = 0;        // When.
-  std::int64_t load = 0;      // Last reported.
-  millis over_since = 0;      // A service: over its target; 0: it is not.
+  millis since = 0;                 // When it was ordered or adopted.
+  millis started = 0;               // About when it began to work.
+  std::uint32_t percent = 0;        // Last reported.
+  millis percent_at = 0;            // When the percent changed last.
+  std::uint32_t pace = 100;         // Last ordered.
+  std::uint32_t pace_before = 100;  // The one before it.
+  millis paced_at = 0;              // When.
+  std::int64_t load = 0;            // Last reported.
+  double reported = 0;              // A service's tail in the last list, ms.
+  double tail = 0;                  // The same with the smoothing undone, ms.
+  millis load_at = 0;               // When the executor gave that list.
+  millis over_since = 0;            // A service: over its target; 0: it is not.
   std::string checkpoint;
 };
 
@@ -103,6 +108,13 @@
   std::uint64_t started_tasks = 0;
 };
 
+// A filler that has ended, as long as tails may still show it.
+struct ended_filler {
+  std::string image;
+  double share = 0;  // Of the worker's cores, at its last pace.
+  millis at = 0;
+};
+
 // A worker, its room and its runs.
 struct scheduled_worker {
   std::string agent;
@@ -116,7 +128,9 @@
   std::int64_t filler_milli = 0;
   std::set<task_name> tasks;
   worker_health health;
-  millis full_until = 0;  // It refused a task for want of room.
+  std::vector<ended_filler> ended_fillers;  // Lately.
+  bool has_new_tails = false;  // Since its fillers were paced last.
+  millis full_until = 0;       // It refused a task for want of room.
   std::uint64_t order_number = 0;
   std::deque<std::pair<std::uint64_t, worker_order>> orders;  // Not yet acked.
 };
@@ -314,18 +328,44 @@
   void MoveSlowedFillers(millis now);
 
   // job_scheduler_sharing.cpp: batch tasks beside services.
-  struct worker_runs;
+  struct service_run {
+    task_name name;
+    task_run* run = nullptr;
+    const job_step* step = nullptr;
+  };
+  struct filler_run {
+    task_name name;
+    task_run* run = nullptr;
+    const job_step* step = nullptr;
+  };
+  // The runs of a worker that matter for sharing.
+  struct worker_runs {
+    std::vector<service_run> services;
+    std::vector<filler_run> fillers;
+  };
   worker_runs RunsOf(const scheduled_worker& worker);
   const worker_runs& CachedRunsOf(const scheduled_worker& worker);
-  void LearnPressure(const scheduled_worker& worker, millis now);
+  static std::string LoadGroup(const task_name& name);
+  static std::vector<pressing_work> WorkBeside(scheduled_worker& worker,
+                                               const worker_runs& runs,
+                                               millis listed);
+  void LearnPressure(scheduled_worker& worker, millis listed, millis now);
+  double RoomBeside(const scheduled_worker& worker,
+                    const worker_runs& runs,
+                    const service_run& service,
+                    millis now) const;
+  void LeaveRoom(const scheduled_worker& worker,
+                 const worker_runs& runs,
+                 const service_run& service,
+                 double room,
+                 std::vector<double>& paces) const;
   void PaceFillers(millis now);
   void PaceWorker(scheduled_worker& worker, millis now);
-  double LeastBlamed(const worker_runs& runs, const std::string& service);
-  double KeptPace(const scheduled_worker& worker,
-                  const worker_runs& runs,
-                  const std::string& service,
-                  double utilization,
-                  const job_step& filler);
+  double LeastBlamed(const worker_runs& runs, const std::string& service) const;
+  static void NoteEndedFiller(scheduled_worker& worker,
+                              const job_step& step,
+                              const task_run& run,
+                              millis now);
   void OrderPace(const task_name& name,
                  task_run& run,
                  std::uint32_t percent,
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -22,6 +22,9 @@
 // in shares of a worker's cores.
 constexpr double kBesideServices = 0.1;
 
+// From the decision to start a task to its start by the executor.
+constexpr millis kStartTakes = 50;
+
 // Of the cores that a service reserves, what it uses most of the time.
 constexpr double kServiceUse = 0.6;
 
@@ -91,6 +94,7 @@
   run.boot = worker.description.boot;
   run.run = number;
   run.since = now;
+  run.started = now + kStartTakes;
   run.percent_at = now;
   task.runs.push_back(run);
   Occupy(worker, job, key);
@@ -347,8 +351,8 @@
     return std::nullopt;
   }
   const job_step& step = job.record.spec.steps[step_key.step];
-  const auto size = static_cast<double>(std::max<std::int64_t>(
-      worker.description.capacity.milli_processors, 1));
+  const auto size = static_cast<double>(
+      std::max<std::int64_t>(worker.description.capacity.milli_processors, 1));
   candidate found{&worker, static_cast<double>(FillerRoom(worker)) / size, 1.0};
   if (!step.filler) {
     // Services share few workers, and short tasks fill the gaps there, so that
@@ -386,9 +390,8 @@
     }
     const double score =
         entry.score -
-        static_cast<double>(std::count(task.failed_on.begin(),
-                                       task.failed_on.end(),
-                                       entry.worker->agent));
+        static_cast<double>(std::count(
+            task.failed_on.begin(), task.failed_on.end(), entry.worker->agent));
     if (best == nullptr || score > best_score) {
       best = &entry;
       best_score = score;
@@ -402,9 +405,8 @@
                                               const scheduled_task& task,
                                               millis now) {
   std::vector<candidate> candidates = Candidates(job, key, now);
-  const candidate* best =
-      BestCandidate(candidates, key, task,
-                    job.record.spec.steps[key.step].filler, now);
+  const candidate* best = BestCandidate(
+      candidates, key, task, job.record.spec.steps[key.step].filler, now);
   return best == nullptr ? nullptr : best->worker;
 }
 
--- a/src/libkernel/job_scheduler_sharing.cpp
+++ b/src/libkernel/job_scheduler_sharing.cpp
@@ -8,19 +8,15 @@
 
 namespace {
 
-// Between two control steps; executors measure tails over half a second.
-constexpr millis kPaceInterval = 250;
+// Fillers are paced when new tails come, and after this time without them.
+constexpr millis kPaceInterval = 500;
 
-// A change of pace shows in the tails after this time: the executor's window,
-// its list and the report.
-constexpr millis kPaceShows = 900;
+// ms; how long a change among the fillers takes to show in full in the tails:
+// executors measure them over half a second.
+constexpr double kSettles = 600;
 
-// A pair with a smaller factor is not held responsible for a service's tail.
-constexpr double kLeastFactor = 0.5;
-
-// Images that press at least this part as much as the worst one share its
-// blame.
-constexpr double kBlamedPart = 0.5;
+// From an order on pace to its effect: its way, and what the executor takes.
+constexpr millis kPaceTakes = 150;
 
 // A service over its target for so long has the fillers that press most on it
 // paused, and a little later all of them: operators count it as harmed after
@@ -28,33 +24,39 @@
 constexpr millis kPauseWorstAfter = 1'800;
 constexpr millis kPauseAllAfter = 2'600;
 
-// A filler that started lately does not show in the tails yet.
-constexpr millis kStartShows = 500;
+// How far ahead of a service's own load fillers are slowed: reports are up to
+// half a second old, and an order takes effect after kPaceTakes.
+constexpr millis kLookAhead = 700;
 
-// What is kept of the pace when the cause of an excess is not known.
-constexpr double kSlowDown = 0.6;
+// The utilization to stay under, below the one at which the tail is over its
+// target: what the model misses of a service's own load.
+constexpr double kMargin = 0.04;
+
+// Of what a service shows beyond its own load and the known pressure, the part
+// that is taken for unknown pressure that lasts.
+constexpr double kTrustSurplus = 0.7;
+
+// A pair with a smaller factor is not held responsible for a service's tail.
+constexpr double kLeastFactor = 0.5;
+
+// Images that press at least this part as much as the worst one share its
+// blame.
+constexpr double kBlamedPart = 0.5;
 
 constexpr std::uint32_t kPaceUp = 50;  // Most percent given back at a time.
+// Adding less to a utilization than this is no pressure: reports are rounded.
+constexpr double kNoPressure = 0.01;
+
+// Two tails that lie further apart say nothing of how the later one came about.
+constexpr millis kLongestGap = 1'500;
+
+// The first tails of a service are averages with the time before it worked.
+constexpr millis kServiceSettles = 2'000;
+
 constexpr std::uint32_t kSmallestStep = 8;  // Percent; less is not ordered.
 
 }  // namespace
 
-// The runs of a worker that matter for sharing.
-struct job_scheduler::worker_runs {
-  struct service_run {
-    task_name name;
-    task_run* run = nullptr;
-    const job_step* step = nullptr;
-  };
-  struct filler_run {
-    task_name name;
-    task_run* run = nullptr;
-    const job_step* step = nullptr;
-  };
-  std::vector<service_run> services;
-  std::vector<filler_run> fillers;
-};
-
 namespace {
 
 // The share of a worker's cores that a filler uses at a pace.
@@ -103,34 +105,118 @@
   return *runs;
 }
 
-void job_scheduler::LearnPressure(const scheduled_worker& worker, millis now) {
-  const worker_runs runs = RunsOf(worker);
+// The group of tasks that share a service's load.
+std::string job_scheduler::LoadGroup(const task_name& name) {
+  return name.job + "." + std::to_string(name.step);
+}
+
+// Remembers a filler that works no more: tails show it for a while.
+void job_scheduler::NoteEndedFiller(scheduled_worker& worker,
+                                    const job_step& step,
+                                    const task_run& run,
+                                    millis now) {
+  if (step.filler && run.phase != run_phase::kOrdered) {
+    worker.ended_fillers.push_back(
+        {step.image, ShareAt(worker, step, run.pace), now});
+  }
+}
+
+// Returns the fillers that pressed on a worker's services when the executor
+// listed its runs.
+std::vector<pressing_work> job_scheduler::WorkBeside(scheduled_worker& worker,
+                                                     const worker_runs& runs,
+                                                     millis listed) {
+  const auto unsettled = [listed](millis since) {
+    return std::clamp(1.0 - static_cast<double>(listed - since) / kSettles, 0.0,
+                      1.0);
+  };
   std::vector<pressing_work> beside;
   for (const auto& filler : runs.fillers) {
-    if (now - filler.run->since < kStartShows) {
+    const task_run& run = *filler.run;
+    if (run.started == 0 || run.started > listed) {
       continue;
     }
-    beside.push_back(
-        {filler.step->image, ShareAt(worker, *filler.step, filler.run->pace)});
+    const double share = ShareAt(worker, *filler.step, run.pace);
+    const double before = ShareAt(worker, *filler.step, run.pace_before);
+    const millis paced = run.paced_at + kPaceTakes;
+    beside.push_back({filler.step->image, listed < paced ? before : share,
+                      std::max(share * unsettled(run.started),
+                               std::abs(share - before) *
+                                   (run.paced_at > 0 ? unsettled(paced) : 0))});
   }
+  std::erase_if(worker.ended_fillers, [&](const ended_filler& ended) {
+    return unsettled(ended.at) <= 0;
+  });
+  for (const ended_filler& ended : worker.ended_fillers) {
+    beside.push_back({ended.image, 0, ended.share * unsettled(ended.at)});
+  }
+  return beside;
+}
+
+// Learns from a list of runs that the executor gave at `listed`.
+void job_scheduler::LearnPressure(scheduled_worker& worker,
+                                  millis listed,
+                                  millis now) {
+  const worker_runs runs = RunsOf(worker);
+  const std::vector<pressing_work> beside = WorkBeside(worker, runs, listed);
+  worker.has_new_tails = worker.has_new_tails || !runs.services.empty();
   for (const auto& service : runs.services) {
-    const double used = pressure_.Utilization(
-        service.step->image, service.run->load, service.step->tail_target);
+    task_run& run = *service.run;
+    const auto reported = static_cast<double>(run.load);
+    if (run.load_at == listed) {
+      continue;
+    }
+    const bool follows = run.load_at > 0 && listed > run.load_at &&
+                         listed - run.load_at < kLongestGap;
+    run.tail = follows ? pressure_model::PresentTail(run.reported, reported,
+                                                     listed - run.load_at)
+                       : reported;
+    run.reported = reported;
+    run.load_at = listed;
+    const double used = pressure_.Utilization(service.step->image, reported,
+                                              service.step->tail_target);
     if (used < pressure_.Limit(service.step->image)) {
-      service.run->over_since = 0;
-    } else if (service.run->over_since == 0) {
-      service.run->over_since = now;
+      run.over_since = 0;
+    } else if (run.over_since == 0) {
+      run.over_since = now;
     }
-    if (service.run->percent >= 100 && service.run->pace == 100) {
-      pressure_.Observe({service.name.ToString(), service.step->image,
-                         service.run->load, service.step->tail_target},
+    if (run.percent >= 100 && run.pace == 100 &&
+        listed - run.since > kServiceSettles) {
+      pressure_.Observe({LoadGroup(service.name), service.step->image, run.tail,
+                         reported, service.step->tail_target, listed},
                         beside);
     }
   }
 }
 
+// Returns what fillers may add to a service's utilization: what is left below
+// its limit by its own load, now and a little later, and by pressure that the
+// model does not know.
+double job_scheduler::RoomBeside(const scheduled_worker& worker,
+                                 const worker_runs& runs,
+                                 const service_run& service,
+                                 millis now) const {
+  const std::string group = LoadGroup(service.name);
+  const std::string& image = service.step->image;
+  const double own = std::max(pressure_.OwnLoad(group, now),
+                              pressure_.OwnLoad(group, now + kLookAhead));
+  double surplus = 0;
+  if (service.run->load_at > 0) {
+    double known = pressure_.OwnLoad(group, service.run->load_at);
+    for (const auto& other : runs.fillers) {
+      known += pressure_.Factor(image, other.step->image) *
+               ShareAt(worker, *other.step, other.run->pace);
+    }
+    surplus = pressure_.Utilization(image, service.run->tail,
+                                    service.step->tail_target) -
+              known;
+  }
+  return pressure_.Limit(image) - kMargin - own -
+         kTrustSurplus * std::max(surplus, 0.0);
+}
+
 // Returns the share of its speed at which a filler may start beside the
-// services of a worker.
+// services of a worker, with the fillers that are there.
 double job_scheduler::PaceBeside(const scheduled_worker& worker,
                                  const job_step& filler,
                                  millis now) {
@@ -138,39 +224,38 @@
   double pace = 1.0;
   for (const auto& service : runs.services) {
     const std::string& image = service.step->image;
-    double room = pressure_model::kComfortable -
-                  pressure_.Utilization(image, service.run->load,
-                                        service.step->tail_target);
-    for (const auto& other : runs.fillers) {
-      if (now - std::max(other.run->since, other.run->paced_at) < kPaceShows) {
-        room -= pressure_.Factor(image, other.step->image) *
-                ShareAt(worker, *other.step, other.run->pace);
-      }
+    const double adds = pressure_.CautiousFactor(image, filler.image) *
+                        ShareAt(worker, filler, 100);
+    if (adds < kNoPressure) {
+      continue;
     }
-    const double adds =
-        pressure_.Factor(image, filler.image) * ShareAt(worker, filler, 100);
-    if (adds > 0.01) {
-      pace = std::min(pace, std::max(room, 0.0) / adds);
+    double pressing = adds;
+    for (const auto& other : runs.fillers) {
+      pressing += pressure_.Factor(image, other.step->image) *
+                  ShareAt(worker, *other.step, 100);
     }
+    const double room = RoomBeside(worker, runs, service, now);
+    pace = std::min(pace, std::max(room, 0.0) / pressing);
   }
   return pace;
 }
 
 void job_scheduler::PaceFillers(millis now) {
-  if (now < next_pace_) {
-    return;
+  const bool all = now >= next_pace_;
+  if (all) {
+    next_pace_ = now + kPaceInterval;
   }
-  next_pace_ = now + kPaceInterval;
-  placing_wanted_ = true;
   for (auto& [agent, worker] : workers_) {
-    PaceWorker(worker, now);
+    if (std::exchange(worker.has_new_tails, false) || all) {
+      PaceWorker(worker, now);
+    }
   }
 }
 
 // Returns the factor from which on an image shares the blame for a service's
 // tail.
 double job_scheduler::LeastBlamed(const worker_runs& runs,
-                                  const std::string& service) {
+                                  const std::string& service) const {
   double highest = 0;
   for (const auto& other : runs.fillers) {
     if (other.run->pace > 0) {
@@ -180,86 +265,96 @@
   return std::max(kBlamedPart * highest, kLeastFactor);
 }
 
-// Says how much of its present pace a filler may keep beside a service that is
-// over its target. Those whose images press most are slowed, by the excess.
-double job_scheduler::KeptPace(const scheduled_worker& worker,
-                               const worker_runs& runs,
-                               const std::string& service,
-                               double utilization,
-                               const job_step& filler) {
-  const double blamed = LeastBlamed(runs, service);
-  if (pressure_.Factor(service, filler.image) < blamed) {
-    return blamed <= kLeastFactor ? kSlowDown : 1.0;
+// Lowers the paces of a worker's fillers (in parts of 1) until they leave a
+// service the room it needs: those that press most first, then the others.
+void job_scheduler::LeaveRoom(const scheduled_worker& worker,
+                              const worker_runs& runs,
+                              const service_run& service,
+                              double room,
+                              std::vector<double>& paces) const {
+  const std::string& image = service.step->image;
+  std::vector<double> presses(runs.fillers.size());
+  double worst = 0;
+  for (std::size_t i = 0; i < presses.size(); ++i) {
+    const job_step& step = *runs.fillers[i].step;
+    presses[i] = pressure_.Factor(image, step.image);
+    worst = std::max(worst, presses[i]);
   }
-  double pressing = 0;
-  for (const auto& other : runs.fillers) {
-    const double factor = pressure_.Factor(service, other.step->image);
-    if (factor >= blamed) {
-      pressing += factor * ShareAt(worker, *other.step, other.run->pace);
+  const double blamed = std::max(kBlamedPart * worst, kLeastFactor);
+  double heavy = 0;
+  double light = 0;
+  for (std::size_t i = 0; i < presses.size(); ++i) {
+    const double adds =
+        presses[i] * paces[i] * ShareAt(worker, *runs.fillers[i].step, 100);
+    (presses[i] >= blamed ? heavy : light) += adds;
+  }
+  if (heavy + light <= room) {
+    return;
+  }
+  const double heavy_part =
+      heavy > 0 ? std::clamp((room - light) / heavy, 0.0, 1.0) : 1.0;
+  const double light_part =
+      light > 0 ? std::clamp(room / light, 0.0, 1.0) : 1.0;
+  for (std::size_t i = 0; i < presses.size(); ++i) {
+    const double adds =
+        presses[i] * ShareAt(worker, *runs.fillers[i].step, 100);
+    if (adds >= kNoPressure) {
+      paces[i] *= presses[i] >= blamed ? heavy_part : light_part;
     }
   }
-  const double excess = utilization - pressure_model::kComfortable;
-  return pressing > 0 ? std::clamp(1.0 - excess / pressing, 0.0, kSlowDown)
-                      : kSlowDown;
 }
 
-// Slows the fillers beside a service that is over its target, by as much as it
-// is over, and gives the pace back in steps.
+// Sets the paces of a worker's fillers so that its services meet their targets
+// by what the model expects; a service that is over its target for long has
+// them paused whatever the model says.
 void job_scheduler::PaceWorker(scheduled_worker& worker, millis now) {
   const worker_runs runs = RunsOf(worker);
-  if (runs.fillers.empty() || runs.services.empty()) {
-    return;
-  }
-  for (const auto& filler : runs.fillers) {
-    const std::uint32_t before = filler.run->pace;
-    if (filler.run->phase != run_phase::kRunning) {
-      continue;
+  std::vector<double> paces(runs.fillers.size(), 1.0);
+  const service_run* tightest = nullptr;
+  double least_room = 0;
+  for (const auto& service : runs.services) {
+    const double room = RoomBeside(worker, runs, service, now);
+    LeaveRoom(worker, runs, service, room, paces);
+    if (tightest == nullptr || room < least_room) {
+      tightest = &service;
+      least_room = room;
     }
-    double wanted = 100;
-    double worst = 0;
-    const std::string* victim = nullptr;
-    for (const auto& service : runs.services) {
-      const std::string& image = service.step->image;
-      const double used = pressure_.Utilization(image, service.run->load,
-                                                service.step->tail_target);
-      const double factor = pressure_.Factor(image, filler.step->image);
-      const double room = pressure_model::kComfortable - used;
-      double allowed = 100;
-      const millis over =
-          service.run->over_since == 0 ? 0 : now - service.run->over_since;
-      const bool pause =
-          over > kPauseAllAfter ||
-          (over > kPauseWorstAfter && factor >= LeastBlamed(runs, image));
-      if (pause) {
-        allowed = 0;
-      } else if (now - filler.run->paced_at < kPaceShows) {
-        allowed = before;
-      } else if (used >= pressure_.Limit(image)) {
-        allowed = before * KeptPace(worker, runs, image, used, *filler.step);
-      } else if (before < 100 && factor > 0.01) {
-        allowed = before + 100.0 * std::max(room, 0.0) /
-                               (factor * ShareAt(worker, *filler.step, 100));
-      }
-      if (allowed < wanted) {
-        wanted = allowed;
-        worst = used;
-        victim = &image;
+    const millis over =
+        service.run->over_since == 0 ? 0 : now - service.run->over_since;
+    const double blamed = LeastBlamed(runs, service.step->image);
+    for (std::size_t i = 0; i < paces.size(); ++i) {
+      const double factor =
+          pressure_.Factor(service.step->image, runs.fillers[i].step->image);
+      if (over > kPauseAllAfter ||
+          (over > kPauseWorstAfter && factor >= blamed)) {
+        paces[i] = 0;
       }
     }
+  }
+  for (std::size_t i = 0; i < paces.size(); ++i) {
+    const auto& filler = runs.fillers[i];
+    const std::uint32_t before = filler.run->pace;
     const auto next =
-        std::min(static_cast<std::uint32_t>(wanted), before + kPaceUp);
-    if (next + kSmallestStep > before && next < before + kSmallestStep &&
-        (next != 100 || before == 100)) {
+        std::min(static_cast<std::uint32_t>(100 * paces[i]), before + kPaceUp);
+    const bool small =
+        next + kSmallestStep > before && next < before + kSmallestStep;
+    if (filler.run->phase != run_phase::kRunning || next == before ||
+        (small && next != 100 && next != 0)) {
       continue;
     }
     Emit("filler_paced", filler.name.ToString(), worker.agent,
-         "image=" + filler.step->image + " from_percent=" +
-             std::to_string(before) + " to_percent=" + std::to_string(next) +
-             " service_image=" + (victim != nullptr ? *victim : "-") +
-             " utilization=" + std::to_string(worst) + " factor=" +
-             std::to_string(victim != nullptr
-                                ? pressure_.Factor(*victim, filler.step->image)
-                                : 0.0));
+         "image=" + filler.step->image +
+             " from_percent=" + std::to_string(before) +
+             " to_percent=" + std::to_string(next) + " service_image=" +
+             (tightest != nullptr ? tightest->step->image : "-") +
+             " room=" + std::to_string(least_room) + " factor=" +
+             std::to_string(tightest != nullptr
+                                ? pressure_.Factor(tightest->step->image,
+                                                   filler.step->image)
+                                : 0.0) +
+             " tail_age_ms=" +
+             std::to_string(tightest != nullptr ? now - tightest->run->load_at
+                                                : 0));
     OrderPace(filler.name, *filler.run, next, now);
   }
 }
@@ -268,6 +363,7 @@
                               task_run& run,
                               std::uint32_t percent,
                               millis now) {
+  run.pace_before = run.pace;
   run.pace = percent;
   run.paced_at = now;
   run.percent_at = now;
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -123,7 +123,7 @@
     listed.insert(status.task);
     AdoptRun(worker, status, now);
   }
-  LearnPressure(worker, now);
+  LearnPressure(worker, now - report.runs_age, now);
   // A run that was confirmed and is no longer listed has ended without an end
   // that reached this process.
   const std::set<task_name> held = worker.tasks;
@@ -172,6 +172,7 @@
   found.run = status.run;
   found.phase = run_phase::kRunning;
   found.since = now;
+  found.started = now;
   found.percent = status.percent;
   found.percent_at = now;
   found.load = status.load;
@@ -324,10 +325,18 @@
     return;
   }
   scheduled_job& job = jobs_.at(key.job);
-  const auto removed = std::remove_if(
-      task->runs.begin(), task->runs.end(), [&](const task_run& entry) {
-        return entry.agent == agent && entry.run == run;
-      });
+  const auto is_run = [&](const task_run& entry) {
+    return entry.agent == agent && entry.run == run;
+  };
+  const auto holder = workers_.find(agent);
+  const auto dropped =
+      std::find_if(task->runs.begin(), task->runs.end(), is_run);
+  if (holder != workers_.end() && dropped != task->runs.end()) {
+    NoteEndedFiller(holder->second, job.record.spec.steps[key.step], *dropped,
+                    now);
+  }
+  const auto removed =
+      std::remove_if(task->runs.begin(), task->runs.end(), is_run);
   if (removed == task->runs.end()) {
     return;
   }
