Tell of a withdrawn start only when no list shows its run any more

Change: a listed run settles its start; a withdrawn one is reported after a list, asked for after the stop, that shows it no more. Two tests, both fail without it.

--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -1,4 +1,6 @@
 // How the agent carries out orders, also when the executor gives no answer.
+#include <set>
+
 #include "chervilkeel/event_log.h"
 #include "job_agent_process.h"
 
@@ -164,8 +166,38 @@
     return;
   }
   open_starts_.erase(name);
-  // It may have run until now; its end is listed then.
-  Report(name, start_outcome::kWithdrawn);
+  // A stop takes its time: a run that was there works on for a little.
+  withdrawn_[name] = BootNow();
+  if (!holding_) {
+    HoldAfter(0);
+  }
+}
+
+// Learns from a list of runs what became of orders without answers.
+void job_agent_process::SettleOrders(const executor_listing& listing,
+                                     millis asked) {
+  std::set<run_name> running;
+  for (const run_status& status : listing.running) {
+    running.emplace(status.task, status.run);
+  }
+  for (auto open = open_starts_.begin(); open != open_starts_.end();) {
+    if (open->second.withdrawing || running.count(open->first) == 0) {
+      ++open;
+      continue;
+    }
+    const run_name name = open->first;
+    open = open_starts_.erase(open);
+    Report(name, start_outcome::kStarted);
+  }
+  for (auto entry = withdrawn_.begin(); entry != withdrawn_.end();) {
+    if (asked <= entry->second || running.count(entry->first) != 0) {
+      ++entry;
+      continue;
+    }
+    const run_name name = entry->first;
+    entry = withdrawn_.erase(entry);
+    Report(name, start_outcome::kWithdrawn);
+  }
 }
 
 void job_agent_process::SendPace(const worker_order& order) {
--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -68,7 +68,7 @@
 }
 
 void job_agent_process::TakeAnnouncement(const http_request& request,
-                                       const http_responder& respond) {
+                                         const http_responder& respond) {
   const auto said = adapter_->DecodeAnnouncement(request);
   if (!said) {
     LogEvent(kPart, "announcement_unreadable",
@@ -126,6 +126,7 @@
     recorded_end_ = 0;
     open_starts_.clear();
     open_stops_.clear();
+    withdrawn_.clear();
     starts_.clear();
   }
   worker_ = said.worker;
@@ -223,13 +224,14 @@
     HoldAfter(kHoldRetry);
     return;
   }
-  TakeListing(listing.value(), epoch);
+  TakeListing(listing.value(), epoch, asked);
   const bool quick = BootNow() - asked < kUnrecordedPause;
   HoldAfter(!ends_.empty() || quick ? kUnrecordedPause : 0);
 }
 
 void job_agent_process::TakeListing(const executor_listing& listing,
-                                    std::uint64_t epoch) {
+                                    std::uint64_t epoch,
+                                    millis asked) {
   NoteClock(listing.clock);
   const bool first = epoch == epoch_ && obeyed_epoch_ != epoch;
   if (epoch == epoch_) {
@@ -246,6 +248,7 @@
       last = ended.number;
     }
   }
+  SettleOrders(listing, asked);
   if (first || last > told_end_) {
     Sync(false);
   }
@@ -408,6 +411,7 @@
   starts_.clear();
   open_starts_.clear();
   open_stops_.clear();
+  withdrawn_.clear();
   hold_timer_.cancel();
   HoldAfter(0);
 }
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -60,7 +60,9 @@
   void OnListing(const result<executor_listing>& listing,
                  std::uint64_t epoch,
                  millis asked);
-  void TakeListing(const executor_listing& listing, std::uint64_t epoch);
+  void TakeListing(const executor_listing& listing,
+                   std::uint64_t epoch,
+                   millis asked);
   millis LeaseEnd() const;
   void NoteClock(millis clock);
 
@@ -84,6 +86,7 @@
   void SendPace(const worker_order& order);
   void OnStartAnswer(const run_name& name,
                      const result<executor_answer>& answer);
+  void SettleOrders(const executor_listing& listing, millis asked);
   void OnStopAnswer(const run_name& name,
                     const result<executor_answer>& answer);
   void Report(const run_name& name, start_outcome outcome);
@@ -129,6 +132,9 @@
   std::vector<start_result> starts_;
   std::map<run_name, open_order> open_starts_;
   std::map<run_name, open_order> open_stops_;
+  // Starts that were taken back, and when the executor accepted the stop. The
+  // run may work on until a later list shows it no more.
+  std::map<run_name, millis> withdrawn_;
   std::uint64_t incarnation_ = 0;
 };
 
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -1,11 +1,13 @@
 #include "job_agent_process.h"
 
+#include <atomic>
 #include <optional>
 
 #include <grpcpp/grpcpp.h>
 #include <boost/test/unit_test.hpp>
 
 #include "chervilkeel/platform_adapter.h"
+#include "job_wire.h"
 #include "store_in_memory.h"
 #include "wire/jobs.grpc.pb.h"
 
@@ -15,23 +17,33 @@
 
 constexpr const char* kAnnouncementBody = "ready";
 
-// An executor that lists its runs a few times and then answers no more.
+// What an executor does, set by the test.
+struct executor_script {
+  int listings = 3;          // Then it lists no more.
+  bool lists_start = true;   // A start shows in the lists.
+  int lists_after_stop = 0;  // So many lists show a run that was stopped.
+};
+
+// An executor that carries out starts without answering them.
 class mute_executor : public task_executor {
  public:
-  explicit mute_executor(boost::asio::io_context& context)
-      : context_(context) {}
+  mute_executor(boost::asio::io_context& context, executor_script& script)
+      : script_(script), context_(context) {}
 
   void Start(const order_context& /*context*/,
-             const worker_order& /*order*/,
+             const worker_order& order,
              millis /*lease_end*/,
              executor_callback<executor_answer> callback) override {
+    run_.task = order.task;
+    run_.run = order.run;
     callback(Fail(error_code::kUnknown, "no answer"));
   }
   void Stop(const order_context& /*context*/,
             const task_name& /*task*/,
             std::uint64_t /*run*/,
             executor_callback<executor_answer> callback) override {
-    callback(Fail(error_code::kUnknown, "no answer"));
+    stopped_ = true;
+    callback(executor_answer());
   }
   void Pace(const order_context& /*context*/,
             const worker_order& /*order*/,
@@ -44,26 +56,33 @@
             millis /*wait*/,
             executor_callback<executor_listing> callback) override {
     boost::asio::post(context_, [this, callback = std::move(callback)] {
-      if (listings_left == 0) {
+      if (script_.listings == 0) {
         callback(Fail(error_code::kUnknown, "no answer"));
         return;
       }
-      --listings_left;
+      --script_.listings;
       executor_listing listing;
       listing.clock = 100'000 + BootNow();
       listing.started_ms = 5;
+      if (run_.run != 0 &&
+          (stopped_ ? script_.lists_after_stop-- > 0 : script_.lists_start)) {
+        listing.running.push_back(run_);
+      }
       callback(listing);
     });
   }
 
-  int listings_left = 3;
-
  private:
+  executor_script& script_;
   boost::asio::io_context& context_;
+  run_status run_;
+  bool stopped_ = false;
 };
 
 class one_executor_adapter : public platform_adapter {
  public:
+  explicit one_executor_adapter(executor_script& script) : script_(script) {}
+
   std::unique_ptr<coordination_store> MakeStore(
       boost::asio::io_context& context,
       const endpoint& /*peer*/) const override {
@@ -72,7 +91,7 @@
   std::unique_ptr<task_executor> MakeExecutor(
       boost::asio::io_context& context,
       const endpoint& /*peer*/) const override {
-    return std::make_unique<mute_executor>(context);
+    return std::make_unique<mute_executor>(context, script_);
   }
   std::string ConfigKey() const override { return "config"; }
   result<deployed_config> DecodeConfig(
@@ -102,12 +121,15 @@
     said.sequence = 1;
     return said;
   }
+
+ private:
+  executor_script& script_;
 };
 
 // An owner that grants, and tells the test of each call.
 class granting_owner : public wire::job_owner_service::CallbackService {
  public:
-  using heard_function = std::function<void(bool obeys)>;
+  using heard_function = std::function<void(const wire::agent_sync& sync)>;
 
   granting_owner(boost::asio::io_context& context, heard_function heard)
       : context_(context), heard_(std::move(heard)) {}
@@ -118,13 +140,21 @@
     reply->set_is_owner(true);
     reply->set_epoch(1);
     reply->set_grant_ms(request->obeys() ? 2'600 : 0);
-    boost::asio::post(context_,
-                      [this, obeys = request->obeys()] { heard_(obeys); });
+    if (starts_task && request->obeys() && request->acked_order() == 0) {
+      worker_order order;
+      order.boot = {"executor", 5};
+      order.task = {"job", 0, 0, 0};
+      order.run = 7;
+      *reply->add_orders() = ToWire(1, order);
+    }
+    boost::asio::post(context_, [this, sync = *request] { heard_(sync); });
     auto* reactor = context->DefaultReactor();
     reactor->Finish(grpc::Status::OK);
     return reactor;
   }
 
+  std::atomic<bool> starts_task = false;
+
  private:
   boost::asio::io_context& context_;
   heard_function heard_;
@@ -138,11 +168,19 @@
   std::optional<job_agent_process> agent;
   int obeying = 0;      // Calls that vouch for the executor.
   int not_obeying = 0;  // Calls after the first of those that don't.
+  executor_script script;
+  std::optional<start_outcome> outcome;  // Of the task that was started.
+  int lists_left_at_outcome = 0;
 
   agent_fixture() {
-    owner.emplace(context, [this](bool obeys) {
-      obeying += obeys ? 1 : 0;
-      not_obeying += !obeys && obeying > 0 ? 1 : 0;
+    owner.emplace(context, [this](const wire::agent_sync& sync) {
+      obeying += sync.obeys() ? 1 : 0;
+      not_obeying += !sync.obeys() && obeying > 0 ? 1 : 0;
+      const worker_report report = FromWire(sync);
+      if (!outcome && !report.starts.empty()) {
+        outcome = report.starts[0].outcome;
+        lists_left_at_outcome = script.lists_after_stop;
+      }
     });
     int port = 0;
     grpc::ServerBuilder builder;
@@ -155,10 +193,29 @@
     settings.seeds = {{"127.0.0.1", 1}};
     settings.job_executor = {"127.0.0.1", 1};
     settings.announcements = {"127.0.0.1", 0};
-    agent.emplace(context, settings, std::make_unique<one_executor_adapter>());
+    agent.emplace(context, settings,
+                  std::make_unique<one_executor_adapter>(script));
   }
 
   ~agent_fixture() { server->Shutdown(); }
+
+  void Announce() {
+    BOOST_REQUIRE(agent->Start());
+    http_request announced;
+    announced.body = kAnnouncementBody;
+    agent->TakeAnnouncement(announced, [](const http_response& response) {
+      BOOST_TEST(response.status == 200);
+    });
+  }
+
+  // An agent that never comes to a condition is found out by its calls.
+  template <class condition_type>
+  void RunUntil(condition_type condition) {
+    constexpr int kMostCalls = 20'000;
+    while (!condition() && obeying < kMostCalls) {
+      context.run_one();
+    }
+  }
 };
 
 }  // namespace
@@ -168,22 +225,37 @@
 // An executor that listens no more may be gone: its agent must not go on
 // vouching for what runs there, or the tasks would never start elsewhere.
 BOOST_AUTO_TEST_CASE(executor_that_gives_no_lists_is_vouched_for_no_more) {
-  BOOST_REQUIRE(agent->Start());
-  http_request announced;
-  announced.body = kAnnouncementBody;
-  agent->TakeAnnouncement(announced, [](const http_response& response) {
-    BOOST_TEST(response.status == 200);
-  });
-  // Lists are taken for fresh for a second; calls come faster than 20 a second
-  // in none of the states, so that an agent that never stops is found out.
-  constexpr int kMostCalls = 20'000;
-  while (not_obeying == 0 && obeying < kMostCalls) {
-    context.run_one();
-  }
+  Announce();
+  RunUntil([this] { return not_obeying > 0; });
   BOOST_TEST(obeying > 0);
   BOOST_TEST(not_obeying > 0);
 }
 
+// The executor runs a task whose start it never answered: the list is answer
+// enough, and the run is not taken back.
+BOOST_AUTO_TEST_CASE(start_without_answer_that_is_listed_counts_as_started) {
+  script.listings = 1'000'000;
+  owner->starts_task = true;
+  Announce();
+  RunUntil([this] { return outcome.has_value(); });
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kStarted));
+}
+
+// A start is taken back, and the run that was there all the same needs some
+// time to stop: the task may start elsewhere only after a list without it.
+BOOST_AUTO_TEST_CASE(withdrawn_start_is_told_only_when_its_run_is_gone) {
+  script.listings = 1'000'000;
+  script.lists_start = false;
+  script.lists_after_stop = 5;
+  owner->starts_task = true;
+  Announce();
+  RunUntil([this] { return outcome.has_value(); });
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kWithdrawn));
+  BOOST_TEST(lists_left_at_outcome <= 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
