--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -361,7 +361,10 @@
                  const worker_runs& runs,
                  const service_run& service,
                  double room,
+                 const std::vector<std::size_t>& order,
                  std::vector<double>& paces) const;
+  std::vector<std::size_t> ByUrgency(const worker_runs& runs) const;
+  static double ObjectiveOf(const scheduled_job& job);
   void PaceFillers(millis now);
   void PaceWorker(scheduled_worker& worker, millis now);
   double LeastBlamed(const worker_runs& runs, const std::string& service) const;
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -137,6 +137,12 @@
        "run=" + std::to_string(run.run) + " reason=\"" + reason + "\"");
 }
 
+// Returns the time, in ms from its acceptance, within which a job is in time.
+double job_scheduler::ObjectiveOf(const scheduled_job& job) {
+  return job.policy.stretch * static_cast<double>(job.path) +
+         static_cast<double>(job.policy.latency_target);
+}
+
 std::vector<job_scheduler::waiting_step> job_scheduler::WaitingSteps() {
   std::vector<waiting_step> waiting;
   for (const std::string& id : active_) {
@@ -147,9 +153,7 @@
     job.has_waiting = false;
     const std::int64_t age =
         std::max<std::int64_t>(wall_ms_ - job.record.accepted_ms, 0);
-    const double objective =
-        job.policy.stretch * static_cast<double>(job.path) +
-        static_cast<double>(job.policy.latency_target);
+    const double objective = ObjectiveOf(job);
     for (auto& [number, occurrence] : job.occurrences) {
       for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
         scheduled_step& step = occurrence.steps[s];
--- a/src/libkernel/job_scheduler_sharing.cpp
+++ b/src/libkernel/job_scheduler_sharing.cpp
@@ -1,6 +1,7 @@
 // Batch tasks that use left-over cores beside services: how fast they may work
 // so that the services meet their targets.
 #include <algorithm>
+#include <tuple>
 
 #include "chervilkeel/job_scheduler.h"
 
@@ -268,41 +269,46 @@
   return std::max(kBlamedPart * highest, kLeastFactor);
 }
 
+// Returns the places of a worker's fillers in the order in which they get room:
+// jobs that can still be in time first, then those with the fewest tasks to go,
+// as a job is done with its last task.
+std::vector<std::size_t> job_scheduler::ByUrgency(
+    const worker_runs& runs) const {
+  using urgency = std::tuple<bool, std::size_t, std::uint32_t, std::size_t>;
+  std::vector<urgency> keys;
+  for (std::size_t i = 0; i < runs.fillers.size(); ++i) {
+    const filler_run& filler = runs.fillers[i];
+    const scheduled_job& job = jobs_.at(filler.name.job);
+    const scheduled_step& step =
+        job.occurrences.at(filler.name.occurrence).steps[filler.name.step];
+    const auto age = static_cast<double>(wall_ms_ - job.record.accepted_ms);
+    keys.emplace_back(age > ObjectiveOf(job), step.tasks.size() - step.done,
+                      100 - std::min(filler.run->percent, 100U), i);
+  }
+  std::sort(keys.begin(), keys.end());
+  std::vector<std::size_t> order;
+  for (const urgency& key : keys) {
+    order.push_back(std::get<3>(key));
+  }
+  return order;
+}
+
 // Lowers the paces of a worker's fillers (in parts of 1) until they leave a
-// service the room it needs: those that press most first, then the others.
+// service the room it needs. Who comes first in the order keeps its pace: to
+// slow all alike would hold up every job.
 void job_scheduler::LeaveRoom(const scheduled_worker& worker,
                               const worker_runs& runs,
                               const service_run& service,
                               double room,
+                              const std::vector<std::size_t>& order,
                               std::vector<double>& paces) const {
-  const std::string& image = service.step->image;
-  std::vector<double> presses(runs.fillers.size());
-  double worst = 0;
-  for (std::size_t i = 0; i < presses.size(); ++i) {
+  for (const std::size_t i : order) {
     const job_step& step = *runs.fillers[i].step;
-    presses[i] = pressure_.Factor(image, step.image);
-    worst = std::max(worst, presses[i]);
-  }
-  const double blamed = std::max(kBlamedPart * worst, kLeastFactor);
-  double heavy = 0;
-  double light = 0;
-  for (std::size_t i = 0; i < presses.size(); ++i) {
-    const double adds =
-        presses[i] * paces[i] * ShareAt(worker, *runs.fillers[i].step, 100);
-    (presses[i] >= blamed ? heavy : light) += adds;
-  }
-  if (heavy + light <= room) {
-    return;
-  }
-  const double heavy_part =
-      heavy > 0 ? std::clamp((room - light) / heavy, 0.0, 1.0) : 1.0;
-  const double light_part =
-      light > 0 ? std::clamp(room / light, 0.0, 1.0) : 1.0;
-  for (std::size_t i = 0; i < presses.size(); ++i) {
-    const double adds =
-        presses[i] * ShareAt(worker, *runs.fillers[i].step, 100);
+    const double adds = pressure_.Factor(service.step->image, step.image) *
+                        ShareAt(worker, step, 100);
     if (adds >= kNoPressure) {
-      paces[i] *= presses[i] >= blamed ? heavy_part : light_part;
+      paces[i] = std::min(paces[i], std::max(room, 0.0) / adds);
+      room -= paces[i] * adds;
     }
   }
 }
@@ -312,12 +318,13 @@
 // them paused whatever the model says.
 void job_scheduler::PaceWorker(scheduled_worker& worker, millis now) {
   const worker_runs runs = RunsOf(worker);
+  const std::vector<std::size_t> order = ByUrgency(runs);
   std::vector<double> paces(runs.fillers.size(), 1.0);
   const service_run* tightest = nullptr;
   double least_room = 0;
   for (const auto& service : runs.services) {
     const double room = RoomBeside(worker, runs, service, now);
-    LeaveRoom(worker, runs, service, room, paces);
+    LeaveRoom(worker, runs, service, room, order, paces);
     if (tightest == nullptr || room < least_room) {
       tightest = &service;
       least_room = room;
