Move batch tasks as soon as low paces have cost them 0.3 s

Cause: the last task of a late job crawled for 4 to 7 s on one worker and was done 0.3 s after it was moved: time was counted from the last order on pace, and paces change every 250 ms. Change: time lost to low paces adds up; from 0.3 s on a task moves to a worker that lets it work at 0.85, up to four in a look.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -63,6 +63,8 @@
   millis percent_at = 0;            // When the percent changed last.
   std::uint32_t pace = 100;         // Last ordered.
   std::uint32_t pace_before = 100;  // The one before it.
+  millis held_back = 0;             // Time lost to paces below the full one.
+  millis held_since = 0;            // Up to when that has been counted.
   millis paced_at = 0;              // When.
   std::int64_t load = 0;            // Last reported.
   double reported = 0;              // A service's tail in the last list, ms.
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -33,12 +33,14 @@
 constexpr double kLeastStartPace = 0.5;
 constexpr millis kPatience = 2'500;
 
-// A filler at this pace or less, for so long, is moved if another worker lets
-// it work at kFreePace; without checkpoints only while little would be lost.
-constexpr std::uint32_t kSlowPace = 30;  // Percent.
-constexpr millis kSlowPatience = 700;
-constexpr millis kLeastStay = 2'000;         // Between two moves.
-constexpr double kFreePace = 0.9;            // Of its speed.
+// A filler that has lost so much time to low paces is moved if another worker
+// lets it work at kFreePace; without checkpoints only while little would be
+// lost. A move costs a stop and a restart, some 300 ms.
+constexpr std::uint32_t kSlowPace = 60;  // Percent; above it stays.
+constexpr millis kMostHeldBack = 300;
+constexpr millis kLeastStay = 800;           // Between two moves.
+constexpr int kMovesAtOnce = 4;              // In one look.
+constexpr double kFreePace = 0.85;           // Of its speed.
 constexpr std::uint32_t kCheapPercent = 30;  // Of its work.
 
 // Where the rack stands among an executor's labels.
@@ -465,10 +467,14 @@
   }
 }
 
-// Moves fillers that have to be slow where they are, when another worker lets
-// them work.
+// Moves fillers that are held back where they are, when another worker lets
+// them work: a job waits for its slowest task.
 void job_scheduler::MoveSlowedFillers(millis now) {
+  int moves = 0;
   for (auto& [agent, worker] : workers_) {
+    if (worker.filler_milli == 0 || worker.service_milli == 0) {
+      continue;
+    }
     for (const task_name& key : worker.tasks) {
       scheduled_task* task = FindTask(key);
       if (task == nullptr || task->runs.size() != 1) {
@@ -479,7 +485,7 @@
       task_run& run = task->runs.front();
       const bool slowed = step.filler && run.phase == run_phase::kRunning &&
                           run.pace <= kSlowPace &&
-                          now - run.paced_at > kSlowPatience &&
+                          run.held_back > kMostHeldBack &&
                           now - run.since > kLeastStay;
       const bool cheap = step.checkpoints || run.percent < kCheapPercent;
       if (!slowed || !cheap) {
@@ -488,7 +494,9 @@
       const scheduled_worker* other = ChooseWorker(job, key, *task, now);
       if (other != nullptr && PaceBeside(*other, step, now) > kFreePace) {
         OrderStop(key, run, "it works faster on another worker");
-        return;
+        if (++moves == kMovesAtOnce) {
+          return;
+        }
       }
     }
   }
--- a/src/libkernel/job_scheduler_sharing.cpp
+++ b/src/libkernel/job_scheduler_sharing.cpp
@@ -320,15 +320,13 @@
   const worker_runs runs = RunsOf(worker);
   const std::vector<std::size_t> order = ByUrgency(runs);
   std::vector<double> paces(runs.fillers.size(), 1.0);
-  const service_run* tightest = nullptr;
-  double least_room = 0;
+  // By filler: the service that held it back last, and the room it left.
+  std::vector<std::pair<const service_run*, double>> limits(runs.fillers.size(),
+                                                            {nullptr, 0});
   for (const auto& service : runs.services) {
     const double room = RoomBeside(worker, runs, service, now);
+    const std::vector<double> former = paces;
     LeaveRoom(worker, runs, service, room, order, paces);
-    if (tightest == nullptr || room < least_room) {
-      tightest = &service;
-      least_room = room;
-    }
     const millis over =
         service.run->over_since == 0 ? 0 : now - service.run->over_since;
     const double blamed = LeastBlamed(runs, service.step->image);
@@ -339,11 +337,19 @@
           (over > kPauseWorstAfter && factor >= blamed)) {
         paces[i] = 0;
       }
+      if (paces[i] < former[i]) {
+        limits[i] = {&service, room};
+      }
     }
   }
   for (std::size_t i = 0; i < paces.size(); ++i) {
     const auto& filler = runs.fillers[i];
     const std::uint32_t before = filler.run->pace;
+    if (filler.run->held_since > 0) {
+      filler.run->held_back +=
+          (now - filler.run->held_since) * (100 - before) / 100;
+    }
+    filler.run->held_since = now;
     const auto next =
         std::min(static_cast<std::uint32_t>(100 * paces[i]), before + kPaceUp);
     const bool small =
@@ -352,19 +358,18 @@
         (small && next != 100 && next != 0)) {
       continue;
     }
+    const auto& [limit, limit_room] = limits[i];
     Emit("filler_paced", filler.name.ToString(), worker.agent,
-         "image=" + filler.step->image +
-             " from_percent=" + std::to_string(before) +
-             " to_percent=" + std::to_string(next) + " service_image=" +
-             (tightest != nullptr ? tightest->step->image : "-") +
-             " room=" + std::to_string(least_room) + " factor=" +
-             std::to_string(tightest != nullptr
-                                ? pressure_.Factor(tightest->step->image,
-                                                   filler.step->image)
-                                : 0.0) +
+         "image=" + filler.step->image + " from_percent=" +
+             std::to_string(before) + " to_percent=" + std::to_string(next) +
+             " service_image=" + (limit != nullptr ? limit->step->image : "-") +
+             " room=" + std::to_string(limit_room) + " factor=" +
+             std::to_string(
+                 limit != nullptr
+                     ? pressure_.Factor(limit->step->image, filler.step->image)
+                     : 0.0) +
              " tail_age_ms=" +
-             std::to_string(tightest != nullptr ? now - tightest->run->load_at
-                                                : 0));
+             std::to_string(limit != nullptr ? now - limit->run->load_at : 0));
     OrderPace(filler.name, *filler.run, next, now);
   }
 }
