--- a/bench/sharing/sharing_world.cpp
+++ b/bench/sharing/sharing_world.cpp
@@ -59,7 +59,7 @@
     fake_worker worker;
     worker.agent = "agent-" + std::to_string(i);
     worker.milli = scenario_.worker_milli * (i % 3 == 2 ? 3 : 2) / 2;
-    worker.next_report = now_ + (i * 37) % kReportInterval;
+    worker.next_report = now_ + (static_cast<millis>(i) * 37) % kReportInterval;
     workers_.push_back(std::move(worker));
   }
 }
@@ -280,10 +280,6 @@
   worker.orders.erase(due, worker.orders.end());
   for (const late_order& entry : carried) {
     Carry(worker, entry.order);
-    if (entry.order.kind == order_kind::kStart) {
-      worker_report report;
-      report.agent = worker.agent;
-    }
   }
 }
 
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -36,7 +36,7 @@
 // A filler that has lost so much time to low paces is moved if another worker
 // lets it work at kFreePace; without checkpoints only while little would be
 // lost. A move costs a stop and a restart, some 300 ms.
-constexpr std::uint32_t kSlowPace = 60;  // Percent; above it stays.
+constexpr std::uint32_t kSlowPace = 80;  // Percent; above it stays.
 constexpr millis kMostHeldBack = 300;
 constexpr millis kLeastStay = 800;           // Between two moves.
 constexpr int kMovesAtOnce = 4;              // In one look.
--- a/src/libkernel/job_scheduler_sharing.cpp
+++ b/src/libkernel/job_scheduler_sharing.cpp
@@ -31,7 +31,7 @@
 
 // The utilization to stay under, below the one at which the tail is over its
 // target: what the model misses of a service's own load.
-constexpr double kMargin = 0.04;
+constexpr double kMargin = 0.06;
 
 // Of what a service shows beyond its own load and the known pressure, the part
 // that is taken for unknown pressure that lasts.
@@ -287,6 +287,7 @@
   }
   std::sort(keys.begin(), keys.end());
   std::vector<std::size_t> order;
+  order.reserve(keys.size());
   for (const urgency& key : keys) {
     order.push_back(std::get<3>(key));
   }
