Keep what was learned of pairs of images for the next owner

Change: the owner writes the factors to the store every 4 s, under its own key's condition; a new owner reads them with one call and goes on without them when that fails.

--- a/src/chervilkeeld/job_keys.h
+++ b/src/chervilkeeld/job_keys.h
@@ -8,6 +8,8 @@
 inline constexpr const char* kOwnerKey = "chervilkeel/owner";
 inline constexpr const char* kEpochKey = "chervilkeel/epoch";
 inline constexpr const char* kMembersKey = "chervilkeel/members";
+// What owners have learned of images; worth having, never needed.
+inline constexpr const char* kPressureKey = "chervilkeel/pressure";
 inline constexpr const char* kCommitKey = "chervilkeel/commit";
 inline constexpr const char* kInboxPrefix = "chervilkeel/inbox/";
 inline constexpr const char* kJobPrefix = "chervilkeel/inbox/job/";
--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr const char* kPart = "owner";
+constexpr millis kFirstPressure = 3'000;  // Of a new owner; it learns first.
 constexpr millis kTick = 50;  // Between looks at what is due by time.
 
 // Reports and questions that arrive within this time are decided on together:
@@ -55,6 +56,7 @@
   ++term_;
   ownership_ = won;
   finishing_ = false;
+  next_pressure_ = BootNow() + kFirstPressure;
   finished_ = nullptr;
   if (won.uninterrupted && scheduler_ != nullptr) {
     RecoverCommit();
@@ -110,6 +112,7 @@
           return;
         }
         Step();
+        KeepPressure();
         ScheduleTick();
       });
 }
--- a/src/chervilkeeld/job_owner.h
+++ b/src/chervilkeeld/job_owner.h
@@ -72,6 +72,7 @@
     std::vector<job_progress> progress;
     std::set<std::string> cancelled;
     std::set<std::string> members;
+    std::string pressure;  // Empty: nothing was kept.
     std::uint64_t inbox_revision = 0;
     std::uint64_t commit_revision = 0;
   };
@@ -87,6 +88,7 @@
   void RecoverInbox(const std::string& after);
   void RecoverProgress(const std::string& after);
   void RecoverMembers();
+  void RecoverPressure();
   void RecoverCommit();
   void Recovered();
   void Continue();
@@ -103,6 +105,7 @@
   void CommitPart();
   void OnPart(const result<transaction_outcome>& outcome);
   void PartDone();
+  void KeepPressure();
   std::vector<store_transaction> SplitChanges(
       const durable_changes& changes) const;
 
@@ -144,6 +147,7 @@
   bool step_waits_ = false;
   millis next_step_ = 0;  // Not earlier, so that others get their turn.
   millis committed_at_ = 0;
+  millis next_pressure_ = 0;  // When what was learned is kept again.
   millis recovery_began_ = 0;
 };
 
--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -12,6 +12,10 @@
 constexpr const char* kPart = "owner";
 constexpr millis kCallTimeout = 1'000;
 constexpr millis kRetryDelay = 150;
+// Between two writes of what was learned: a pair is known within seconds, and
+// each call to the store has its price.
+constexpr millis kKeepPressure = 4'000;
+
 constexpr millis kInboxPause = 300;   // Between two watches on the inbox.
 constexpr millis kInboxWait = 3'000;  // Of one watch.
 constexpr millis kInboxGrace = 500;   // Beyond it before it counts as dead.
@@ -155,10 +159,51 @@
         if (item.value()) {
           recovered_.members = SplitNames(item.value()->value);
         }
+        RecoverPressure();
+      });
+}
+
+// Without what former owners learned this one learns anew: no try is repeated.
+void job_owner::RecoverPressure() {
+  store_.Client().Read(
+      kPressureKey, kCallTimeout,
+      [this, term = term_](const result<std::optional<stored_item>>& item) {
+        store_.Note(item);
+        if (term != term_) {
+          return;
+        }
+        if (item && item.value()) {
+          recovered_.pressure = item.value()->value;
+        } else if (!item) {
+          LogEvent(kPart, "pressure_not_read",
+                   {{"error", ToString(item.error())}}, true);
+        }
         RecoverCommit();
       });
 }
 
+// Keeps what was learned for later owners. A lost write is no harm: another
+// one follows.
+void job_owner::KeepPressure() {
+  const millis now = BootNow();
+  if (!active_ || scheduler_ == nullptr || now < next_pressure_ ||
+      !may_grant_() || store_.IsLost()) {
+    return;
+  }
+  next_pressure_ = now + kKeepPressure;
+  store_transaction transaction;
+  transaction.conditions = {{kOwnerKey, ownership_.owner_revision}};
+  transaction.writes = {{kPressureKey, scheduler_->LearnedPressure(), 0}};
+  store_.Client().Commit(transaction, kCallTimeout,
+                         [this](const result<transaction_outcome>& outcome) {
+                           store_.Note(outcome);
+                           if (!outcome) {
+                             LogEvent(kPart, "pressure_not_kept",
+                                      {{"error", ToString(outcome.error())}});
+                           }
+                         });
+}
+
 void job_owner::RecoverCommit() {
   store_.Client().Read(
       kCommitKey, kCallTimeout,
@@ -207,6 +252,13 @@
     LogEventText("scheduler", event.event, text);
   };
   scheduler->SetConfig(config_);
+  if (!recovered_.pressure.empty()) {
+    const auto restored = scheduler->RestorePressure(recovered_.pressure);
+    if (!restored) {
+      LogEvent(kPart, "pressure_unreadable",
+               {{"error", ToString(restored.error())}}, true);
+    }
+  }
   scheduler->Restore(recovered_.records, recovered_.progress,
                      recovered_.cancelled, recovered_.members, now);
   LogEvent(kPart, "recovered",
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -221,6 +221,13 @@
   // Core-milliseconds of work that wait, and cores of usable workers.
   double BacklogSeconds(const std::string& service) const;
 
+  // What was learned of how batch work presses on services; see
+  // pressure_model. It outlives this scheduler in the store.
+  std::string LearnedPressure() const { return pressure_.Encode(); }
+  result<void> RestorePressure(const std::string& text) {
+    return pressure_.Restore(text);
+  }
+
   const std::map<std::string, scheduled_job>& Jobs() const { return jobs_; }
   const std::map<std::string, scheduled_worker>& Workers() const {
     return workers_;
--- a/src/include/chervilkeel/pressure_model.h
+++ b/src/include/chervilkeel/pressure_model.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "chervilkeel/clock.h"
+#include "chervilkeel/result.h"
 
 namespace chervilkeel {
 
@@ -67,6 +68,14 @@
   double CautiousFactor(const std::string& service,
                         const std::string& batch) const;
 
+  // What was learned of images, to be read by Restore() of another model; the
+  // loads of groups change too quickly to be worth keeping.
+  std::string Encode() const;
+
+  // Takes over what another model had learned. Fails with kInvalid, and leaves
+  // the model as it was.
+  result<void> Restore(const std::string& text);
+
   // Undoes the smoothing of a tail by executors, from two reports of it.
   static double PresentTail(double before, double after, millis between);
 
--- a/src/libkernel/pressure_model.cpp
+++ b/src/libkernel/pressure_model.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include <boost/json.hpp>
+
 namespace chervilkeel {
 
 double pressure_model::UnloadedTail(const std::string& image) const {
@@ -43,6 +45,44 @@
   return known.value + kCaution * std::sqrt(known.variance);
 }
 
+std::string pressure_model::Encode() const {
+  boost::json::array factors;
+  for (const auto& [pair, factor] : factors_) {
+    factors.push_back(boost::json::array{pair.first, pair.second, factor.value,
+                                         factor.variance});
+  }
+  boost::json::array unloaded;
+  for (const auto& [image, tail] : unloaded_) {
+    unloaded.push_back(boost::json::array{image, tail});
+  }
+  return boost::json::serialize(boost::json::object{
+      {"factors", std::move(factors)}, {"unloaded", std::move(unloaded)}});
+}
+
+result<void> pressure_model::Restore(const std::string& text) {
+  try {
+    const boost::json::value read = boost::json::parse(text);
+    std::map<std::pair<std::string, std::string>, estimate> factors;
+    for (const auto& row : read.at("factors").as_array()) {
+      factors[{std::string(row.at(0).as_string()),
+               std::string(row.at(1).as_string())}] = {
+          std::clamp(row.at(2).to_number<double>(), 0.0, kLargestFactor),
+          std::clamp(row.at(3).to_number<double>(), 0.0, kFactorVariance)};
+    }
+    std::map<std::string, double> unloaded;
+    for (const auto& row : read.at("unloaded").as_array()) {
+      unloaded[std::string(row.at(0).as_string())] =
+          std::clamp(row.at(1).to_number<double>(), 0.0, kUnloadedTail);
+    }
+    factors_ = std::move(factors);
+    unloaded_ = std::move(unloaded);
+    return boost::outcome_v2::success();
+  } catch (const std::exception& failure) {
+    return Fail(error_code::kInvalid,
+                std::string("learned pressure: ") + failure.what());
+  }
+}
+
 double pressure_model::PresentTail(double before,
                                    double after,
                                    millis between) {
--- a/src/libkernel/pressure_model_test.cpp
+++ b/src/libkernel/pressure_model_test.cpp
@@ -94,6 +94,29 @@
   BOOST_TEST(pressure_model::PresentTail(10, 10, 400) == 10);
 }
 
+// A new owner knows at once which pair is heavy.
+BOOST_AUTO_TEST_CASE(factors_that_were_learned_outlive_the_model) {
+  for (int i = 0; i < 30; ++i) {
+    now += kInterval;
+    Report("two", {{"heavy", 0.12}}, 0.6);
+    Report("one", {}, 0);
+  }
+  pressure_model next;
+  BOOST_REQUIRE(next.Restore(model.Encode()));
+  BOOST_TEST(next.Factor("proofs", "heavy") == model.Factor("proofs", "heavy"));
+  BOOST_TEST(next.Limit("proofs") == model.Limit("proofs"));
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_factors_leave_the_model_as_it_was) {
+  for (const char* text :
+       {"", "{", "{}", R"({"factors":[["a"]],"unloaded":[]})",
+        R"({"factors":7,"unloaded":[]})"}) {
+    BOOST_TEST(!model.Restore(text));
+  }
+  BOOST_TEST(model.Factor("proofs", "heavy") ==
+             pressure_model().Factor("proofs", "heavy"));
+}
+
 BOOST_AUTO_TEST_CASE(utilization_rises_with_the_tail_up_to_saturation) {
   BOOST_TEST(model.Utilization("proofs", 6, 18) <
              model.Utilization("proofs", 17, 18));
