Jobs carry the epoch under which they were stored: kernel part

Cause: a new owner waited only for tasks of occurrences that progress records named, and started jobs added after its election at once.

Change: a job record carries the newest epoch at its storing. A scheduler leaves jobs of later epochs to their owner, and treats every task of a job of an earlier epoch as possibly running until all former workers have reported, whichever occurrence it belongs to. A run or an end of an occurrence that is not due by this VM's clock opens it instead of being stopped or dropped, and an occurrence before a stored one is opened too (it was lost before).

--- a/src/include/chervilkeel/job.h
+++ b/src/include/chervilkeel/job.h
@@ -64,6 +64,9 @@
   std::string id;
   queue_policy queue;            // The policy when the job was accepted.
   std::int64_t accepted_ms = 0;  // Wall clock, since 1970.
+  // The newest epoch in the store when the job was stored. Owners of earlier
+  // epochs never start the job.
+  std::uint64_t epoch = 0;
   job_spec spec;
 };
 
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -96,8 +96,8 @@
 // A task of a step in one occurrence of its job.
 struct scheduled_task {
   bool done = false;
-  // Set after a takeover, while a worker that has not reported yet may still
-  // run the task.
+  // Set if a scheduler of an earlier epoch may have started the task. It is then
+  // not started before all workers of that scheduler have reported.
   bool possibly_running = false;
   std::set<std::uint64_t> failed_runs;
   std::uint64_t highest_run = 0;
@@ -129,6 +129,8 @@
   // By the monotonic clock of this process.
   millis added_at = 0;
   millis critical_path = 0;
+  // True when a scheduler of an earlier epoch may have started tasks of the job.
+  bool may_have_former_runs = false;
   // True when tasks of the job may wait for a worker; false when none does.
   bool has_waiting_tasks = false;
   // True when the end of the job has been stored.
@@ -209,7 +211,8 @@
 
   void SetConfig(scheduling_config config);
 
-  // Adds a stored job. Idempotent.
+  // Adds a stored job. Idempotent. A job that was stored under a later epoch is
+  // left to the scheduler of that epoch.
   void AddJob(const job_record& record, millis now);
 
   // Cancels a job. Returns false when there is no such job.
@@ -303,7 +306,9 @@
   };
 
   // job_scheduler.cpp: jobs and their state.
-  void OpenOccurrence(scheduled_job& job, std::uint32_t number);
+  // Opens all occurrences up to `last` that are not open yet. Their steps are
+  // not marked as ready.
+  void OpenOccurrences(scheduled_job& job, std::uint32_t last);
   // Marks the steps of an occurrence as ready once their predecessors are done.
   void UpdateReadiness(scheduled_job& job, std::uint32_t number, millis now);
   void MarkDone(scheduled_job& job, const task_name& key, millis now);
@@ -311,6 +316,9 @@
   static bool HasRuns(const scheduled_job& job);
   void StopAllRuns(scheduled_job& job, const char* reason);
   scheduled_task* FindTask(const task_name& key);
+  // The same for a task that an executor has listed: a former scheduler may
+  // have opened its occurrence although it is not due by this VM's clock.
+  scheduled_task* FindOrOpenTask(const task_name& key, millis now);
   job_progress ProgressOf(const scheduled_job& job, std::int64_t wall_ms) const;
   void RestoreProgress(scheduled_job& job, const job_progress& progress);
   void OpenDueOccurrences(std::int64_t wall_ms, millis now);
--- a/src/libkernel/job.cpp
+++ b/src/libkernel/job.cpp
@@ -252,6 +252,7 @@
                    {"latency_target_ms", record.queue.latency_target},
                    {"accepted_ms", record.accepted_ms},
                    {"payload", record.spec.payload}};
+  AddIfSet(out, "epoch", record.epoch);
   AddIfSet(out, "repeats", record.spec.repeats);
   AddIfSet(out, "first_due_ms", record.spec.first_due_ms);
   AddIfSet(out, "repeat_interval_ms", record.spec.repeat_interval);
@@ -276,6 +277,7 @@
     record.queue.latency_target =
         ReadNumber<millis>(object, "latency_target_ms");
     record.accepted_ms = ReadNumber<std::int64_t>(object, "accepted_ms");
+    record.epoch = ReadNumber<std::uint64_t>(object, "epoch");
     record.spec.payload = ReadText(object, "payload");
     record.spec.repeats = ReadNumber<std::uint32_t>(object, "repeats");
     record.spec.first_due_ms = ReadNumber<std::int64_t>(object, "first_due_ms");
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -46,13 +46,8 @@
     if (!IsFinal(job.state) && cancelled.count(record.id) != 0) {
       EndJob(job, job_state::kCancelled);
     }
-    for (auto& [number, occurrence] : job.occurrences) {
+    for (const auto& [number, occurrence] : job.occurrences) {
       UpdateReadiness(job, number, now);
-      for (scheduled_step& step : occurrence.steps) {
-        for (scheduled_task& task : step.tasks) {
-          task.possibly_running = !task.done;
-        }
-      }
     }
   }
 }
@@ -68,7 +63,7 @@
     return;
   }
   for (const step_progress& saved : progress.steps) {
-    OpenOccurrence(job, saved.occurrence);
+    OpenOccurrences(job, saved.occurrence);
     scheduled_occurrence& occurrence = job.occurrences.at(saved.occurrence);
     if (saved.step >= occurrence.steps.size()) {
       continue;
@@ -102,7 +97,6 @@
     if (occurrence.steps_done == occurrence.steps.size()) {
       ++job.occurrences_done;
     }
-    job.next_occurrence = std::max(job.next_occurrence, number + 1);
   }
   if (job.started_tasks > 0) {
     job.state = job_state::kRunning;
@@ -128,8 +122,15 @@
   if (jobs_.count(record.id) != 0) {
     return;
   }
+  if (record.epoch > options_.epoch) {
+    Emit("job_of_later_epoch", record.id, "",
+         "epoch=" + std::to_string(options_.epoch) +
+             " job_epoch=" + std::to_string(record.epoch));
+    return;
+  }
   scheduled_job& job = jobs_[record.id];
   job.record = record;
+  job.may_have_former_runs = record.epoch < options_.epoch;
   job.added_at = now;
   job.critical_path = CriticalPath(record.spec);
   // A job whose queue was removed keeps the policy it was accepted under.
@@ -140,7 +141,7 @@
   if (record.spec.repeats > 0) {
     repeating_jobs_.insert(record.id);
   } else {
-    OpenOccurrence(job, 0);
+    OpenOccurrences(job, 0);
     UpdateReadiness(job, 0, now);
   }
   std::uint64_t tasks = 0;
@@ -157,16 +158,20 @@
            " path_ms=" + std::to_string(job.critical_path));
 }
 
-void job_scheduler::OpenOccurrence(scheduled_job& job, std::uint32_t number) {
-  if (job.occurrences.count(number) != 0) {
-    return;
-  }
-  scheduled_occurrence& occurrence = job.occurrences[number];
-  occurrence.steps.resize(job.record.spec.steps.size());
-  for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-    occurrence.steps[i].tasks.resize(job.record.spec.steps[i].tasks);
+void job_scheduler::OpenOccurrences(scheduled_job& job, std::uint32_t last) {
+  while (job.next_occurrence <= last) {
+    scheduled_occurrence& occurrence = job.occurrences[job.next_occurrence++];
+    occurrence.steps.resize(job.record.spec.steps.size());
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      auto& tasks = occurrence.steps[i].tasks;
+      tasks.resize(job.record.spec.steps[i].tasks);
+      if (job.may_have_former_runs && !unreported_members_.empty()) {
+        for (scheduled_task& task : tasks) {
+          task.possibly_running = true;
+        }
+      }
+    }
   }
-  job.next_occurrence = std::max(job.next_occurrence, number + 1);
 }
 
 // Opens the occurrences that are due. Due times are wall-clock times, as their
@@ -180,7 +185,7 @@
                    options_.due_time_tolerance <=
                wall_ms) {
       const std::uint32_t number = job.next_occurrence;
-      OpenOccurrence(job, number);
+      OpenOccurrences(job, number);
       UpdateReadiness(job, number, now);
     }
   }
@@ -224,6 +229,21 @@
   return key.index < tasks.size() ? &tasks[key.index] : nullptr;
 }
 
+scheduled_task* job_scheduler::FindOrOpenTask(const task_name& key,
+                                              millis now) {
+  const auto found = jobs_.find(key.job);
+  if (found != jobs_.end() && !IsFinal(found->second.state) &&
+      key.occurrence < found->second.record.spec.repeats) {
+    scheduled_job& job = found->second;
+    const std::uint32_t first = job.next_occurrence;
+    OpenOccurrences(job, key.occurrence);
+    for (std::uint32_t i = first; i < job.next_occurrence; ++i) {
+      UpdateReadiness(job, i, now);
+    }
+  }
+  return FindTask(key);
+}
+
 void job_scheduler::MarkDone(scheduled_job& job,
                              const task_name& key,
                              millis now) {
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -147,7 +147,7 @@
 void job_scheduler::UpdateOrAdoptRun(scheduled_worker& worker,
                                      const run_status& status,
                                      millis now) {
-  scheduled_task* task = FindTask(status.task);
+  scheduled_task* task = FindOrOpenTask(status.task, now);
   const auto job = jobs_.find(status.task.job);
   if (task != nullptr) {
     for (task_run& run : task->runs) {
@@ -217,7 +217,7 @@
 void job_scheduler::ProcessRunEnd(scheduled_worker& worker,
                                   const ended_run& ended,
                                   millis now) {
-  scheduled_task* task = FindTask(ended.task);
+  scheduled_task* task = FindOrOpenTask(ended.task, now);
   if (task == nullptr) {
     return;
   }
