Entries store jobs on condition of the newest epoch and configuration

Change: a submission commits on condition of the revisions of the epoch's key and of the configuration; a conflict returns the newer ones, and the entry tries again at once. So a job carries the epoch that is newest at its storing, and the policy of the newest configuration, by construction and not by timing. 'No such queue' and counts are answered only if the store has confirmed the configuration in the last 0.9 s or does so now; without an answer the caller may come back. An entry that hears of a newer version from a peer asks that peer at once. The follower of the configuration is a part of its own (config_follower).

--- /dev/null
+++ b/src/chervilkeeld/config_follower.cpp
@@ -0,0 +1,142 @@
+#include "config_follower.h"
+
+#include <utility>
+
+#include "chervilkeel/event_log.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr const char* kPart = "config";
+constexpr millis kReadTimeout = 800;
+constexpr millis kConfirmTimeout = 500;
+constexpr millis kRetry = 200;         // Delay after a failed call.
+constexpr millis kWatchWait = 2'000;   // Duration of one watch.
+constexpr millis kWatchGrace = 400;    // Added to it for the call's timeout.
+constexpr millis kConfirmedFor = 900;  // After the store has shown the newest.
+
+}  // namespace
+
+config_follower::config_follower(boost::asio::io_context& context,
+                                 store_link& store,
+                                 const platform_adapter& adapter)
+    : context_(context), store_(store), adapter_(adapter), timer_(context) {}
+
+void config_follower::Start() {
+  Read();
+}
+
+void config_follower::Read() {
+  store_.Client().Read(
+      adapter_.ConfigKey(), kReadTimeout,
+      [this,
+       asked = BootNow()](const result<std::optional<stored_item>>& item) {
+        store_.Note(item);
+        if (item && item.value()) {
+          Offer(*item.value());
+          confirmed_at_ = std::max(confirmed_at_, asked);
+          watched_revision_ = item.value()->revision;
+          Watch();
+          return;
+        }
+        ReadAfter(kRetry);
+      });
+}
+
+void config_follower::ReadAfter(millis delay) {
+  timer_.expires_after(std::chrono::milliseconds(delay));
+  timer_.async_wait([this](boost::system::error_code failure) {
+    if (!failure) {
+      Read();
+    }
+  });
+}
+
+void config_follower::Watch() {
+  store_.Client().Watch(
+      adapter_.ConfigKey(), watched_revision_, kWatchWait,
+      kWatchWait + kWatchGrace,
+      [this, asked = BootNow()](const result<item_changes>& changes) {
+        store_.Note(changes);
+        if (!changes || changes.value().history_lost) {
+          // Without a delay the store might say the same again and again.
+          ReadAfter(kRetry);
+          return;
+        }
+        for (const stored_item& item : changes.value().items) {
+          if (item.key == adapter_.ConfigKey() && item.revision != 0) {
+            Offer(item);
+          }
+        }
+        // A watch without changes was answered after its whole wait.
+        const bool quiet = changes.value().items.empty();
+        confirmed_at_ =
+            std::max(confirmed_at_, quiet ? asked + kWatchWait : asked);
+        watched_revision_ =
+            std::max(watched_revision_, changes.value().revision);
+        Watch();
+      });
+}
+
+void config_follower::Offer(const stored_item& item) {
+  if (item.revision <= revision_) {
+    return;
+  }
+  revision_ = item.revision;
+  Apply(item.value, "store");
+}
+
+void config_follower::OfferFromPeer(const std::string& text) {
+  Apply(text, "peer");
+}
+
+void config_follower::Apply(const std::string& text, const char* source) {
+  auto config = adapter_.DecodeConfig(text);
+  if (!config) {
+    LogEvent(kPart, "config_unreadable",
+             {{"source", source}, {"error", ToString(config.error())}}, true);
+    return;
+  }
+  if (config_ && config.value().version <= config_->version) {
+    return;
+  }
+  text_ = text;
+  config_ = std::make_shared<const deployed_config>(std::move(config.value()));
+  LogEvent(kPart, "config_in_force",
+           {{"version", config_->version},
+            {"source", source},
+            {"revision", revision_},
+            {"routes", static_cast<std::uint64_t>(config_->routes.size())}},
+           true);
+  if (changed_) {
+    changed_(config_);
+  }
+}
+
+bool config_follower::IsConfirmed() const {
+  return config_ != nullptr && confirmed_at_ > 0 &&
+         BootNow() - confirmed_at_ < kConfirmedFor;
+}
+
+void config_follower::Confirm(confirmed_function done) {
+  waiting_.push_back(std::move(done));
+  if (waiting_.size() > 1) {
+    return;
+  }
+  store_.Client().Read(
+      adapter_.ConfigKey(), kConfirmTimeout,
+      [this,
+       asked = BootNow()](const result<std::optional<stored_item>>& item) {
+        store_.Note(item);
+        if (item && item.value()) {
+          Offer(*item.value());
+          confirmed_at_ = std::max(confirmed_at_, asked);
+        }
+        for (const confirmed_function& waiter : std::exchange(waiting_, {})) {
+          waiter(item.has_value() && config_ != nullptr);
+        }
+      });
+}
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/chervilkeeld/config_follower.h
@@ -0,0 +1,86 @@
+// Follows the configuration in the store, and tells how certain it is that the
+// configuration in force is the newest.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "chervilkeel/platform_adapter.h"
+#include "store_link.h"
+
+namespace chervilkeel {
+
+// Used on the io_context's thread only. Versions only rise within the life of a
+// process.
+class config_follower {
+ public:
+  using changed_function =
+      std::function<void(const std::shared_ptr<const deployed_config>&)>;
+  using confirmed_function = std::function<void(bool confirmed)>;
+
+  config_follower(boost::asio::io_context& context,
+                  store_link& store,
+                  const platform_adapter& adapter);
+
+  // Sets what is called when another version comes into force.
+  void OnChange(changed_function changed) { changed_ = std::move(changed); }
+
+  void Start();
+
+  // The configuration in force; null before the first.
+  const std::shared_ptr<const deployed_config>& Current() const {
+    return config_;
+  }
+  std::uint64_t Version() const { return config_ ? config_->version : 0; }
+
+  // The text of the configuration in force, for other entries.
+  const std::string& Text() const { return text_; }
+
+  // The revision of the configuration's newest item that the store has shown. A
+  // transaction on condition of it takes effect only if no newer one is stored.
+  std::uint64_t Revision() const { return revision_; }
+
+  // Takes an item that some call to the store has returned.
+  void Offer(const stored_item& item);
+
+  // Takes a configuration from another entry.
+  void OfferFromPeer(const std::string& text);
+
+  // True if the store has shown lately that the configuration in force is the
+  // newest.
+  bool IsConfirmed() const;
+
+  // Forgets that the configuration was confirmed.
+  void Expire() { confirmed_at_ = 0; }
+
+  // Reads the store, and calls back with true when the configuration in force is
+  // the newest; with false when the store did not answer. Calls that come while
+  // a read is open share its answer.
+  void Confirm(confirmed_function done);
+
+ private:
+  void Read();
+  void ReadAfter(millis delay);
+  void Watch();
+  void Apply(const std::string& text, const char* source);
+
+  boost::asio::io_context& context_;
+  store_link& store_;
+  const platform_adapter& adapter_;
+  changed_function changed_;
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<const deployed_config> config_;
+  std::string text_;
+  std::uint64_t revision_ = 0;
+  std::uint64_t watched_revision_ = 0;  // The watch continues from there.
+  millis confirmed_at_ = 0;
+  std::vector<confirmed_function> waiting_;  // For the read in progress.
+};
+
+}  // namespace chervilkeel
--- /dev/null
+++ b/src/chervilkeeld/config_follower_test.cpp
@@ -0,0 +1,91 @@
+#include "config_follower.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "store_in_memory.h"
+#include "versioned_adapter.h"
+
+namespace chervilkeel {
+
+namespace {
+
+struct follower_fixture {
+  boost::asio::io_context context;
+  store_in_memory* memory = new store_in_memory(context);
+  store_link link{std::unique_ptr<coordination_store>(memory)};
+  versioned_adapter adapter;
+  config_follower follower{context, link, adapter};
+  std::vector<std::uint64_t> versions;  // In the order in which they came.
+
+  follower_fixture() {
+    follower.OnChange(
+        [this](const auto& config) { versions.push_back(config->version); });
+  }
+
+  std::optional<bool> Confirm() {
+    std::optional<bool> confirmed;
+    follower.Confirm([&](bool value) { confirmed = value; });
+    context.restart();
+    while (!confirmed && context.run_one() > 0) {
+    }
+    return confirmed;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(config_follower_versions, follower_fixture)
+
+BOOST_AUTO_TEST_CASE(older_version_from_a_peer_is_ignored) {
+  follower.OfferFromPeer("5 /paths/ paths");
+  follower.OfferFromPeer("4 /paths/ paths");
+  BOOST_TEST(versions == std::vector<std::uint64_t>{5},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(older_item_that_arrives_late_is_ignored) {
+  follower.Offer({"config", "5 /paths/ paths", 20, 0});
+  follower.Offer({"config", "6 /paths/ paths", 19, 0});
+  BOOST_TEST(follower.Version() == 5);
+  BOOST_TEST(follower.Revision() == 20);
+}
+
+// Transactions on condition of the revision would otherwise fail for ever.
+BOOST_AUTO_TEST_CASE(unreadable_item_keeps_the_version_and_its_revision_counts) {
+  follower.Offer({"config", "5 /paths/ paths", 20, 0});
+  follower.Offer({"config", "bad", 21, 0});
+  BOOST_TEST(follower.Version() == 5);
+  BOOST_TEST(follower.Revision() == 21);
+}
+
+BOOST_AUTO_TEST_CASE(confirmation_brings_the_newest_version_into_force) {
+  memory->Put("config", "5 /paths/ paths");
+  follower.OfferFromPeer("4 /paths/ paths");
+  BOOST_TEST(!follower.IsConfirmed());
+  BOOST_TEST(Confirm().value());
+  BOOST_TEST(follower.Version() == 5);
+  BOOST_TEST(follower.IsConfirmed());
+}
+
+BOOST_AUTO_TEST_CASE(confirmation_fails_when_the_store_does_not_answer) {
+  follower.OfferFromPeer("4 /paths/ paths");
+  memory->refused_reads = 1;
+  BOOST_TEST(!Confirm().value());
+  BOOST_TEST(!follower.IsConfirmed());
+}
+
+BOOST_AUTO_TEST_CASE(confirmations_at_the_same_time_share_one_read) {
+  memory->Put("config", "5 /paths/ paths");
+  int answers = 0;
+  for (int i = 0; i < 3; ++i) {
+    follower.Confirm([&](bool) { ++answers; });
+  }
+  context.run();
+  BOOST_TEST(answers == 3);
+  BOOST_TEST(memory->reads == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chervilkeel
--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -11,9 +11,6 @@
 
 constexpr const char* kPart = "entry";
 constexpr millis kCallTimeout = 800;
-constexpr millis kConfigRetry = 200;
-constexpr millis kConfigWait = 2'000;  // Of one watch.
-constexpr millis kConfigGrace = 400;   // Beyond it before it counts as dead.
 constexpr millis kGossipInterval = 400;
 constexpr millis kGossipTimeout = 350;
 // Up to so many others are asked in each interval; with more the interval
@@ -80,7 +77,7 @@
       settings_(settings),
       adapter_(std::move(adapter)),
       store_(adapter_->MakeStore(context, settings_.store)),
-      config_timer_(context),
+      config_(context, store_, *adapter_),
       gossip_timer_(context),
       stop_timer_(context) {
   owner_ = std::make_unique<job_owner>(
@@ -98,9 +95,10 @@
       },
       [this](const std::string&) { owner_->End(); });
   front_ = std::make_unique<job_front>(
-      context_, store_, metrics_, *adapter_,
+      context_, store_, metrics_, *adapter_, config_,
       [this](const wire::job_question& question, millis timeout,
              auto callback) { Ask(question, timeout, std::move(callback)); });
+  config_.OnChange([this](const auto& config) { OnConfig(config); });
 }
 
 job_entry_process::~job_entry_process() = default;
@@ -134,7 +132,7 @@
         if (is_ready != was_ready_) {
           was_ready_ = is_ready;
           LogEvent(kPart, is_ready ? "ready" : "not_ready",
-                   {{"config", config_ ? config_->version : 0},
+                   {{"config", config_.Version()},
                     {"store_up", store_.IsUp()},
                     {"leaving", leaving_}},
                    true);
@@ -159,13 +157,13 @@
     }
   }
   election_->Start();
-  ReadConfig();
+  config_.Start();
   Gossip();
   return boost::outcome_v2::success();
 }
 
 bool job_entry_process::IsReady() const {
-  return !leaving_ && config_ != nullptr;
+  return !leaving_ && config_.Current() != nullptr;
 }
 
 void job_entry_process::Stop(std::function<void()> done) {
@@ -184,76 +182,15 @@
       });
 }
 
-void job_entry_process::ReadConfig() {
-  store_.Client().Read(adapter_->ConfigKey(), kCallTimeout,
-                       [this](const result<std::optional<stored_item>>& item) {
-                         store_.Note(item);
-                         if (item && item.value()) {
-                           config_revision_ = item.value()->revision;
-                           TakeConfig(item.value()->value, "store");
-                           WatchConfig();
-                           return;
-                         }
-                         ReadConfigAfter(kConfigRetry);
-                       });
-}
-
-void job_entry_process::ReadConfigAfter(millis delay) {
-  config_timer_.expires_after(std::chrono::milliseconds(delay));
-  config_timer_.async_wait([this](boost::system::error_code failure) {
-    if (!failure) {
-      ReadConfig();
-    }
-  });
-}
-
-void job_entry_process::WatchConfig() {
-  store_.Client().Watch(
-      adapter_->ConfigKey(), config_revision_, kConfigWait,
-      kConfigWait + kConfigGrace, [this](const result<item_changes>& changes) {
-        store_.Note(changes);
-        if (!changes || changes.value().history_lost) {
-          // At once the store might say the same again and again.
-          ReadConfigAfter(kConfigRetry);
-          return;
-        }
-        for (const stored_item& item : changes.value().items) {
-          if (item.key == adapter_->ConfigKey() && item.revision != 0) {
-            TakeConfig(item.value, "store");
-          }
-        }
-        config_revision_ = std::max(config_revision_, changes.value().revision);
-        WatchConfig();
-      });
-}
-
-// Versions only rise within the life of a process.
-void job_entry_process::TakeConfig(const std::string& text,
-                                   const char* source) {
-  auto config = adapter_->DecodeConfig(text);
-  if (!config) {
-    LogEvent(kPart, "config_unreadable",
-             {{"source", source}, {"error", ToString(config.error())}}, true);
-    return;
-  }
-  if (config_ && config.value().version <= config_->version) {
-    return;
-  }
-  config_text_ = text;
-  config_ = std::make_shared<const deployed_config>(std::move(config.value()));
+void job_entry_process::OnConfig(
+    const std::shared_ptr<const deployed_config>& config) {
   scheduling_config scheduling;
-  scheduling.version = config_->version;
-  for (const queue_route& route : config_->routes) {
+  scheduling.version = config->version;
+  for (const queue_route& route : config->routes) {
     scheduling.queues[route.queue.name] = route.queue;
   }
   owner_->SetConfig(scheduling);
-  front_->SetConfig(config_);
   election_->SetReady(true);
-  LogEvent(kPart, "config_in_force",
-           {{"version", config_->version},
-            {"source", source},
-            {"routes", static_cast<std::uint64_t>(config_->routes.size())}},
-           true);
 }
 
 // Exchanges with the other entries who owns the jobs, which configuration is in
@@ -306,7 +243,7 @@
 void job_entry_process::AskFleet(const std::string& address) {
   wire::fleet_question question;
   question.set_from(Address());
-  question.set_config_version(config_ ? config_->version : 0);
+  question.set_config_version(config_.Version());
   question.set_store_lost(store_.IsLost());
   question.set_processors(settings_.processors);
   CallOwnerService<wire::fleet_question, wire::fleet_reply>(
@@ -334,7 +271,7 @@
     }
   }
   if (!reply.value().config().empty()) {
-    TakeConfig(reply.value().config(), "peer");
+    config_.OfferFromPeer(reply.value().config());
   }
   owner_->SetEntries(LiveEntries());
 }
@@ -351,10 +288,13 @@
   }
   call.reply->set_is_owner(owner_->IsActive());
   call.reply->set_processors(settings_.processors);
-  const std::uint64_t version = config_ ? config_->version : 0;
+  const std::uint64_t version = config_.Version();
   call.reply->set_config_version(version);
   if (version > call.request->config_version()) {
-    call.reply->set_config(config_text_);
+    call.reply->set_config(config_.Text());
+  } else if (version < call.request->config_version() &&
+             !call.request->from().empty()) {
+    AskFleet(call.request->from());  // Its reply holds the newer one.
   }
   for (const std::string& entry : LiveEntries()) {
     call.reply->add_entries(entry);
@@ -447,7 +387,7 @@
                              {"owner", election_->View().address},
                              {"epoch", election_->View().epoch},
                              {"is_owner", owner_->IsActive()},
-                             {"config_version", config_ ? config_->version : 0},
+                             {"config_version", config_.Version()},
                              {"store_silent_ms", store_.Silent()},
                              {"requests_in_flight", front_->InFlight()}};
     boost::json::array entries;
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -12,6 +12,7 @@
 
 #include "chervilkeel/http_server.h"
 #include "chervilkeel/platform_adapter.h"
+#include "config_follower.h"
 #include "job_front.h"
 #include "job_owner.h"
 #include "owner_election.h"
@@ -48,10 +49,7 @@
  private:
   class rpc_server;
 
-  void WatchConfig();
-  void ReadConfig();
-  void ReadConfigAfter(millis delay);
-  void TakeConfig(const std::string& text, const char* source);
+  void OnConfig(const std::shared_ptr<const deployed_config>& config);
   void ProbeStore();
   void Gossip();
   millis GossipInterval() const;
@@ -82,13 +80,10 @@
   std::unique_ptr<grpc::Server> grpc_;
   std::shared_ptr<http_server> front_server_;
   std::shared_ptr<http_server> ready_server_;
-  boost::asio::steady_timer config_timer_;
+  config_follower config_;
   boost::asio::steady_timer gossip_timer_;
   boost::asio::steady_timer stop_timer_;
   std::map<std::string, known_entry> entries_;  // By address.
-  std::shared_ptr<const deployed_config> config_;
-  std::string config_text_;
-  std::uint64_t config_revision_ = 0;
   bool leaving_ = false;
   bool probing_ = false;
   bool was_ready_ = false;
--- a/src/chervilkeeld/job_front.cpp
+++ b/src/chervilkeeld/job_front.cpp
@@ -1,6 +1,7 @@
 #include "job_front.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -19,6 +20,9 @@
 constexpr millis kPause = 100;              // Before another try.
 constexpr millis kRefuseAfter = 600;        // Nothing was stored in this time.
 constexpr millis kRetryAfter = 1'000;
+// Tries without a pause, after conflicts with a change of owner or of the
+// configuration. The conflict shows what has changed.
+constexpr int kQuickRetries = 4;
 constexpr std::size_t kMaxPayload = 4'000;  // Bytes.
 constexpr std::size_t kMaxIdLength = 100;
 
@@ -71,16 +75,18 @@
                      store_link& store,
                      process_metrics& metrics,
                      const platform_adapter& adapter,
+                     config_follower& config,
                      ask_function ask)
     : context_(context),
       store_(store),
       metrics_(metrics),
       adapter_(adapter),
-      ask_(std::move(ask)) {}
+      ask_(std::move(ask)),
+      config_(config) {}
 
 const queue_route* job_front::FindRoute(const job_call& call) const {
   const queue_route* best = nullptr;
-  for (const queue_route& route : config_->routes) {
+  for (const queue_route& route : config_.Current()->routes) {
     if (route.host == call.host && call.path.rfind(route.prefix, 0) == 0 &&
         (best == nullptr || route.prefix.size() > best->prefix.size())) {
       best = &route;
@@ -100,22 +106,50 @@
       request->call.deadline > 0 ? request->call.deadline : kDefaultDeadline;
   request->until =
       request->began + std::max<millis>(deadline - kAnswerMargin, deadline / 2);
-  if (!config_) {
+  if (config_.Current() == nullptr) {
     Answer(request, Refusal(job_result::kUnavailable, "no configuration yet"),
            "no configuration");
     return;
   }
+  // A submission commits only under the newest configuration, and a job that
+  // exists has its state whatever the routes are.
   const queue_route* route = FindRoute(request->call);
-  if (route == nullptr) {
+  const bool depends_on_newest =
+      route == nullptr || request->call.kind == job_call_kind::kCount;
+  if (depends_on_newest && !config_.IsConfirmed()) {
+    DispatchWhenConfirmed(request);
+  } else if (route == nullptr) {
     Answer(request, Refusal(job_result::kNoQueue, "no such queue"), "no route");
-    return;
+  } else {
+    Dispatch(request, *route);
   }
-  request->queue = route->queue.name;
-  request->service = route->queue.service;
-  request->id = request->call.path.substr(route->prefix.size());
+}
+
+void job_front::DispatchWhenConfirmed(const job_request_ptr& request) {
+  config_.Confirm([this, request](bool confirmed) {
+    const queue_route* route = FindRoute(request->call);
+    if (route != nullptr) {
+      Dispatch(request, *route);
+    } else if (confirmed) {
+      Answer(request, Refusal(job_result::kNoQueue, "no such queue"),
+             "no route");
+    } else {
+      Answer(request,
+             Refusal(job_result::kUnavailable,
+                     "no such queue in a configuration that may be outdated"),
+             "no route, configuration not confirmed");
+    }
+  });
+}
+
+void job_front::Dispatch(const job_request_ptr& request,
+                         const queue_route& route) {
+  request->queue = route.queue.name;
+  request->service = route.queue.service;
+  request->id = request->call.path.substr(route.prefix.size());
   switch (request->call.kind) {
     case job_call_kind::kSubmit:
-      Submit(request, *route);
+      Submit(request, route);
       break;
     case job_call_kind::kState:
       State(request);
@@ -149,7 +183,7 @@
                           : "-"},
             {"cause", cause},
             {"tries", request->tries},
-            {"config", config_ ? config_->version : 0},
+            {"config", config_.Version()},
             {"took_ms", took}});
   request->respond(adapter_.EncodeAnswer(answer));
 }
@@ -183,7 +217,7 @@
            "findings");
     return;
   }
-  job_record record;
+  job_record& record = request->record;
   record.id = request->id;
   record.queue = route.queue;
   record.accepted_ms = static_cast<std::int64_t>(WallNow());
@@ -193,40 +227,93 @@
            "store_silent_ms=" + std::to_string(store_.Silent()));
     return;
   }
-  Store(request, EncodeJobRecord(record));
+  Store(request);
 }
 
-void job_front::Store(const job_request_ptr& request,
-                      const std::string& record) {
+// Stores the job on condition that no other owner has been elected and no other
+// configuration has come into force in the meantime.
+void job_front::Store(const job_request_ptr& request) {
+  request->record.epoch = epoch_.number;
+  const std::string key = kJobPrefix + request->id;
   store_transaction transaction;
-  transaction.conditions = {{kJobPrefix + request->id, 0}};
-  transaction.writes = {{kJobPrefix + request->id, record, 0}};
+  transaction.conditions = {{key, 0},
+                            {kEpochKey, epoch_.revision},
+                            {adapter_.ConfigKey(), config_.Revision()}};
+  transaction.writes = {{key, EncodeJobRecord(request->record), 0}};
   const millis timeout = std::min(kStoreTimeout, request->until - BootNow());
   store_.Client().Commit(
       transaction, std::max<millis>(timeout, 1),
-      [this, request, record](const result<transaction_outcome>& outcome) {
+      [this, request](const result<transaction_outcome>& outcome) {
         store_.Note(outcome);
-        OnStored(request, record, outcome);
+        OnStored(request, outcome);
       });
 }
 
+void job_front::Accept(const job_request_ptr& request,
+                       const std::string& record,
+                       const char* cause) {
+  wire::job_question question;
+  question.set_kind(wire::job_question::added);
+  question.set_id(request->id);
+  question.set_record(record);
+  ask_(question, kAskTimeout, [](const auto&) {});
+  Answer(request, Success(job_result::kAccepted), cause);
+}
+
+void job_front::OnConflict(const job_request_ptr& request,
+                           const std::vector<stored_item>& conflicts) {
+  known_epoch epoch;
+  for (const stored_item& item : conflicts) {
+    if (item.revision == 0) {
+      continue;
+    }
+    if (item.key == kJobPrefix + request->id) {
+      Accept(request, item.value, "stored before");
+      return;
+    }
+    if (item.key == kEpochKey) {
+      epoch.revision = item.revision;
+      std::from_chars(item.value.data(), item.value.data() + item.value.size(),
+                      epoch.number);
+    } else if (item.key == adapter_.ConfigKey()) {
+      config_.Offer(item);
+    }
+  }
+  epoch_ = epoch;
+  const queue_route* route = FindRoute(request->call);
+  // An earlier try without an answer may still take effect or have done so.
+  const auto refusal = [&](job_result value, const char* message) {
+    return Refusal(request->may_be_stored ? job_result::kUnknown : value,
+                   message);
+  };
+  if (route == nullptr) {
+    Answer(request, refusal(job_result::kNoQueue, "no such queue"),
+           "no route any more");
+    return;
+  }
+  request->queue = route->queue.name;
+  request->service = route->queue.service;
+  request->record.queue = route->queue;
+  ++request->tries;
+  if (request->tries <= kQuickRetries) {
+    Store(request);
+  } else if (BootNow() + kPause < request->until) {
+    Again(request, [this, request] { Store(request); });
+  } else {
+    Answer(request,
+           refusal(job_result::kUnavailable, "the owner changes too often"),
+           "conflicts");
+  }
+}
+
 void job_front::OnStored(const job_request_ptr& request,
-                         const std::string& record,
                          const result<transaction_outcome>& outcome) {
   if (outcome) {
-    // A conflict means that an earlier try has stored it.
-    wire::job_question question;
-    question.set_kind(wire::job_question::added);
-    question.set_id(request->id);
-    question.set_record(outcome.value().applied ? record
-                        : outcome.value().conflicts.empty()
-                            ? std::string()
-                            : outcome.value().conflicts.front().value);
-    if (!question.record().empty()) {
-      ask_(question, kAskTimeout, [](const auto&) {});
+    if (outcome.value().applied) {
+      Accept(request, EncodeJobRecord(request->record), "stored");
+    } else {
+      OnConflict(request, outcome.value().conflicts);
     }
-    Answer(request, Success(job_result::kAccepted),
-           outcome.value().applied ? "stored" : "stored before");
     return;
   }
   if (outcome.error().code == error_code::kInvalid) {
@@ -240,7 +327,7 @@
   const millis now = BootNow();
   if (now + kPause < request->until &&
       (request->may_be_stored || now < request->began + kRefuseAfter)) {
-    Again(request, [this, request, record] { Store(request, record); });
+    Again(request, [this, request] { Store(request); });
     return;
   }
   Answer(request,
--- a/src/chervilkeeld/job_front.h
+++ b/src/chervilkeeld/job_front.h
@@ -12,6 +12,7 @@
 #include "metrics.h"
 #include "owner_election.h"
 #include "rpc_async.h"
+#include "config_follower.h"
 #include "store_link.h"
 
 namespace chervilkeel {
@@ -28,6 +29,7 @@
   millis until = 0;            // Answered by then.
   bool may_be_stored = false;  // A try without an answer may take effect.
   int tries = 0;
+  job_record record;  // Of a submission.
 };
 
 using job_request_ptr = std::shared_ptr<job_request>;
@@ -45,24 +47,38 @@
             store_link& store,
             process_metrics& metrics,
             const platform_adapter& adapter,
+            config_follower& config,
             ask_function ask);
 
-  void SetConfig(std::shared_ptr<const deployed_config> config) {
-    config_ = std::move(config);
-  }
-
   // Takes one request; `respond` is called exactly once.
   void Handle(http_request request, http_responder respond);
 
   std::uint64_t InFlight() const { return in_flight_; }
 
  private:
+  // The newest epoch, as the store has shown it.
+  struct known_epoch {
+    std::uint64_t number = 0;
+    std::uint64_t revision = 0;  // Of its item; 0: there is none.
+  };
+
   const queue_route* FindRoute(const job_call& call) const;
+  // Routes a request by the configuration in force.
+  void Dispatch(const job_request_ptr& request, const queue_route& route);
+  // Routes a request, or refuses it, once the store has confirmed that the
+  // configuration in force is the newest.
+  void DispatchWhenConfirmed(const job_request_ptr& request);
   void Submit(const job_request_ptr& request, const queue_route& route);
-  void Store(const job_request_ptr& request, const std::string& record);
+  void Store(const job_request_ptr& request);
   void OnStored(const job_request_ptr& request,
-                const std::string& record,
                 const result<transaction_outcome>& outcome);
+  // The transaction had no effect: the job is stored already, or the epoch or
+  // the configuration has changed.
+  void OnConflict(const job_request_ptr& request,
+                  const std::vector<stored_item>& conflicts);
+  void Accept(const job_request_ptr& request,
+              const std::string& record,
+              const char* cause);
   void State(const job_request_ptr& request);
   void StateFromStore(const job_request_ptr& request);
   void Cancel(const job_request_ptr& request);
@@ -79,7 +95,8 @@
   process_metrics& metrics_;
   const platform_adapter& adapter_;
   const ask_function ask_;
-  std::shared_ptr<const deployed_config> config_;
+  config_follower& config_;
+  known_epoch epoch_;
   std::uint64_t in_flight_ = 0;
 };
 
--- a/src/chervilkeeld/job_front_test.cpp
+++ b/src/chervilkeeld/job_front_test.cpp
@@ -6,86 +6,63 @@
 
 #include "job_keys.h"
 #include "store_in_memory.h"
+#include "versioned_adapter.h"
 
 namespace chervilkeel {
 
 namespace {
 
-// An adapter whose answers name their result.
-class plain_adapter : public platform_adapter {
- public:
-  std::unique_ptr<coordination_store> MakeStore(
-      boost::asio::io_context& /*context*/,
-      const endpoint& /*peer*/) const override {
-    return nullptr;
-  }
-  std::unique_ptr<task_executor> MakeExecutor(
-      boost::asio::io_context& /*context*/,
-      const endpoint& /*peer*/) const override {
-    return nullptr;
-  }
-  std::string ConfigKey() const override { return "config"; }
-  result<deployed_config> DecodeConfig(
-      const std::string& /*text*/) const override {
-    return deployed_config();
-  }
-  job_call DecodeCall(const http_request& request) const override {
-    return {request.method == "POST"     ? job_call_kind::kSubmit
-            : request.method == "DELETE" ? job_call_kind::kCancel
-                                         : job_call_kind::kState,
-            "house", request.path, 2'000};
-  }
-  result<job_spec> DecodeJob(const std::string& body) const override {
-    if (body == "bad") {
-      return Fail(error_code::kInvalid, "bad job");
-    }
-    job_spec spec;
-    spec.steps.emplace_back();
-    spec.steps[0].tasks = 1;
-    return spec;
-  }
-  http_response EncodeAnswer(const job_answer& answer) const override {
-    http_response response;
-    response.body = NameOf(answer.result);
-    return response;
-  }
-  bool IsReadinessCall(const http_request& /*request*/) const override {
-    return false;
-  }
-  result<announcement> DecodeAnnouncement(
-      const http_request& /*request*/) const override {
-    return Fail(error_code::kInvalid, "no executors here");
-  }
-};
-
 // A front without an owner: everything has to come from the store.
 struct front_fixture {
   boost::asio::io_context context;
   store_in_memory* memory = new store_in_memory(context);
   store_link link{std::unique_ptr<coordination_store>(memory)};
   process_metrics metrics;
-  plain_adapter adapter;
-  job_front front{context, link, metrics, adapter,
-                  [](const wire::job_question&, millis, const auto& callback) {
-                    callback(Fail(error_code::kUnavailable, "no owner"));
+  versioned_adapter adapter;
+  config_follower config{context, link, adapter};
+  job_front front{context, link,   metrics,
+                  adapter, config, [this](const wire::job_question& question,
+                                          millis, const auto& callback) {
+                    Ask(question, callback);
                   }};
+  std::vector<wire::job_question> questions;
+  bool has_owner = false;
 
   front_fixture() {
-    auto config = std::make_shared<deployed_config>();
-    config->version = 1;
-    queue_route route{"house", "/paths/", {}};
-    route.queue.name = "paths";
-    config->routes.push_back(route);
-    front.SetConfig(config);
+    Configure("1 /paths/ paths");
+    config.Start();
+    while (config.Current() == nullptr && context.run_one() > 0) {
+    }
+    context.restart();
+  }
+
+  void Configure(const std::string& text) {
+    memory->Put("config", text);
+  }
+
+  void Ask(const wire::job_question& question,
+           const std::function<void(result<wire::job_reply>)>& callback) {
+    questions.push_back(question);
+    if (!has_owner) {
+      callback(Fail(error_code::kUnavailable, "no owner"));
+      return;
+    }
+    wire::job_reply reply;
+    reply.set_is_owner(true);
+    callback(std::move(reply));
+  }
+
+  job_record StoredJob() const {
+    return DecodeJobRecord(memory->items.at(kJobPrefix + id).value).value();
   }
 
   // Sends a request and returns the name of its result.
   std::string Call(const std::string& method,
-                   const std::string& path,
+                   const std::string& target,
                    const std::string& body = "") {
     http_request request;
     request.method = method;
-    request.path = path;
+    request.path = target;
     request.body = body;
     std::optional<std::string> answer;
     front.Handle(request, [&](const http_response& response) {
@@ -171,6 +148,81 @@
   BOOST_TEST(memory->items.count(kCancelPrefix + id) == 1);
 }
 
+BOOST_AUTO_TEST_CASE(submitted_job_carries_the_newest_epoch) {
+  memory->Put(kEpochKey, "7");
+  BOOST_TEST(Call("POST", path) == "accepted");
+  BOOST_TEST(StoredJob().epoch == 7);
+}
+
+// The entry has stored jobs under epoch 7 and has not heard of the election of
+// epoch 8.
+BOOST_AUTO_TEST_CASE(job_submitted_after_an_election_carries_the_new_epoch) {
+  memory->Put(kEpochKey, "7");
+  Call("POST", "/paths/other");
+  memory->Put(kEpochKey, "8");
+  BOOST_TEST(Call("POST", path) == "accepted");
+  BOOST_TEST(StoredJob().epoch == 8);
+  BOOST_TEST(questions.back().record() ==
+             memory->items.at(kJobPrefix + id).value);
+}
+
+// The answer of a try under epoch 7 is lost, and epoch 8 begins before the next
+// try. The job stays under the epoch in which it was stored.
+BOOST_AUTO_TEST_CASE(job_stored_before_an_election_keeps_its_epoch) {
+  memory->Put(kEpochKey, "7");
+  Call("POST", "/paths/other");
+  memory->lost_answers = 1;
+  std::string answer;
+  http_request request;
+  request.method = "POST";
+  request.path = path;
+  context.restart();
+  front.Handle(request,
+               [&](const http_response& response) { answer = response.body; });
+  context.run_one();
+  memory->Put(kEpochKey, "8");
+  while (answer.empty() && context.run_one() > 0) {
+  }
+  BOOST_TEST(answer == "accepted");
+  BOOST_TEST(StoredJob().epoch == 7);
+}
+
+// Neither a watch nor another entry has brought the new configuration yet.
+BOOST_AUTO_TEST_CASE(job_for_an_added_queue_is_accepted_before_the_news_come) {
+  Configure("2 /added/ added");
+  config.Expire();
+  BOOST_TEST(Call("POST", "/added/" + id) == "accepted");
+  BOOST_TEST(StoredJob().queue.name == "added");
+}
+
+BOOST_AUTO_TEST_CASE(job_for_a_removed_queue_is_refused_before_the_news_come) {
+  Configure("2 /added/ added");
+  BOOST_TEST(Call("POST", path) == "no such queue");
+  BOOST_TEST(!IsStored());
+}
+
+BOOST_AUTO_TEST_CASE(job_is_stored_with_the_policy_of_the_newest_configuration) {
+  Configure("2 /paths/ renamed");
+  BOOST_TEST(Call("POST", path) == "accepted");
+  BOOST_TEST(StoredJob().queue.name == "renamed");
+}
+
+BOOST_AUTO_TEST_CASE(count_of_a_removed_queue_is_refused_before_the_news_come) {
+  has_owner = true;
+  BOOST_TEST(Call("COUNT", "/paths/") == "count");
+  Configure("2 /added/ added");
+  config.Expire();
+  BOOST_TEST(Call("COUNT", "/paths/") == "no such queue");
+}
+
+// "No such queue" is final to a caller; without the store it can't be known.
+BOOST_AUTO_TEST_CASE(unknown_queue_without_the_store_may_be_tried_again) {
+  memory->refused_reads = kAlways;
+  config.Expire();
+  BOOST_TEST(Call("POST", "/added/" + id) == "unavailable");
+  BOOST_TEST(!IsStored());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/store_in_memory.h
+++ b/src/chervilkeeld/store_in_memory.h
@@ -23,6 +23,12 @@
   void Read(const std::string& key,
             millis /*timeout*/,
             store_callback<std::optional<stored_item>> callback) override {
+    ++reads;
+    if (refused_reads > 0) {
+      --refused_reads;
+      Post(std::move(callback), Fail(error_code::kUnavailable, "refused"));
+      return;
+    }
     const auto found = items.find(key);
     Answer<std::optional<stored_item>>(
         std::move(callback),
@@ -97,7 +103,14 @@
     Answer<bool>(std::move(callback), true);
   }
 
+  // Writes an item as another process would.
+  void Put(const std::string& key, const std::string& value) {
+    items[key] = {key, value, ++revision_, 0};
+  }
+
   std::map<std::string, stored_item> items;
+  int refused_reads = 0;
+  int reads = 0;
   int refused_commits = 0;  // The next ones have no effect.
   int lost_answers = 0;     // Of the next commits that have an effect.
 
