Silence of the owner or of a worker is not taken for a stuck or lost task

Cause, two faults of one kind. An owner that had been paused, or had too little processor time, judged its workers' grants by its own clock before it had read the reports that waited for it, and started tasks again that had ended meanwhile (known red: TWICE under one epoch, 3.3 s after the end, with the owner saturated; the grant and its margin are 3.05 s). And a task counted as stuck after 2 s in which no list of its worker had come at all.

Change: after a gap between ticks of over 1 s silence is judged only 1.3 s later, the time in which agents repeat unanswered reports; at most once in 6 s, so that a worker that has gone is given up. A task is stuck only by the lists that show it.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -157,6 +157,7 @@
   executor_description description;
   // True when a report of the present boot has listed the worker's runs.
   bool runs_known = false;
+  millis listed_at = 0;  // When the executor made the last list of its runs.
   // Until when the worker's runs may live by the last grant.
   millis granted_until = 0;
   // Highest number of a run's end that was received, and of one that is stored.
@@ -354,6 +355,9 @@
                  std::uint64_t run,
                  millis now);
   void RemoveAllRuns(scheduled_worker& worker, const char* reason, millis now);
+  // Returns whether the silence of a worker is its own. After a pause of this
+  // process, reports that arrived in the meantime have to be processed first.
+  bool MayJudgeSilence(millis now);
   // Removes the runs of agents whose grants have expired, and stops waiting for
   // former members whose leases have.
   void ExpireSilentWorkers(millis now);
@@ -488,6 +492,18 @@
   // executor made the list that lacks it: messages may arrive out of order.
   static constexpr millis kRunListGrace = 500;
 
+  // Ticks further apart show that this process was paused or had too little
+  // processor time.
+  static constexpr millis kMaxTickGap = 1'000;
+
+  // Time after such a pause in which agents repeat the reports that had no
+  // answer: the timeout of their calls and a retry.
+  static constexpr millis kReportCatchUp = 1'300;
+
+  // A process that is paused again and again postpones at most this often, so
+  // that workers that have gone are given up.
+  static constexpr millis kPostponementInterval = 6'000;
+
   scheduler_options options_;
   scheduling_config config_;
   std::map<std::string, scheduled_job> jobs_;
@@ -507,6 +523,9 @@
   std::set<std::string> committing_members_;
   std::map<std::string, committing_end> committing_ends_;      // By agent.
   std::map<std::string, std::int64_t> committing_ended_jobs_;  // To ended_ms.
+  millis last_tick_ = 0;
+  millis judges_silence_from_ = 0;
+  millis next_postponement_ = 0;
   millis next_pace_update_ = 0;
   millis next_scan_ = 0;
   millis next_placement_ = 0;
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -498,8 +498,8 @@
   }
 }
 
-// Stops runs that make no progress, so that they are restarted on another
-// worker.
+// Stops runs that the lists of their workers show without progress, so that
+// they are restarted on another worker.
 void job_scheduler::MoveStuckTasks(millis now) {
   for (auto& [agent, worker] : workers_) {
     for (const task_name& key : worker.tasks) {
@@ -507,8 +507,9 @@
       const job_step& step = jobs_.at(key.job).record.spec.steps[key.step];
       for (task_run& run : task->runs) {
         if (run.agent != agent || run.phase != run_phase::kRunning ||
-            now - run.percent_changed_at < kStuckTimeout || run.pace < 100 ||
-            (step.service && run.percent >= 100) || step.gang) {
+            worker.listed_at - run.percent_changed_at < kStuckTimeout ||
+            run.pace < 100 || (step.service && run.percent >= 100) ||
+            step.gang) {
           continue;
         }
         worker.health.OnUnresponsive(now);
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -125,7 +125,8 @@
     listed.insert(status.task);
     UpdateOrAdoptRun(worker, status, now);
   }
-  UpdatePressureModel(worker, now - report.runs_age, now);
+  worker.listed_at = now - report.runs_age;
+  UpdatePressureModel(worker, worker.listed_at, now);
   // A confirmed run that is missing from the list has ended, and the report of
   // its end did not arrive.
   const std::set<task_name> tasks = worker.tasks;
@@ -381,7 +382,23 @@
   worker.service_milli_processors = 0;
 }
 
+bool job_scheduler::MayJudgeSilence(millis now) {
+  const millis gap = last_tick_ == 0 ? 0 : now - last_tick_;
+  last_tick_ = now;
+  if (gap > kMaxTickGap && now >= next_postponement_) {
+    judges_silence_from_ = now + kReportCatchUp;
+    next_postponement_ = now + kPostponementInterval;
+    Emit("judgement_postponed", "silent workers", "",
+         "paused_ms=" + std::to_string(gap) +
+             " for_ms=" + std::to_string(kReportCatchUp));
+  }
+  return now >= judges_silence_from_;
+}
+
 void job_scheduler::ExpireSilentWorkers(millis now) {
+  if (!MayJudgeSilence(now)) {
+    return;
+  }
   const auto drift = static_cast<millis>(static_cast<double>(options_.grant) *
                                          options_.clock_drift);
   for (auto& [agent, worker] : workers_) {
