Confirm the configuration by its changes, not by its value

Cause: a conflict returns the items of all conditions.

Change: a submission commits on condition of the epoch alone. It needs a configuration confirmed in the last 1.6 s; the watch confirms each 1.4 s, and otherwise the entry asks the store for changes without waiting for any, which is short. Only a store that lost its history makes it read the whole value.

--- a/src/chervilkeeld/config_follower.cpp
+++ b/src/chervilkeeld/config_follower.cpp
@@ -11,10 +11,13 @@
 constexpr const char* kPart = "config";
 constexpr millis kReadTimeout = 800;
 constexpr millis kConfirmTimeout = 500;
-constexpr millis kRetry = 200;         // Delay after a failed call.
-constexpr millis kWatchWait = 2'000;   // Duration of one watch.
-constexpr millis kWatchGrace = 400;    // Added to it for the call's timeout.
-constexpr millis kConfirmedFor = 900;  // After the store has shown the newest.
+constexpr millis kRetry = 200;        // Delay after a failed call.
+constexpr millis kWatchWait = 1'400;  // Duration of one watch.
+constexpr millis kWatchGrace = 400;   // Added to it for the call's timeout.
+constexpr millis kNoWait = 1;         // Shortest duration of a watch.
+// A confirmation holds for a little longer than a watch, so that the watches
+// keep the configuration confirmed while the store answers.
+constexpr millis kConfirmedFor = 1'600;
 
 }  // namespace
 
@@ -28,20 +31,19 @@
 }
 
 void config_follower::Read() {
-  store_.Client().Read(
-      adapter_.ConfigKey(), kReadTimeout,
-      [this,
-       asked = BootNow()](const result<std::optional<stored_item>>& item) {
-        store_.Note(item);
-        if (item && item.value()) {
-          Offer(*item.value());
-          confirmed_at_ = std::max(confirmed_at_, asked);
-          watched_revision_ = item.value()->revision;
-          Watch();
-          return;
-        }
-        ReadAfter(kRetry);
-      });
+  store_.Client().Read(adapter_.ConfigKey(), kReadTimeout,
+                       [this, asked = BootNow()](
+                           const result<std::optional<stored_item>>& item) {
+                         store_.Note(item);
+                         if (item && item.value()) {
+                           Offer(*item.value());
+                           confirmed_at_ = std::max(confirmed_at_, asked);
+                           watched_revision_ = item.value()->revision;
+                           Watch();
+                           return;
+                         }
+                         ReadAfter(kRetry);
+                       });
 }
 
 void config_follower::ReadAfter(millis delay) {
@@ -64,11 +66,7 @@
           ReadAfter(kRetry);
           return;
         }
-        for (const stored_item& item : changes.value().items) {
-          if (item.key == adapter_.ConfigKey() && item.revision != 0) {
-            Offer(item);
-          }
-        }
+        OfferAll(changes.value().items);
         // A watch without changes was answered after its whole wait.
         const bool quiet = changes.value().items.empty();
         confirmed_at_ =
@@ -87,6 +85,14 @@
   Apply(item.value, "store");
 }
 
+void config_follower::OfferAll(const std::vector<stored_item>& items) {
+  for (const stored_item& item : items) {
+    if (item.key == adapter_.ConfigKey() && item.revision != 0) {
+      Offer(item);
+    }
+  }
+}
+
 void config_follower::OfferFromPeer(const std::string& text) {
   Apply(text, "peer");
 }
@@ -121,22 +127,52 @@
 
 void config_follower::Confirm(confirmed_function done) {
   waiting_.push_back(std::move(done));
-  if (waiting_.size() > 1) {
-    return;
+  if (waiting_.size() == 1) {
+    if (watched_revision_ == 0) {
+      ConfirmByReading();
+    } else {
+      ConfirmByChanges();
+    }
   }
-  store_.Client().Read(
-      adapter_.ConfigKey(), kConfirmTimeout,
-      [this,
-       asked = BootNow()](const result<std::optional<stored_item>>& item) {
-        store_.Note(item);
-        if (item && item.value()) {
-          Offer(*item.value());
-          confirmed_at_ = std::max(confirmed_at_, asked);
+}
+
+// Asks for changes without waiting for any: the answer is short however long
+// the configuration is.
+void config_follower::ConfirmByChanges() {
+  store_.Client().Watch(
+      adapter_.ConfigKey(), watched_revision_, kNoWait, kConfirmTimeout,
+      [this, asked = BootNow()](const result<item_changes>& changes) {
+        store_.Note(changes);
+        if (changes && changes.value().history_lost) {
+          ConfirmByReading();
+          return;
         }
-        for (const confirmed_function& waiter : std::exchange(waiting_, {})) {
-          waiter(item.has_value() && config_ != nullptr);
+        if (changes) {
+          OfferAll(changes.value().items);
         }
+        EndConfirmation(changes.has_value(), asked);
       });
 }
 
+void config_follower::ConfirmByReading() {
+  store_.Client().Read(adapter_.ConfigKey(), kConfirmTimeout,
+                       [this, asked = BootNow()](
+                           const result<std::optional<stored_item>>& item) {
+                         store_.Note(item);
+                         if (item && item.value()) {
+                           Offer(*item.value());
+                         }
+                         EndConfirmation(item && item.value(), asked);
+                       });
+}
+
+void config_follower::EndConfirmation(bool confirmed, millis asked) {
+  if (confirmed) {
+    confirmed_at_ = std::max(confirmed_at_, asked);
+  }
+  for (const confirmed_function& waiter : std::exchange(waiting_, {})) {
+    waiter(confirmed && config_ != nullptr);
+  }
+}
+
 }  // namespace chervilkeel
--- a/src/chervilkeeld/config_follower.h
+++ b/src/chervilkeeld/config_follower.h
@@ -42,11 +42,7 @@
   // The text of the configuration in force, for other entries.
   const std::string& Text() const { return text_; }
 
-  // The revision of the configuration's newest item that the store has shown. A
-  // transaction on condition of it takes effect only if no newer one is stored.
-  std::uint64_t Revision() const { return revision_; }
-
-  // Takes an item that some call to the store has returned.
+  // Takes an item of the configuration that the store has returned.
   void Offer(const stored_item& item);
 
   // Takes a configuration from another entry.
@@ -59,16 +55,20 @@
   // Forgets that the configuration was confirmed.
   void Expire() { confirmed_at_ = 0; }
 
-  // Reads the store, and calls back with true when the configuration in force is
+  // Asks the store, and calls back with true when the configuration in force is
   // the newest; with false when the store did not answer. Calls that come while
-  // a read is open share its answer.
+  // the question is open share its answer.
   void Confirm(confirmed_function done);
 
  private:
   void Read();
   void ReadAfter(millis delay);
   void Watch();
+  void OfferAll(const std::vector<stored_item>& items);
   void Apply(const std::string& text, const char* source);
+  void ConfirmByChanges();
+  void ConfirmByReading();
+  void EndConfirmation(bool confirmed, millis asked);
 
   boost::asio::io_context& context_;
   store_link& store_;
@@ -77,10 +77,10 @@
   boost::asio::steady_timer timer_;
   std::shared_ptr<const deployed_config> config_;
   std::string text_;
-  std::uint64_t revision_ = 0;
+  std::uint64_t revision_ = 0;  // Of the newest item that the store has shown.
   std::uint64_t watched_revision_ = 0;  // The watch continues from there.
   millis confirmed_at_ = 0;
-  std::vector<confirmed_function> waiting_;  // For the read in progress.
+  std::vector<confirmed_function> waiting_;  // For the open question.
 };
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_front.cpp
+++ b/src/chervilkeeld/job_front.cpp
@@ -20,8 +20,8 @@
 constexpr millis kPause = 100;              // Before another try.
 constexpr millis kRefuseAfter = 600;        // Nothing was stored in this time.
 constexpr millis kRetryAfter = 1'000;
-// Tries without a pause, after conflicts with a change of owner or of the
-// configuration. The conflict shows what has changed.
+// Tries without a pause, after conflicts with a change of owner. The conflict
+// shows the new epoch.
 constexpr int kQuickRetries = 4;
 constexpr std::size_t kMaxPayload = 4'000;  // Bytes.
 constexpr std::size_t kMaxIdLength = 100;
@@ -111,11 +111,11 @@
            "no configuration");
     return;
   }
-  // A submission commits only under the newest configuration, and a job that
-  // exists has its state whatever the routes are.
+  // A job that exists has its state whatever the routes are.
   const queue_route* route = FindRoute(request->call);
-  const bool depends_on_newest =
-      route == nullptr || request->call.kind == job_call_kind::kCount;
+  const bool depends_on_newest = route == nullptr ||
+                                 request->call.kind == job_call_kind::kCount ||
+                                 request->call.kind == job_call_kind::kSubmit;
   if (depends_on_newest && !config_.IsConfirmed()) {
     DispatchWhenConfirmed(request);
   } else if (route == nullptr) {
@@ -230,15 +230,14 @@
   Store(request);
 }
 
-// Stores the job on condition that no other owner has been elected and no other
-// configuration has come into force in the meantime.
+// Stores the job on condition that no other owner has been elected in the
+// meantime. The configuration is no condition: each conflict would return it,
+// and it may be longer than a slow link carries in the time of a request.
 void job_front::Store(const job_request_ptr& request) {
   request->record.epoch = epoch_.number;
   const std::string key = kJobPrefix + request->id;
   store_transaction transaction;
-  transaction.conditions = {{key, 0},
-                            {kEpochKey, epoch_.revision},
-                            {adapter_.ConfigKey(), config_.Revision()}};
+  transaction.conditions = {{key, 0}, {kEpochKey, epoch_.revision}};
   transaction.writes = {{key, EncodeJobRecord(request->record), 0}};
   const millis timeout = std::min(kStoreTimeout, request->until - BootNow());
   store_.Client().Commit(
@@ -275,25 +274,9 @@
       epoch.revision = item.revision;
       std::from_chars(item.value.data(), item.value.data() + item.value.size(),
                       epoch.number);
-    } else if (item.key == adapter_.ConfigKey()) {
-      config_.Offer(item);
     }
   }
   epoch_ = epoch;
-  const queue_route* route = FindRoute(request->call);
-  // An earlier try without an answer may still take effect or have done so.
-  const auto refusal = [&](job_result value, const char* message) {
-    return Refusal(request->may_be_stored ? job_result::kUnknown : value,
-                   message);
-  };
-  if (route == nullptr) {
-    Answer(request, refusal(job_result::kNoQueue, "no such queue"),
-           "no route any more");
-    return;
-  }
-  request->queue = route->queue.name;
-  request->service = route->queue.service;
-  request->record.queue = route->queue;
   ++request->tries;
   if (request->tries <= kQuickRetries) {
     Store(request);
@@ -301,7 +284,9 @@
     Again(request, [this, request] { Store(request); });
   } else {
     Answer(request,
-           refusal(job_result::kUnavailable, "the owner changes too often"),
+           Refusal(request->may_be_stored ? job_result::kUnknown
+                                          : job_result::kUnavailable,
+                   "the owner changes too often"),
            "conflicts");
   }
 }
--- a/src/chervilkeeld/job_front.h
+++ b/src/chervilkeeld/job_front.h
@@ -9,10 +9,10 @@
 #include <boost/asio/io_context.hpp>
 
 #include "chervilkeel/platform_adapter.h"
+#include "config_follower.h"
 #include "metrics.h"
 #include "owner_election.h"
 #include "rpc_async.h"
-#include "config_follower.h"
 #include "store_link.h"
 
 namespace chervilkeel {
@@ -72,8 +72,8 @@
   void Store(const job_request_ptr& request);
   void OnStored(const job_request_ptr& request,
                 const result<transaction_outcome>& outcome);
-  // The transaction had no effect: the job is stored already, or the epoch or
-  // the configuration has changed.
+  // The transaction had no effect: the job is stored already, or the epoch has
+  // changed.
   void OnConflict(const job_request_ptr& request,
                   const std::vector<stored_item>& conflicts);
   void Accept(const job_request_ptr& request,
--- a/src/chervilkeeld/store_in_memory.h
+++ b/src/chervilkeeld/store_in_memory.h
@@ -43,12 +43,31 @@
     Answer<item_page>(std::move(callback), item_page());
   }
 
-  // Never answers: nothing changes while a test runs.
-  void Watch(const std::string& /*prefix*/,
-             std::uint64_t /*after_revision*/,
-             millis /*wait*/,
+  // A watch that waits is never answered: nothing changes while it is open.
+  void Watch(const std::string& prefix,
+             std::uint64_t after_revision,
+             millis wait,
              millis /*timeout*/,
-             store_callback<item_changes> /*callback*/) override {}
+             store_callback<item_changes> callback) override {
+    if (wait > kShortestWait) {
+      return;
+    }
+    ++watches;
+    if (refused_reads > 0) {
+      --refused_reads;
+      Post(std::move(callback), Fail(error_code::kUnavailable, "refused"));
+      return;
+    }
+    item_changes changes;
+    changes.revision = revision_;
+    changes.history_lost = after_revision < oldest_revision;
+    for (const auto& [key, item] : items) {
+      if (key.rfind(prefix, 0) == 0 && item.revision > after_revision) {
+        changes.items.push_back(item);
+      }
+    }
+    Answer<item_changes>(std::move(callback), changes);
+  }
 
   void Commit(const store_transaction& transaction,
               millis /*timeout*/,
@@ -69,6 +88,11 @@
                                       ? stored_item{condition.key, "", 0, 0}
                                       : found->second);
     }
+    if (!outcome.applied) {
+      for (const stored_item& item : outcome.conflicts) {
+        conflict_bytes += item.value.size();
+      }
+    }
     if (outcome.applied) {
       outcome.revision = ++revision_;
       for (const store_write& write : transaction.writes) {
@@ -109,12 +133,17 @@
   }
 
   std::map<std::string, stored_item> items;
-  int refused_reads = 0;
+  int refused_reads = 0;  // And of watches that do not wait.
   int reads = 0;
-  int refused_commits = 0;  // The next ones have no effect.
-  int lost_answers = 0;     // Of the next commits that have an effect.
+  int watches = 0;                    // That did not wait.
+  std::uint64_t oldest_revision = 0;  // Changes before it are forgotten.
+  int refused_commits = 0;            // The next ones have no effect.
+  std::size_t conflict_bytes = 0;     // Of the values that conflicts returned.
+  int lost_answers = 0;  // Of the next commits that have an effect.
 
  private:
+  static constexpr millis kShortestWait = 1;
+
   template <class value_type, class failure_type>
   void Post(store_callback<value_type> callback, failure_type failure) {
     boost::asio::post(context_, [callback = std::move(callback), failure] {
