A late reply for a former boot records no end of the new one

Cause, read in the code while looking for a task that was started again after its end: the agent took the highest recorded end from any reply that came after the new boot had accepted the epoch, also from one to a call that the former boot's state was sent with. Ends are numbered from 1 in each boot, so up to as many ends of the new boot were forgotten unreported: their runs vanished and ran again.

Change: a reply names recorded ends only for the boot that was there at its call.

A failed watch on the configuration goes on from its revision in place of reading the value, and a submission in an outage is refused at once as before.

--- a/src/chervilkeeld/config_follower.cpp
+++ b/src/chervilkeeld/config_follower.cpp
@@ -42,28 +42,34 @@
                            Watch();
                            return;
                          }
-                         ReadAfter(kRetry);
+                         After(kRetry, &config_follower::Read);
                        });
 }
 
-void config_follower::ReadAfter(millis delay) {
+void config_follower::After(millis delay, void (config_follower::*step)()) {
   timer_.expires_after(std::chrono::milliseconds(delay));
-  timer_.async_wait([this](boost::system::error_code failure) {
+  timer_.async_wait([this, step](boost::system::error_code failure) {
     if (!failure) {
-      Read();
+      (this->*step)();
     }
   });
 }
 
+// A watch that failed is repeated from the same revision. Reading the value
+// anew would load the links of all entries at the end of an outage.
 void config_follower::Watch() {
   store_.Client().Watch(
       adapter_.ConfigKey(), watched_revision_, kWatchWait,
       kWatchWait + kWatchGrace,
       [this, asked = BootNow()](const result<item_changes>& changes) {
         store_.Note(changes);
-        if (!changes || changes.value().history_lost) {
-          // Without a delay the store might say the same again and again.
-          ReadAfter(kRetry);
+        // Without a delay the store might say the same again and again.
+        if (!changes) {
+          After(kRetry, &config_follower::Watch);
+          return;
+        }
+        if (changes.value().history_lost) {
+          After(kRetry, &config_follower::Read);
           return;
         }
         OfferAll(changes.value().items);
--- a/src/chervilkeeld/config_follower.h
+++ b/src/chervilkeeld/config_follower.h
@@ -62,7 +62,7 @@
 
  private:
   void Read();
-  void ReadAfter(millis delay);
+  void After(millis delay, void (config_follower::*step)());
   void Watch();
   void OfferAll(const std::vector<stored_item>& items);
   void Apply(const std::string& text, const char* source);
--- a/src/chervilkeeld/config_follower_test.cpp
+++ b/src/chervilkeeld/config_follower_test.cpp
@@ -107,6 +107,19 @@
   BOOST_TEST(follower.Version() == 6);
 }
 
+// All entries lose their watches in an outage of the store, and its end is no
+// time for reading a long configuration thirty times.
+BOOST_AUTO_TEST_CASE(watch_that_failed_goes_on_without_reading_the_value) {
+  memory->Put("config", "5 /paths/ paths");
+  memory->failed_watches = 3;
+  Start();
+  memory->Put("config", "6 /paths/ paths");
+  while (follower.Version() == 5 && context.run_one() > 0) {
+  }
+  BOOST_TEST(follower.Version() == 6);
+  BOOST_TEST(memory->reads == 1);
+}
+
 BOOST_AUTO_TEST_CASE(confirmations_at_the_same_time_share_one_read) {
   memory->Put("config", "5 /paths/ paths");
   int answers = 0;
--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -317,15 +317,16 @@
   const std::size_t starts = obeys ? starts_.size() : 0;
   CallOwnerService<wire::agent_sync, wire::agent_orders>(
       context_, peers_, address, kSyncMethod, std::move(sync), kSyncTimeout,
-      [this, address, now, starts,
-       wait](const result<wire::agent_orders>& reply) {
+      [this, address, now, starts, wait,
+       boot = worker_.boot](const result<wire::agent_orders>& reply) {
         (wait ? syncing_ : news_open_) = false;
-        OnReply(reply, address, now, starts, wait);
+        OnReply(reply, address, boot, now, starts, wait);
       });
 }
 
 void job_agent_process::OnReply(const result<wire::agent_orders>& reply,
                                 const std::string& address,
+                                const executor_boot& boot,
                                 millis asked,
                                 std::size_t starts,
                                 bool wait) {
@@ -369,7 +370,7 @@
       }
       locator_.Learn(address,
                      {orders.entries().begin(), orders.entries().end()});
-      TakeOrders(orders);
+      TakeOrders(orders, boot);
     } else {
       pause = kSyncRetry;
     }
@@ -416,9 +417,12 @@
   HoldAfter(0);
 }
 
-void job_agent_process::TakeOrders(const wire::agent_orders& reply) {
-  // A boot that has been replaced numbers its ends anew.
-  if (reply.recorded_end() > recorded_end_ && obeyed_epoch_ == epoch_) {
+void job_agent_process::TakeOrders(const wire::agent_orders& reply,
+                                   const executor_boot& boot) {
+  // Each boot numbers its ends from 1: a late reply for a former boot says
+  // nothing about the ends of this one.
+  if (boot == worker_.boot && reply.recorded_end() > recorded_end_ &&
+      obeyed_epoch_ == epoch_) {
     std::uint64_t listed = recorded_end_;
     for (const ended_run& ended : ends_) {
       listed = std::max(listed, ended.number);
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -70,13 +70,15 @@
   void Sync(bool wait);
   void OnReply(const result<wire::agent_orders>& reply,
                const std::string& address,
+               const executor_boot& boot,
                millis asked,
                std::size_t starts,
                bool wait);
   void NoteOwner(bool answers,
                  const std::string& address,
                  const std::string& cause);
-  void TakeOrders(const wire::agent_orders& reply);
+  // `boot` is the executor's boot when the owner was called.
+  void TakeOrders(const wire::agent_orders& reply, const executor_boot& boot);
   void AdoptEpoch(std::uint64_t epoch);
 
   // Orders.
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -19,9 +19,13 @@
 
 // What an executor does, set by the test.
 struct executor_script {
-  int listings = 3;          // Then it lists no more.
-  bool lists_start = true;   // A start shows in the lists.
-  int lists_after_stop = 0;  // So many lists show a run that was stopped.
+  int listings = 3;             // Then it lists no more.
+  bool lists_start = true;      // A start shows in the lists.
+  int lists_after_stop = 0;     // So many lists show a run that was stopped.
+  std::int64_t started_ms = 5;  // Of the present boot.
+  std::vector<ended_run> ends;  // Listed until they are recorded.
+  std::uint64_t highest_recorded = 0;  // That a call has named.
+  int lists = 0;                       // Made by the present boot.
 };
 
 // An executor that carries out starts without answering them.
@@ -52,9 +56,11 @@
   }
   void RenewLeases(const order_context& /*context*/,
                    millis /*lease_end*/,
-                   std::uint64_t /*recorded_end*/,
+                   std::uint64_t recorded_end,
                    millis /*wait*/,
                    executor_callback<executor_run_list> callback) override {
+    script_.highest_recorded = std::max(script_.highest_recorded, recorded_end);
+    ++script_.lists;
     boost::asio::post(context_, [this, callback = std::move(callback)] {
       if (script_.listings == 0) {
         callback(Fail(error_code::kUnknown, "no answer"));
@@ -63,7 +69,8 @@
       --script_.listings;
       executor_run_list listing;
       listing.clock = 100'000 + BootNow();
-      listing.started_ms = 5;
+      listing.started_ms = script_.started_ms;
+      listing.ended = script_.ends;
       if (run_.run != 0 &&
           (stopped_ ? script_.lists_after_stop-- > 0 : script_.lists_start)) {
         listing.running.push_back(run_);
@@ -114,7 +121,7 @@
       const http_request& request) const override {
     BOOST_TEST(request.body == kAnnouncementBody);
     announcement said;
-    said.worker.boot = {"executor", 5};
+    said.worker.boot = {"executor", script_.started_ms};
     said.worker.service = "cutting";
     said.worker.capacity = {4'000, 8'000, 0};
     said.address = {"127.0.0.1", 1};
@@ -149,10 +156,26 @@
     }
     boost::asio::post(context_, [this, sync = *request] { heard_(sync); });
     auto* reactor = context->DefaultReactor();
-    reactor->Finish(grpc::Status::OK);
+    if (holds_one_reply && request->obeys() && request->wait()) {
+      holds_one_reply = false;
+      held_reply = reply;
+      held_reactor = reactor;
+    } else {
+      reactor->Finish(grpc::Status::OK);
+    }
     return reactor;
   }
 
+  // Sends the reply that was held, with an end that is recorded.
+  void ReleaseReply(std::uint64_t recorded_end) {
+    held_reply.load()->set_recorded_end(recorded_end);
+    held_reactor.load()->Finish(grpc::Status::OK);
+  }
+
+  std::atomic<bool> holds_one_reply = false;
+  std::atomic<wire::agent_orders*> held_reply = nullptr;
+  std::atomic<grpc::ServerUnaryReactor*> held_reactor = nullptr;
+
   std::atomic<bool> starts_task = false;
 
  private:
@@ -201,6 +224,10 @@
 
   void Announce() {
     BOOST_REQUIRE(agent->Start());
+    AnnounceBoot();
+  }
+
+  void AnnounceBoot() {
     http_request announced;
     announced.body = kAnnouncementBody;
     agent->TakeAnnouncement(announced, [](const http_response& response) {
@@ -256,6 +283,29 @@
   BOOST_TEST(lists_left_at_outcome <= 0);
 }
 
+// The owner's reply to a call of the former boot arrives after the executor has
+// started anew, with the same id. Its ends are numbered from 1 again: none of
+// them is recorded, and an executor that forgets them loses finished work.
+BOOST_AUTO_TEST_CASE(
+    late_reply_for_a_former_boot_records_no_end_of_the_new_one) {
+  script.listings = 1'000'000;
+  owner->holds_one_reply = true;
+  Announce();
+  RunUntil([this] { return owner->held_reactor.load() != nullptr; });
+  script.started_ms = 6;
+  script.lists = 0;
+  ended_run ended;
+  ended.number = 1;
+  ended.task = {"job", 0, 0, 0};
+  ended.run = 1;
+  script.ends.push_back(ended);
+  AnnounceBoot();
+  RunUntil([this] { return script.lists > 3; });
+  owner->ReleaseReply(9);
+  RunUntil([this] { return script.lists > 20; });
+  BOOST_TEST(script.highest_recorded == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_front.cpp
+++ b/src/chervilkeeld/job_front.cpp
@@ -113,9 +113,9 @@
   }
   // A job that exists has its state whatever the routes are.
   const queue_route* route = FindRoute(request->call);
-  const bool depends_on_newest = route == nullptr ||
-                                 request->call.kind == job_call_kind::kCount ||
-                                 request->call.kind == job_call_kind::kSubmit;
+  const bool depends_on_newest =
+      route == nullptr || request->call.kind == job_call_kind::kCount ||
+      (request->call.kind == job_call_kind::kSubmit && store_.IsUp());
   if (depends_on_newest && !config_.IsConfirmed()) {
     DispatchWhenConfirmed(request);
   } else if (route == nullptr) {
--- a/src/chervilkeeld/store_in_memory.h
+++ b/src/chervilkeeld/store_in_memory.h
@@ -43,13 +43,18 @@
     Answer<item_page>(std::move(callback), item_page());
   }
 
-  // A watch that waits is never answered: nothing changes while it is open.
+  // A watch that waits is never answered, as nothing changes while it is open;
+  // or the next ones fail, and the last of them is answered.
   void Watch(const std::string& prefix,
              std::uint64_t after_revision,
              millis wait,
              millis /*timeout*/,
              store_callback<item_changes> callback) override {
-    if (wait > kShortestWait) {
+    if (wait > kShortestWait && failed_watches == 0) {
+      return;
+    }
+    if (wait > kShortestWait && --failed_watches > 0) {
+      Post(std::move(callback), Fail(error_code::kUnavailable, "cut off"));
       return;
     }
     ++watches;
@@ -135,6 +140,7 @@
   std::map<std::string, stored_item> items;
   int refused_reads = 0;  // And of watches that do not wait.
   int reads = 0;
+  int failed_watches = 0;
   int watches = 0;                    // That did not wait.
   std::uint64_t oldest_revision = 0;  // Changes before it are forgotten.
   int refused_commits = 0;            // The next ones have no effect.
