A cancellation tried again stays one, and a lost stop is ordered again

The owner counts the run as stopping and orders nothing more.

Change: the retry goes by the kind of request; a run that lists show for 1.5 s after its stop was ordered is ordered to stop again. Both tests failed first.

--- a/src/chervilkeeld/job_front.cpp
+++ b/src/chervilkeeld/job_front.cpp
@@ -357,6 +357,14 @@
       });
 }
 
+void job_front::AskState(const job_request_ptr& request) {
+  if (request->call.kind == job_call_kind::kCancel) {
+    Cancel(request);
+  } else {
+    State(request);
+  }
+}
+
 // Tells whether the job was accepted at all.
 void job_front::CheckStored(const job_request_ptr& request) {
   store_.Client().Read(
@@ -365,7 +373,7 @@
         store_.Note(item);
         if (!item) {
           if (BootNow() + kPause < request->until) {
-            Again(request, [this, request] { State(request); });
+            Again(request, [this, request] { AskState(request); });
           } else {
             Answer(request,
                    Refusal(job_result::kUnavailable, "the state is not known"),
--- a/src/chervilkeeld/job_front.h
+++ b/src/chervilkeeld/job_front.h
@@ -79,6 +79,8 @@
   void Accept(const job_request_ptr& request,
               const std::string& record,
               const char* cause);
+  // Asks the owner for the job's state, then goes on by the kind of request.
+  void AskState(const job_request_ptr& request);
   void State(const job_request_ptr& request);
   void StateFromStore(const job_request_ptr& request);
   void Cancel(const job_request_ptr& request);
--- a/src/chervilkeeld/job_front_test.cpp
+++ b/src/chervilkeeld/job_front_test.cpp
@@ -31,6 +31,7 @@
       }};
   std::vector<wire::job_question> questions;
   bool has_owner = false;
+  bool knows_job = false;
 
   front_fixture() {
     Configure("1 /paths/ paths");
@@ -51,6 +52,7 @@
     }
     wire::job_reply reply;
     reply.set_is_owner(true);
+    reply.set_is_known(knows_job);
     callback(std::move(reply));
   }
 
@@ -242,6 +244,26 @@
   BOOST_TEST(!IsStored());
 }
 
+// Neither the owner nor the store answers at first; then a new owner does.
+BOOST_AUTO_TEST_CASE(cancellation_tried_again_at_a_new_owner_is_stored) {
+  Call("POST", path);
+  memory->refused_reads = 1;
+  std::string answer;
+  http_request request;
+  request.method = "DELETE";
+  request.path = path;
+  context.restart();
+  front.Handle(request,
+               [&](const http_response& response) { answer = response.body; });
+  context.run_one();
+  has_owner = true;
+  knows_job = true;
+  while (answer.empty() && context.run_one() > 0) {
+  }
+  BOOST_TEST(answer == "cancelled");
+  BOOST_TEST(memory->items.count(kCancelPrefix + id) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -65,6 +65,9 @@
   executor_boot boot;
   std::uint64_t run = 0;
   run_phase phase = run_phase::kOrdered;
+  // When a list after the order to stop showed the run first, or when the stop
+  // was ordered again; 0 while there was no such list.
+  millis listed_since_stop = 0;
   // Time of the order, of the confirmed start or of the adoption, whichever was
   // last.
   millis active_since = 0;
@@ -415,6 +418,10 @@
                   std::uint64_t run,
                   millis now);
   void OrderStop(const task_name& key, task_run& run, const char* reason);
+  // Orders a stop again if lists still show the run long after the order.
+  void RepeatLostStop(const scheduled_worker& worker,
+                      const task_name& key,
+                      task_run& run);
   void AddOrder(const std::string& agent, worker_order order);
   void StartSpeculativeCopies(millis now);
   void MoveStuckTasks(millis now);
@@ -492,6 +499,10 @@
   // executor made the list that lacks it: messages may arrive out of order.
   static constexpr millis kRunListGrace = 500;
 
+  // A run that lists show for so long after the order to stop it is ordered to
+  // stop again: the order may have been lost with the agent's process.
+  static constexpr millis kStopRepeatInterval = 1'500;
+
   // Ticks further apart show that this process was paused or had too little
   // processor time.
   static constexpr millis kMaxTickGap = 1'000;
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -151,6 +151,21 @@
        "run=" + std::to_string(run.run) + " reason=\"" + reason + "\"");
 }
 
+void job_scheduler::RepeatLostStop(const scheduled_worker& worker,
+                                   const task_name& key,
+                                   task_run& run) {
+  if (run.phase != run_phase::kStopping) {
+    return;
+  }
+  if (run.listed_since_stop == 0) {
+    run.listed_since_stop = worker.listed_at;
+  } else if (worker.listed_at - run.listed_since_stop > kStopRepeatInterval) {
+    run.listed_since_stop = worker.listed_at;
+    run.phase = run_phase::kRunning;
+    OrderStop(key, run, "it still runs after an order to stop");
+  }
+}
+
 // Returns the latency objective of a job: the time in ms from its acceptance
 // within which it has to end.
 double job_scheduler::ObjectiveOf(const scheduled_job& job) {
--- a/src/libkernel/job_scheduler_test.cpp
+++ b/src/libkernel/job_scheduler_test.cpp
@@ -406,6 +406,32 @@
   BOOST_CHECK(orders[0].kind == order_kind::kStop);
 }
 
+// The agent's process acknowledged the stop and ended before the executor had
+// it. Its successor lists the run on and knows nothing of the stop.
+BOOST_AUTO_TEST_CASE(
+    stop_that_was_lost_with_the_agents_process_is_ordered_again) {
+  ReportIdleWorker("a");
+  scheduler.AddJob(MakeJob("j", 1), now);
+  Tick();
+  const worker_order start = TakeOrders("a").at(0);
+  ReportStart("a", start, start_outcome::kStarted);
+  scheduler.CancelJob("j");
+  BOOST_REQUIRE_EQUAL(TakeOrders("a").size(), 1);
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  run_status status;
+  status.task = start.task;
+  status.run = start.run;
+  report.runs.push_back(status);
+  std::size_t stops = 0;
+  for (int i = 0; i < 10; ++i) {
+    scheduler.OnReport(report, now);
+    PassTime(250);
+    stops += TakeOrders("a").size();
+  }
+  BOOST_TEST(stops == 1);
+}
+
 // The owner's process was paused or had no processor time. The agent's reports
 // wait for it, among them the end of the task.
 BOOST_AUTO_TEST_CASE(
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -120,12 +120,12 @@
 void job_scheduler::ProcessRunList(scheduled_worker& worker,
                                    const worker_report& report,
                                    millis now) {
+  worker.listed_at = now - report.runs_age;
   std::set<task_name> listed;
   for (const run_status& status : report.runs) {
     listed.insert(status.task);
     UpdateOrAdoptRun(worker, status, now);
   }
-  worker.listed_at = now - report.runs_age;
   UpdatePressureModel(worker, worker.listed_at, now);
   // A confirmed run that is missing from the list has ended, and the report of
   // its end did not arrive.
@@ -165,6 +165,7 @@
           run.checkpoint = status.checkpoint;
           task->checkpoint = status.checkpoint;
         }
+        RepeatLostStop(worker, status.task, run);
         return;
       }
     }
