Log and count the requests that an ending entry leaves unanswered

Cause: a request is logged when it is answered, so one that is cut off by the end of the process left no line and counted in no metric.

Change: at the end an entry logs 'drained' with the requests that the front knows, those that the server holds and the open connections; then one line for each request without an answer: id, kind, whose answer it waited for, tries, age, and the time its caller still had. They count as outcome 'unanswered'. No decision changes.

--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -168,6 +168,7 @@
 
 void job_entry_process::Stop(std::function<void()> done) {
   leaving_ = true;
+  leaving_since_ = BootNow();
   front_server_->Drain();
   // Callers go on using open connections; the jobs move to another owner now.
   owner_->Finish([this] {
@@ -178,10 +179,24 @@
   stop_timer_.async_wait(
       [this, done = std::move(done)](boost::system::error_code) {
         election_->Resign();
+        ReportDrained();
         done();
       });
 }
 
+// Requests that the server holds and the front does not know were not read
+// whole.
+void job_entry_process::ReportDrained() {
+  LogEvent(kPart, "drained",
+           {{"unanswered", front_->InFlight()},
+            {"requests_in_flight", front_server_->InFlight()},
+            {"connections", front_server_->Connections()},
+            {"owner", election_->View().address},
+            {"took_ms", BootNow() - leaving_since_}},
+           true);
+  front_->ReportUnanswered();
+}
+
 void job_entry_process::OnConfig(
     const std::shared_ptr<const deployed_config>& config) {
   scheduling_config scheduling;
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -49,6 +49,7 @@
  private:
   class rpc_server;
 
+  void ReportDrained();
   void OnConfig(const std::shared_ptr<const deployed_config>& config);
   void ProbeStore();
   void Gossip();
@@ -85,6 +86,7 @@
   boost::asio::steady_timer stop_timer_;
   std::map<std::string, known_entry> entries_;  // By address.
   bool leaving_ = false;
+  millis leaving_since_ = 0;
   bool probing_ = false;
   bool was_ready_ = false;
   bool handing_over_ = false;
--- a/src/chervilkeeld/job_front.cpp
+++ b/src/chervilkeeld/job_front.cpp
@@ -25,6 +25,7 @@
 constexpr int kQuickRetries = 4;
 constexpr std::size_t kMaxPayload = 4'000;  // Bytes.
 constexpr std::size_t kMaxIdLength = 100;
+constexpr int kMaxUnansweredLines = 50;  // In the log, of one process.
 
 // A job's id stands in keys of the store and in names of tasks.
 bool IsJobId(const std::string& id) {
@@ -96,8 +97,8 @@
 }
 
 void job_front::Handle(http_request http, http_responder respond) {
-  ++in_flight_;
   auto request = std::make_shared<job_request>();
+  open_.insert(request);
   request->request = std::move(http);
   request->respond = std::move(respond);
   request->call = adapter_.DecodeCall(request->request);
@@ -126,6 +127,7 @@
 }
 
 void job_front::DispatchWhenConfirmed(const job_request_ptr& request) {
+  request->waits_for = "configuration";
   config_.Confirm([this, request](bool confirmed) {
     const queue_route* route = FindRoute(request->call);
     if (route != nullptr) {
@@ -170,7 +172,7 @@
 void job_front::Answer(const job_request_ptr& request,
                        const job_answer& answer,
                        const std::string& cause) {
-  --in_flight_;
+  open_.erase(request);
   const millis took = BootNow() - request->began;
   metrics_.CountRequest(NameOf(request->call.kind), NameOf(answer.result),
                         static_cast<double>(took) / 1'000.0);
@@ -188,6 +190,27 @@
   request->respond(adapter_.EncodeAnswer(answer));
 }
 
+void job_front::ReportUnanswered() const {
+  int lines = 0;
+  for (const job_request_ptr& request : open_) {
+    const millis age = BootNow() - request->began;
+    metrics_.CountRequest(NameOf(request->call.kind), "unanswered",
+                          static_cast<double>(age) / 1'000.0);
+    if (++lines > kMaxUnansweredLines) {
+      continue;
+    }
+    LogEvent(kPart, "unanswered",
+             {{"id", request->id.empty() ? request->call.path : request->id},
+              {"kind", NameOf(request->call.kind)},
+              {"queue", request->queue},
+              {"waits_for", request->waits_for},
+              {"tries", request->tries},
+              {"age_ms", age},
+              {"left_ms", request->until - BootNow()}},
+             true);
+  }
+}
+
 // Runs a step after a pause.
 void job_front::Again(const job_request_ptr& request,
                       std::function<void()> step) {
@@ -234,6 +257,7 @@
 // meantime. The configuration is no condition: each conflict would return it,
 // and it may be longer than a slow link carries in the time of a request.
 void job_front::Store(const job_request_ptr& request) {
+  request->waits_for = "store";
   request->record.epoch = epoch_.number;
   const std::string key = kJobPrefix + request->id;
   store_transaction transaction;
@@ -323,6 +347,7 @@
 }
 
 void job_front::State(const job_request_ptr& request) {
+  request->waits_for = "owner";
   wire::job_question question;
   question.set_kind(wire::job_question::state);
   question.set_id(request->id);
@@ -340,6 +365,7 @@
 
 // The owner is away, or has not heard of the job yet.
 void job_front::StateFromStore(const job_request_ptr& request) {
+  request->waits_for = "store";
   store_.Client().Read(
       kProgressPrefix + request->id, kStoreTimeout,
       [this, request](const result<std::optional<stored_item>>& item) {
@@ -367,6 +393,7 @@
 
 // Tells whether the job was accepted at all.
 void job_front::CheckStored(const job_request_ptr& request) {
+  request->waits_for = "store";
   store_.Client().Read(
       kJobPrefix + request->id, kStoreTimeout,
       [this, request](const result<std::optional<stored_item>>& item) {
@@ -396,6 +423,7 @@
 }
 
 void job_front::Cancel(const job_request_ptr& request) {
+  request->waits_for = "owner";
   wire::job_question question;
   question.set_kind(wire::job_question::state);
   question.set_id(request->id);
@@ -410,6 +438,7 @@
 }
 
 void job_front::StoreCancel(const job_request_ptr& request) {
+  request->waits_for = "store";
   store_transaction transaction;
   transaction.writes = {{kCancelPrefix + request->id, "cancelled", 0}};
   const millis timeout =
@@ -435,6 +464,7 @@
 }
 
 void job_front::Count(const job_request_ptr& request) {
+  request->waits_for = "owner";
   wire::job_question question;
   question.set_kind(wire::job_question::pending);
   question.set_id(request->queue);
--- a/src/chervilkeeld/job_front.h
+++ b/src/chervilkeeld/job_front.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_set>
 
 #include <boost/asio/io_context.hpp>
 
@@ -29,7 +30,8 @@
   millis until = 0;            // Answered by then.
   bool may_be_stored = false;  // A try without an answer may take effect.
   int tries = 0;
-  job_record record;  // Of a submission.
+  const char* waits_for = "nothing";  // Whose answer the request needs next.
+  job_record record;                  // Of a submission.
 };
 
 using job_request_ptr = std::shared_ptr<job_request>;
@@ -53,7 +55,11 @@
   // Takes one request; `respond` is called exactly once.
   void Handle(http_request request, http_responder respond);
 
-  std::uint64_t InFlight() const { return in_flight_; }
+  std::uint64_t InFlight() const { return open_.size(); }
+
+  // Logs and counts the requests that are not answered yet, for a process that
+  // is about to end.
+  void ReportUnanswered() const;
 
  private:
   // The newest epoch, as the store has shown it.
@@ -99,7 +105,7 @@
   const ask_function ask_;
   config_follower& config_;
   known_epoch epoch_;
-  std::uint64_t in_flight_ = 0;
+  std::unordered_set<job_request_ptr> open_;  // Not answered yet.
 };
 
 }  // namespace chervilkeel
