An ending entry answers the requests that it has taken

Cause: the entry ended by its clock alone. 'shutdown_ms' after SIGTERM it stopped the event loop, whatever was in flight, while requests were tried again up to their callers' deadline of up to 3 s. A request that waited, here a count without an owner, could not be answered in the time that was left.

Change: after 'shutdown_ms' the entry refuses new requests at once and stops listening; what it has taken goes on for 'answer_ms' (new, 1 s) and is then answered as far as it has come: 'unknown' where a write may have taken effect, else 'unavailable'. A request that is answered is never tried again, so 'has not run' stays true. The process ends when the server holds no request, at once if there is none. SIGTERM + 4.7 s at the latest.

--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -22,6 +22,8 @@
 constexpr millis kEntryForgotten = 4'000;  // One silent for so long is gone.
 constexpr millis kPeerStoreFresh = 1'000;  // What a peer said of the store.
 constexpr millis kProbeTimeout = 400;
+constexpr millis kDrainCheckInterval = 10;
+constexpr millis kLastWriteTime = 200;  // To send the last answers.
 constexpr std::uint64_t kFrontBodyLimit = 4U << 20U;
 
 }  // namespace
@@ -175,13 +177,40 @@
     owner_->End();
     election_->Resign();
   });
-  stop_timer_.expires_after(std::chrono::milliseconds(settings_.shutdown_time));
-  stop_timer_.async_wait(
-      [this, done = std::move(done)](boost::system::error_code) {
-        election_->Resign();
-        ReportDrained();
-        done();
-      });
+  ended_ = std::move(done);
+  RunAfter(static_cast<millis>(settings_.shutdown_time),
+           &job_entry_process::CloseFront);
+}
+
+void job_entry_process::RunAfter(millis delay,
+                                 void (job_entry_process::*step)()) {
+  stop_timer_.expires_after(std::chrono::milliseconds(delay));
+  stop_timer_.async_wait([this, step](boost::system::error_code failure) {
+    if (!failure) {
+      (this->*step)();
+    }
+  });
+}
+
+void job_entry_process::CloseFront() {
+  front_->Close();
+  front_server_->Stop();
+  answer_by_ = BootNow() + static_cast<millis>(settings_.answer_time);
+  RunAfter(kDrainCheckInterval, &job_entry_process::EndWhenAnswered);
+}
+
+void job_entry_process::EndWhenAnswered() {
+  const millis now = BootNow();
+  if (now >= answer_by_) {
+    front_->AnswerAll();
+  }
+  if (front_server_->InFlight() != 0 && now < answer_by_ + kLastWriteTime) {
+    RunAfter(kDrainCheckInterval, &job_entry_process::EndWhenAnswered);
+    return;
+  }
+  election_->Resign();
+  ReportDrained();
+  ended_();
 }
 
 // Requests that the server holds and the front does not know were not read
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -39,7 +39,8 @@
 
   result<void> Start();
 
-  // Leaves gracefully; `done` is called when the process may end.
+  // Leaves gracefully: serves for the shutdown time, then answers what it has
+  // taken. `done` is called when the process may end.
   void Stop(std::function<void()> done);
 
   // Answers operators: /metrics, /dump, /healthz.
@@ -49,6 +50,10 @@
  private:
   class rpc_server;
 
+  void RunAfter(millis delay, void (job_entry_process::*step)());
+  // Takes no more requests, and lets those that it has come to their answers.
+  void CloseFront();
+  void EndWhenAnswered();
   void ReportDrained();
   void OnConfig(const std::shared_ptr<const deployed_config>& config);
   void ProbeStore();
@@ -87,6 +92,8 @@
   std::map<std::string, known_entry> entries_;  // By address.
   bool leaving_ = false;
   millis leaving_since_ = 0;
+  millis answer_by_ = 0;  // Then requests are answered as far as they are.
+  std::function<void()> ended_;
   bool probing_ = false;
   bool was_ready_ = false;
   bool handing_over_ = false;
--- a/src/chervilkeeld/job_entry_process_test.cpp
+++ b/src/chervilkeeld/job_entry_process_test.cpp
@@ -46,18 +46,25 @@
   store_in_memory* memory = nullptr;
   std::optional<job_entry_process> entry;
   tcp::socket client{client_context};
+  tcp::socket second{client_context};  // Connected, and idle.
   bool ended = false;
+  millis left_at = 0;
+  millis took = 0;  // From the order to stop to the end.
 
   leaving_entry_fixture() {
     settings.name = "entry";
     settings.address = "127.0.0.1";
     settings.job_front = {"127.0.0.1", FreePort()};
     settings.job_readiness = {"127.0.0.1", FreePort()};
-    settings.shutdown_time = 400;
+    settings.shutdown_time = kShutdownTime;
+    settings.answer_time = kAnswerTime;
     entry.emplace(context, settings, std::make_unique<memory_adapter>(memory));
     BOOST_TEST_REQUIRE(entry->Start().has_value());
     context.run_for(milliseconds(50));
-    client.connect({asio::ip::address_v4::loopback(), settings.job_front.port});
+    for (tcp::socket* socket : {&client, &second}) {
+      socket->connect(
+          {asio::ip::address_v4::loopback(), settings.job_front.port});
+    }
   }
 
   static std::uint16_t FreePort() {
@@ -67,14 +74,16 @@
   }
 
   void Leave() {
+    left_at = BootNow();
     entry->Stop([this] {
       ended = true;
+      took = BootNow() - left_at;
       context.stop();
     });
   }
 
-  void Send(const std::string& method, const std::string& path) {
-    asio::write(client, asio::buffer(method + " " + path +
+  void Send(const std::string& method, const std::string& target) {
+    asio::write(client, asio::buffer(method + " " + target +
                                      " HTTP/1.1\r\nHost: house\r\n"
                                      "Content-Length: 0\r\n\r\n"));
   }
@@ -82,13 +91,25 @@
   // Runs the entry to its end and returns what the client has received by then.
   std::string ReceivedAtEnd() {
     context.run_for(milliseconds(kMostShutdown));
+    return Received();
+  }
+
+  std::string Received() {
     std::string text(client.available(), '\0');
     asio::read(client, asio::buffer(text));
     return text;
   }
 
+  bool IsStored() const {
+    return memory->items.count(kJobPrefix + std::string(kId)) != 0;
+  }
+
+  static constexpr millis kShutdownTime = 400;
+  static constexpr millis kAnswerTime = 200;
   static constexpr millis kMostShutdown = 5'000;
-  const std::string path = "/paths/0123456789abcdef";
+  static constexpr int kAlways = 1'000;
+  static constexpr const char* kId = "0123456789abcdef";
+  const std::string path = std::string("/paths/") + kId;
 };
 
 }  // namespace
@@ -105,6 +126,75 @@
   BOOST_TEST(ended);
 }
 
+BOOST_AUTO_TEST_CASE(
+    state_question_without_a_store_is_answered_before_the_entry_ends) {
+  Leave();
+  context.run_for(milliseconds(250));
+  memory->refused_reads = kAlways;
+  Send("GET", path);
+  BOOST_TEST(ReceivedAtEnd().find("unavailable") != std::string::npos);
+  BOOST_TEST(ended);
+}
+
+// A refusal says that the job never runs: a pending retry must not store it
+// after the refusal.
+BOOST_AUTO_TEST_CASE(submission_refused_at_the_end_is_never_stored) {
+  memory->refused_commits = kAlways;
+  Leave();
+  context.run_for(milliseconds(350));
+  Send("POST", path);
+  BOOST_TEST(ReceivedAtEnd().find("unavailable") != std::string::npos);
+  memory->refused_commits = 0;
+  context.restart();
+  context.run_for(milliseconds(300));
+  BOOST_TEST(!IsStored());
+}
+
+// The store has the job, but its answers are lost: "never runs" would be false.
+BOOST_AUTO_TEST_CASE(submission_that_may_be_stored_is_unknown_at_the_end) {
+  memory->lost_answers = kAlways;
+  Leave();
+  context.run_for(milliseconds(350));
+  Send("POST", path);
+  BOOST_TEST(ReceivedAtEnd().find("unknown") != std::string::npos);
+  BOOST_TEST(IsStored());
+}
+
+BOOST_AUTO_TEST_CASE(request_after_the_shutdown_time_is_refused_at_once) {
+  Leave();
+  context.run_for(milliseconds(350));
+  Send("COUNT", "/paths/");  // Keeps the process until its answer.
+  context.run_for(milliseconds(100));
+  tcp::socket other = std::move(client);
+  client = std::move(second);
+  Send("POST", path);
+  context.run_for(milliseconds(50));
+  BOOST_TEST(!ended);
+  BOOST_TEST(Received().find("unavailable") != std::string::npos);
+  BOOST_TEST(!IsStored());
+}
+
+BOOST_AUTO_TEST_CASE(entry_without_requests_ends_at_its_shutdown_time) {
+  Leave();
+  ReceivedAtEnd();
+  BOOST_TEST(ended);
+  BOOST_TEST(took >= kShutdownTime);
+  BOOST_TEST(took < kShutdownTime + kAnswerTime);
+}
+
+// A client that never sends the rest of its request does not keep the process
+// until the platform kills it.
+BOOST_AUTO_TEST_CASE(half_a_request_does_not_hold_the_end_back) {
+  Leave();
+  context.run_for(milliseconds(100));
+  asio::write(client, asio::buffer("POST " + path +
+                                   " HTTP/1.1\r\nHost: house\r\n"
+                                   "Content-Length: 9\r\n\r\nhalf"));
+  ReceivedAtEnd();
+  BOOST_TEST(ended);
+  BOOST_TEST(took < 2 * (kShutdownTime + kAnswerTime));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_front.cpp
+++ b/src/chervilkeeld/job_front.cpp
@@ -25,6 +25,7 @@
 constexpr int kQuickRetries = 4;
 constexpr std::size_t kMaxPayload = 4'000;  // Bytes.
 constexpr std::size_t kMaxIdLength = 100;
+constexpr const char* kShuttingDown = "this entry is shutting down";
 constexpr int kMaxUnansweredLines = 50;  // In the log, of one process.
 
 // A job's id stands in keys of the store and in names of tasks.
@@ -107,6 +108,10 @@
       request->call.deadline > 0 ? request->call.deadline : kDefaultDeadline;
   request->until =
       request->began + std::max<millis>(deadline - kAnswerMargin, deadline / 2);
+  if (is_closed_) {
+    Answer(request, Refusal(job_result::kUnavailable, kShuttingDown), "closed");
+    return;
+  }
   if (config_.Current() == nullptr) {
     Answer(request, Refusal(job_result::kUnavailable, "no configuration yet"),
            "no configuration");
@@ -172,7 +177,9 @@
 void job_front::Answer(const job_request_ptr& request,
                        const job_answer& answer,
                        const std::string& cause) {
-  open_.erase(request);
+  if (open_.erase(request) == 0) {
+    return;
+  }
   const millis took = BootNow() - request->began;
   metrics_.CountRequest(NameOf(request->call.kind), NameOf(answer.result),
                         static_cast<double>(took) / 1'000.0);
@@ -190,6 +197,18 @@
   request->respond(adapter_.EncodeAnswer(answer));
 }
 
+void job_front::AnswerAll() {
+  for (const job_request_ptr& request :
+       std::unordered_set<job_request_ptr>(open_)) {
+    const bool may_have_effect = request->may_be_stored || request->is_writing;
+    Answer(request,
+           Refusal(may_have_effect ? job_result::kUnknown
+                                   : job_result::kUnavailable,
+                   kShuttingDown),
+           std::string("shutdown, waits_for=") + request->waits_for);
+  }
+}
+
 void job_front::ReportUnanswered() const {
   int lines = 0;
   for (const job_request_ptr& request : open_) {
@@ -211,14 +230,18 @@
   }
 }
 
-// Runs a step after a pause.
+// Runs a step after a pause, unless the request is answered in the meantime.
 void job_front::Again(const job_request_ptr& request,
                       std::function<void()> step) {
   ++request->tries;
   auto timer = std::make_shared<boost::asio::steady_timer>(context_);
   timer->expires_after(std::chrono::milliseconds(kPause));
-  timer->async_wait(
-      [timer, step = std::move(step)](boost::system::error_code) { step(); });
+  timer->async_wait([this, timer, request,
+                     step = std::move(step)](boost::system::error_code) {
+    if (!IsAnswered(request)) {
+      step();
+    }
+  });
 }
 
 void job_front::Submit(const job_request_ptr& request,
@@ -257,7 +280,11 @@
 // meantime. The configuration is no condition: each conflict would return it,
 // and it may be longer than a slow link carries in the time of a request.
 void job_front::Store(const job_request_ptr& request) {
+  if (IsAnswered(request)) {
+    return;
+  }
   request->waits_for = "store";
+  request->is_writing = true;
   request->record.epoch = epoch_.number;
   const std::string key = kJobPrefix + request->id;
   store_transaction transaction;
@@ -317,6 +344,7 @@
 
 void job_front::OnStored(const job_request_ptr& request,
                          const result<transaction_outcome>& outcome) {
+  request->is_writing = false;
   if (outcome) {
     if (outcome.value().applied) {
       Accept(request, EncodeJobRecord(request->record), "stored");
@@ -438,7 +466,11 @@
 }
 
 void job_front::StoreCancel(const job_request_ptr& request) {
+  if (IsAnswered(request)) {
+    return;
+  }
   request->waits_for = "store";
+  request->is_writing = true;
   store_transaction transaction;
   transaction.writes = {{kCancelPrefix + request->id, "cancelled", 0}};
   const millis timeout =
@@ -447,6 +479,10 @@
       transaction, timeout,
       [this, request](const result<transaction_outcome>& outcome) {
         store_.Note(outcome);
+        request->is_writing = false;
+        request->may_be_stored =
+            request->may_be_stored ||
+            (!outcome && outcome.error().code == error_code::kUnknown);
         if (outcome) {
           wire::job_question question;
           question.set_kind(wire::job_question::cancelled);
--- a/src/chervilkeeld/job_front.h
+++ b/src/chervilkeeld/job_front.h
@@ -29,6 +29,7 @@
   millis began = 0;
   millis until = 0;            // Answered by then.
   bool may_be_stored = false;  // A try without an answer may take effect.
+  bool is_writing = false;     // A try has no answer yet.
   int tries = 0;
   const char* waits_for = "nothing";  // Whose answer the request needs next.
   job_record record;                  // Of a submission.
@@ -57,6 +58,12 @@
 
   std::uint64_t InFlight() const { return open_.size(); }
 
+  // Refuses all requests from now on. Those that it has go on.
+  void Close() { is_closed_ = true; }
+
+  // Answers the requests that it has, as far as they have come.
+  void AnswerAll();
+
   // Logs and counts the requests that are not answered yet, for a process that
   // is about to end.
   void ReportUnanswered() const;
@@ -68,6 +75,9 @@
     std::uint64_t revision = 0;  // Of its item; 0: there is none.
   };
 
+  bool IsAnswered(const job_request_ptr& request) const {
+    return open_.count(request) == 0;
+  }
   const queue_route* FindRoute(const job_call& call) const;
   // Routes a request by the configuration in force.
   void Dispatch(const job_request_ptr& request, const queue_route& route);
@@ -106,6 +116,7 @@
   config_follower& config_;
   known_epoch epoch_;
   std::unordered_set<job_request_ptr> open_;  // Not answered yet.
+  bool is_closed_ = false;
 };
 
 }  // namespace chervilkeel
--- a/src/include/chervilkeel/settings.h
+++ b/src/include/chervilkeel/settings.h
@@ -87,6 +87,7 @@
   std::uint64_t owner_ttl = 1'000;
   std::uint64_t job_retention = 180;
   std::uint64_t shutdown_time = 3'500;
+  std::uint64_t answer_time = 1'000;
   std::uint64_t job_commit_interval = 20;
 
   std::string log_level = "info";
--- a/src/libshell/settings.cpp
+++ b/src/libshell/settings.cpp
@@ -351,7 +351,10 @@
       Number("jobs", "retention_s", &settings::job_retention, 1, 86'400, "s",
              "How long ended jobs are remembered."),
       Number("jobs", "shutdown_ms", &settings::shutdown_time, 100, 600'000,
-             "ms", "From SIGTERM to the end of the process."),
+             "ms", "From SIGTERM until an entry takes no more requests."),
+      Number("jobs", "answer_ms", &settings::answer_time, 0, 600'000, "ms",
+             "From then until the requests that it has taken are answered. The "
+             "platform has to wait for both times before it kills a process."),
       Number("jobs", "commit_interval_ms", &settings::job_commit_interval, 1,
              10'000, "ms", "Least time between two commits of progress."),
   };
