An ending entry sends the answers that it gives last

What callers would see: a connection closed without an answer, at the end of an entry that was saturated or paused.

An entry that came to its check later than 0.2 s after that answered and ended in one step.

Change: the last answers are given once, and the process ends 0.2 s after that at the latest.

--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -201,10 +201,11 @@
 
 void job_entry_process::EndWhenAnswered() {
   const millis now = BootNow();
-  if (now >= answer_by_) {
+  if (now >= answer_by_ && end_by_ == 0) {
     front_->AnswerAll();
+    end_by_ = now + kLastWriteTime;
   }
-  if (front_server_->InFlight() != 0 && now < answer_by_ + kLastWriteTime) {
+  if (front_server_->InFlight() != 0 && (end_by_ == 0 || now < end_by_)) {
     RunAfter(kDrainCheckInterval, &job_entry_process::EndWhenAnswered);
     return;
   }
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -93,6 +93,7 @@
   bool leaving_ = false;
   millis leaving_since_ = 0;
   millis answer_by_ = 0;  // Then requests are answered as far as they are.
+  millis end_by_ = 0;     // 0: the last answers have not been given.
   std::function<void()> ended_;
   bool probing_ = false;
   bool was_ready_ = false;
--- a/src/chervilkeeld/job_entry_process_test.cpp
+++ b/src/chervilkeeld/job_entry_process_test.cpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <optional>
+#include <thread>
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -51,13 +52,13 @@
   millis left_at = 0;
   millis took = 0;  // From the order to stop to the end.
 
-  leaving_entry_fixture() {
+  explicit leaving_entry_fixture(millis answer_time = kAnswerTime) {
     settings.name = "entry";
     settings.address = "127.0.0.1";
     settings.job_front = {"127.0.0.1", FreePort()};
     settings.job_readiness = {"127.0.0.1", FreePort()};
     settings.shutdown_time = kShutdownTime;
-    settings.answer_time = kAnswerTime;
+    settings.answer_time = answer_time;
     entry.emplace(context, settings, std::make_unique<memory_adapter>(memory));
     BOOST_TEST_REQUIRE(entry->Start().has_value());
     context.run_for(milliseconds(50));
@@ -112,6 +113,13 @@
   const std::string path = std::string("/paths/") + kId;
 };
 
+// An entry that gives requests so much time that a test can pause it meanwhile.
+struct paused_entry_fixture : leaving_entry_fixture {
+  paused_entry_fixture() : leaving_entry_fixture(kLongAnswerTime) {}
+
+  static constexpr millis kLongAnswerTime = 1'500;
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(leaving_job_entry, leaving_entry_fixture)
@@ -195,6 +203,20 @@
   BOOST_TEST(took < 2 * (kShutdownTime + kAnswerTime));
 }
 
+// An entry that gets no processor time at its end still sends the answers that
+// it gives then.
+BOOST_FIXTURE_TEST_CASE(pause_at_the_end_does_not_cost_the_last_answers,
+                        paused_entry_fixture) {
+  Leave();
+  context.run_for(milliseconds(kShutdownTime - 50));
+  Send("COUNT", "/paths/");
+  context.run_for(milliseconds(100));
+  BOOST_TEST_REQUIRE(!ended);
+  std::this_thread::sleep_for(milliseconds(kLongAnswerTime + 300));
+  BOOST_TEST(ReceivedAtEnd().find("unavailable") != std::string::npos);
+  BOOST_TEST(ended);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
