Report each executor that crashes, and which of its runs were young

Cause: a crash showed only as run_lost lines, without the age of the runs.

Change: executor_crashed names the boot, how many runs it had, and those that no list had shown 0.5 s after their start. Events of the scheduler count in chervilkeel_events_total as scheduler_EVENT. No decision changes.

--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -247,7 +247,8 @@
   options.epoch = ownership_.epoch;
   const millis now = BootNow();
   auto scheduler = std::make_unique<job_scheduler>(options, now);
-  scheduler->on_event = [](const scheduler_event& event) {
+  scheduler->on_event = [this](const scheduler_event& event) {
+    metrics_.CountEvent(std::string("scheduler_") + event.event);
     std::string text = "id=" + event.subject;
     text += event.worker.empty() ? "" : " worker=" + event.worker;
     text += event.detail.empty() ? "" : " " + event.detail;
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -358,6 +358,15 @@
                  std::uint64_t run,
                  millis now);
   void RemoveAllRuns(scheduled_worker& worker, const char* reason, millis now);
+
+  // job_scheduler_crashes.cpp: executors that crash.
+  // A run is proven once its executor has listed it kProvingTime after its
+  // start: a task that crashes its executor usually does so right away.
+  static bool IsProven(const scheduled_worker& worker, const task_run& run);
+  // Reports the end of a boot, and which of its runs were unproven.
+  void ReportCrash(const scheduled_worker& worker);
+
+  // job_scheduler_workers.cpp, continued.
   // Returns whether the silence of a worker is its own. After a pause of this
   // process, reports that arrived in the meantime have to be processed first.
   bool MayJudgeSilence(millis now);
@@ -503,6 +512,12 @@
   // stop again: the order may have been lost with the agent's process.
   static constexpr millis kStopRepeatInterval = 1'500;
 
+  // See IsProven(). Twice the interval of the lists of runs.
+  static constexpr millis kProvingTime = 500;
+
+  // Tasks that a log line about a crash names.
+  static constexpr std::uint64_t kMaxNamedRuns = 8;
+
   // Ticks further apart show that this process was paused or had too little
   // processor time.
   static constexpr millis kMaxTickGap = 1'000;
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -103,6 +103,7 @@
                                   const executor_description& description,
                                   millis now) {
   if (!worker.description.boot.id.empty()) {
+    ReportCrash(worker);
     RemoveAllRuns(worker, "executor restarted", now);
   }
   Emit("worker_boot", description.boot.id, worker.agent,
