A task that crashes its executors is tried alone, and given up

Cause: a crash was no attempt. The tasks of a restarted executor were put back without a mark, so nothing ended the cycle; and nothing told the task that had begun 10 ms before from those beside it.

Change: agents remember which runs their executor had begun and whether it answered 0.25 s after that, and tell each new owner of a crash once. Unproven runs make their task suspect, and that is stored with the job. A suspect task starts where all runs are proven and nothing else starts until it is, so that a second crash has one possible cause: then its job is given up. A run that is proven clears the task. Crashes of proven runs count as well, up to four.

Why it works: the number of starts is bounded whatever the owner or the agent remembers, and the bound is reached by the cause alone.

--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -84,6 +84,7 @@
     return;
   }
   ++open->second.tries;
+  history_.OnStartSent(name.first, name.second, BootNow());
   executor_->Start(
       Context(kOrderTimeout), open->second.order, LeaseEnd(),
       [this, name, epoch = epoch_](const result<executor_answer>& answer) {
@@ -95,6 +96,11 @@
 
 void job_agent_process::OnStartAnswer(const run_name& name,
                                       const result<executor_answer>& answer) {
+  if (answer) {
+    history_.OnAnswer(BootNow());
+  } else if (answer.error().code == error_code::kUnavailable) {
+    history_.OnStartUnsent(name.first, name.second);
+  }
   const auto open = open_starts_.find(name);
   if (open == open_starts_.end()) {
     return;
@@ -109,6 +115,9 @@
     }
     const bool certain =
         open->second.tries == 1 || outcome == start_outcome::kStarted;
+    if (outcome == start_outcome::kStarted) {
+      history_.OnStarted(name.first, name.second);
+    }
     if (certain) {
       open_starts_.erase(open);
       Report(name, outcome);
--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -83,6 +83,7 @@
     if (value.worker.boot.id == worker_.boot.id) {
       LogEvent(kPart, "executor_left", {{"executor", worker_.boot.id}}, true);
       gone_ = worker_.boot;
+      history_.OnLeft();
       runs_.clear();
       obeyed_epoch_ = 0;
       Sync(false);
@@ -117,6 +118,7 @@
               {"started_ms", boot.started_ms},
               {"former", worker_.boot.id}},
              true);
+    NoteEndOfBoot();
     obeyed_epoch_ = 0;
     clock_known_ = false;
     runs_.clear();
@@ -143,6 +145,18 @@
   }
 }
 
+// An executor that has announced its end does not crash.
+void job_agent_process::NoteEndOfBoot() {
+  if (worker_.boot.id.empty()) {
+    return;
+  }
+  if (worker_.draining || gone_ == worker_.boot) {
+    history_.OnLeft();
+  } else {
+    history_.OnCrash(worker_.boot, BootNow());
+  }
+}
+
 order_context job_agent_process::Context(millis timeout) const {
   return {worker_.boot, epoch_, timeout};
 }
@@ -240,6 +254,7 @@
   runs_ = listing.running;
   runs_listed_ = true;
   listed_ = BootNow();
+  history_.OnList(runs_, asked, listed_);
   ends_.clear();
   std::uint64_t last = 0;
   for (const ended_run& ended : listing.ended) {
@@ -313,14 +328,23 @@
     for (const start_result& started : starts_) {
       *sync.add_starts() = ToWire(started);
     }
+    if (told_crashes_ < history_.CrashCount()) {
+      for (const crashed_executor& crashed : history_.Crashes(now)) {
+        *sync.add_crashes() = ToWire(crashed);
+      }
+    }
   }
   const std::size_t starts = obeys ? starts_.size() : 0;
+  const std::uint64_t crashes = obeys ? history_.CrashCount() : 0;
   CallOwnerService<wire::agent_sync, wire::agent_orders>(
       context_, peers_, address, kSyncMethod, std::move(sync), kSyncTimeout,
-      [this, address, now, starts, wait,
+      [this, address, now, starts, crashes, wait, epoch = epoch_,
        boot = worker_.boot](const result<wire::agent_orders>& reply) {
         (wait ? syncing_ : news_open_) = false;
-        OnReply(reply, address, boot, now, starts, wait);
+        // An owner of another epoch has left the report aside.
+        const bool was_read = reply && reply.value().epoch() == epoch;
+        OnReply(reply, address, boot, now, starts, was_read ? crashes : 0,
+                wait);
       });
 }
 
@@ -329,6 +353,7 @@
                                 const executor_boot& boot,
                                 millis asked,
                                 std::size_t starts,
+                                std::uint64_t crashes,
                                 bool wait) {
   millis pause = 0;
   if (!reply) {
@@ -356,6 +381,7 @@
       pause = kSyncRetry;
     } else if (orders.epoch() == epoch_) {
       NoteOwner(true, address, "");
+      told_crashes_ = std::max(told_crashes_, crashes);
       starts_.erase(starts_.begin(),
                     starts_.begin() + static_cast<std::ptrdiff_t>(
                                           std::min(starts, starts_.size())));
@@ -409,6 +435,7 @@
   acked_order_ = 0;
   runs_told_ = 0;
   told_end_ = 0;
+  told_crashes_ = 0;
   starts_.clear();
   open_starts_.clear();
   open_stops_.clear();
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -15,6 +15,7 @@
 
 #include "chervilkeel/http_server.h"
 #include "chervilkeel/platform_adapter.h"
+#include "executor_history.h"
 #include "metrics.h"
 #include "owner_locator.h"
 #include "rpc_async.h"
@@ -53,6 +54,7 @@
   using run_name = std::pair<task_name, std::uint64_t>;
 
   void TakeBoot(const announcement& said);
+  void NoteEndOfBoot();
 
   // Holding and listing.
   void Hold();
@@ -73,6 +75,7 @@
                const executor_boot& boot,
                millis asked,
                std::size_t starts,
+               std::uint64_t crashes,
                bool wait);
   void NoteOwner(bool answers,
                  const std::string& address,
@@ -130,6 +133,8 @@
   std::vector<ended_run> ends_;
   std::uint64_t told_end_ = 0;  // The owner has been told up to it.
   std::uint64_t recorded_end_ = 0;
+  executor_history history_;
+  std::uint64_t told_crashes_ = 0;  // Of history_, to the owner of this epoch.
   std::uint64_t acked_order_ = 0;
   std::vector<start_result> starts_;
   std::map<run_name, open_order> open_starts_;
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -1,6 +1,7 @@
 #include "job_agent_process.h"
 
 #include <atomic>
+#include <map>
 #include <optional>
 
 #include <grpcpp/grpcpp.h>
@@ -145,7 +146,7 @@
                                  const wire::agent_sync* request,
                                  wire::agent_orders* reply) override {
     reply->set_is_owner(true);
-    reply->set_epoch(1);
+    reply->set_epoch(epoch);
     reply->set_grant_ms(request->obeys() ? 2'600 : 0);
     if (starts_task && request->obeys() && request->acked_order() == 0) {
       worker_order order;
@@ -177,6 +178,7 @@
   std::atomic<grpc::ServerUnaryReactor*> held_reactor = nullptr;
 
   std::atomic<bool> starts_task = false;
+  std::atomic<std::uint64_t> epoch = 1;
 
  private:
   boost::asio::io_context& context_;
@@ -194,12 +196,17 @@
   executor_script script;
   std::optional<start_outcome> outcome;  // Of the task that was started.
   int lists_left_at_outcome = 0;
+  // What calls have told of crashes, by the epoch of the call.
+  std::map<std::uint64_t, std::vector<crashed_executor>> crashes;
 
   agent_fixture() {
     owner.emplace(context, [this](const wire::agent_sync& sync) {
       obeying += sync.obeys() ? 1 : 0;
       not_obeying += !sync.obeys() && obeying > 0 ? 1 : 0;
       const worker_report report = FromWire(sync);
+      for (const crashed_executor& crashed : report.crashes) {
+        crashes[sync.epoch()].push_back(crashed);
+      }
       if (!outcome && !report.starts.empty()) {
         outcome = report.starts[0].outcome;
         lists_left_at_outcome = script.lists_after_stop;
@@ -306,6 +313,33 @@
   BOOST_TEST(script.highest_recorded == 0);
 }
 
+// The owner changes after the crash: the next one has to learn which task may
+// have been the cause, or each owner starts it anew.
+BOOST_AUTO_TEST_CASE(
+    each_owner_is_told_once_of_the_runs_of_a_crashed_executor) {
+  script.listings = 1'000'000;
+  owner->starts_task = true;
+  Announce();
+  RunUntil([this] { return outcome.has_value(); });
+  owner->starts_task = false;
+  script.lists_start = false;
+  script.started_ms = 6;
+  AnnounceBoot();
+  RunUntil([this] { return crashes.count(1) != 0; });
+  const int obeying_before = obeying;
+  RunUntil([&] { return obeying > obeying_before + 20; });
+  owner->epoch = 2;
+  RunUntil([this] { return crashes.count(2) != 0; });
+  for (const auto& [epoch, told] : crashes) {
+    BOOST_REQUIRE_GE(told.size(), 1);
+    BOOST_TEST(told.size() <= 2);  // Two calls may be open at once.
+    BOOST_TEST(told[0].boot.started_ms == 5);
+    BOOST_REQUIRE_EQUAL(told[0].runs.size(), 1);
+    BOOST_TEST(told[0].runs[0].run == 7);
+  }
+  BOOST_TEST(crashes.size() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_wire.cpp
+++ b/src/chervilkeeld/job_wire.cpp
@@ -71,6 +71,30 @@
   return out;
 }
 
+wire::crashed_boot ToWire(const crashed_executor& crashed) {
+  wire::crashed_boot out;
+  *out.mutable_boot() = ToWire(crashed.boot);
+  for (const lost_run& lost : crashed.runs) {
+    wire::lost_run_state& run = *out.add_runs();
+    run.set_task(lost.task.ToString());
+    run.set_run(lost.run);
+    run.set_proven(lost.proven);
+  }
+  return out;
+}
+
+crashed_executor FromWire(const wire::crashed_boot& crashed) {
+  crashed_executor out;
+  out.boot = FromWire(crashed.boot());
+  for (const wire::lost_run_state& run : crashed.runs()) {
+    lost_run lost{{}, run.run(), run.proven()};
+    if (ParseTaskName(run.task(), lost.task)) {
+      out.runs.push_back(std::move(lost));
+    }
+  }
+  return out;
+}
+
 worker_report FromWire(const wire::agent_sync& sync) {
   worker_report report;
   report.agent = sync.agent();
@@ -113,6 +137,9 @@
       report.starts.push_back(std::move(started));
     }
   }
+  for (const wire::crashed_boot& crashed : sync.crashes()) {
+    report.crashes.push_back(FromWire(crashed));
+  }
   return report;
 }
 
--- a/src/chervilkeeld/job_wire.h
+++ b/src/chervilkeeld/job_wire.h
@@ -14,6 +14,8 @@
 wire::run_ending ToWire(const ended_run& ended);
 wire::start_state ToWire(const start_result& started);
 wire::order ToWire(std::uint64_t number, const worker_order& order);
+wire::crashed_boot ToWire(const crashed_executor& crashed);
+crashed_executor FromWire(const wire::crashed_boot& crashed);
 
 // These leave out, and count, entries that name no task.
 worker_report FromWire(const wire::agent_sync& sync);
--- a/src/include/chervilkeel/job.h
+++ b/src/include/chervilkeel/job.h
@@ -99,6 +99,10 @@
   // Numbers of the failed runs by task. A set, since the end of one run may be
   // reported more than once.
   std::map<std::uint32_t, std::set<std::uint64_t>> failed_runs;
+  // Numbers of the runs that may have crashed their executors, by task: right
+  // after their start, and later.
+  std::map<std::uint32_t, std::set<std::uint64_t>> crashed_runs;
+  std::map<std::uint32_t, std::set<std::uint64_t>> late_crashed_runs;
   std::map<std::uint32_t, std::string> checkpoints;  // By task.
 };
 
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -104,6 +104,17 @@
   // then not started before all workers of that scheduler have reported.
   bool possibly_running = false;
   std::set<std::uint64_t> failed_runs;
+  // Unproven runs that may have crashed their executors, since a run of the
+  // task was last proven.
+  std::set<std::uint64_t> crashed_runs;
+  // Proven runs that may have crashed their executors.
+  std::set<std::uint64_t> late_crashed_runs;
+  // Unproven runs on workers that fell silent: whether their executors have
+  // crashed is not known yet.
+  std::set<std::uint64_t> doubtful_runs;
+  // Set if the task may crash its next executor, too; it then starts only as a
+  // trial. See job_scheduler_crashes.cpp.
+  bool is_suspect = false;
   std::uint64_t highest_run = 0;
   std::string checkpoint;
   std::vector<task_run> runs;
@@ -178,6 +189,20 @@
   bool has_new_tail_latencies = false;
   // No starts until then, after the worker refused one for lack of capacity.
   millis start_backoff_until = 0;
+  // Runs that were given up when the worker fell silent, and when.
+  std::vector<lost_run> silent_runs;
+  millis silent_since = 0;
+  // The last boot that was found to have crashed, and when it was found.
+  executor_boot crashed_boot;
+  millis crashed_at = 0;
+  // Until then only trials of suspect tasks start here, first that of the task
+  // for which the worker was reserved.
+  millis reserved_until = 0;
+  task_name reserved_for;
+  // The last trial that began here; the worker stays reserved until its run is
+  // proven.
+  task_name trial;
+  std::uint64_t trial_run = 0;  // 0: none.
   std::uint64_t last_order_number = 0;
   // Orders that the agent has not acknowledged, with their numbers.
   std::deque<std::pair<std::uint64_t, worker_order>> orders;
@@ -304,6 +329,9 @@
     double rank;   // Lower goes first.
   };
 
+  // Trials may start on workers that are reserved for them.
+  enum class start_kind { kNormal, kTrial };
+
   // A worker that may run tasks of a step. All tasks of a step have the same
   // requirements, so they share their candidates.
   struct candidate {
@@ -360,11 +388,34 @@
   void RemoveAllRuns(scheduled_worker& worker, const char* reason, millis now);
 
   // job_scheduler_crashes.cpp: executors that crash.
-  // A run is proven once its executor has listed it kProvingTime after its
-  // start: a task that crashes its executor usually does so right away.
   static bool IsProven(const scheduled_worker& worker, const task_run& run);
-  // Reports the end of a boot, and which of its runs were unproven.
-  void ReportCrash(const scheduled_worker& worker);
+  std::vector<lost_run> RunsToLose(const scheduled_worker& worker);
+  // Finds the tasks that may have crashed a worker's executor, and gives up
+  // those that surely or too often did.
+  void OnExecutorCrashed(scheduled_worker& worker,
+                         const crashed_executor& crashed,
+                         millis now);
+  // Whether a former scheduler has found the causes of that crash.
+  bool IsRecorded(const crashed_executor& crashed);
+  // Remembers the runs of a worker that has fallen silent: whether its executor
+  // has crashed will only be known when it reports again.
+  void RememberSilentRuns(scheduled_worker& worker, millis now);
+  // Drops the doubts that those runs have raised.
+  void ForgetSilentRuns(scheduled_worker& worker);
+  // Drops what the task is suspected of once a run of it is proven: a task that
+  // crashes its executors does so each time.
+  void ClearSuspect(const task_name& key, scheduled_task& task);
+  void BlameRun(const lost_run& lost,
+                const std::string& agent,
+                bool is_only_suspect);
+  bool HasUnprovenRuns(const scheduled_worker& worker);
+  // Starts a suspect task where nothing else can be taken for the cause of a
+  // crash, or reserves a worker for it. Returns false if there is none.
+  bool StartTrial(scheduled_job& job,
+                  const task_name& key,
+                  scheduled_task& task,
+                  millis now);
+  bool IsReserved(const scheduled_worker& worker, millis now);
 
   // job_scheduler_workers.cpp, continued.
   // Returns whether the silence of a worker is its own. After a pause of this
@@ -397,10 +448,12 @@
   void PlaceGang(const waiting_step& waiting, millis now);
   std::vector<candidate> Candidates(const scheduled_job& job,
                                     const task_name& step_key,
+                                    start_kind kind,
                                     millis now);
   std::optional<candidate> Evaluate(scheduled_worker& worker,
                                     const scheduled_job& job,
                                     const task_name& step_key,
+                                    start_kind kind,
                                     millis now);
   static candidate* BestCandidate(std::vector<candidate>& candidates,
                                   const task_name& key,
@@ -512,8 +565,36 @@
   // stop again: the order may have been lost with the agent's process.
   static constexpr millis kStopRepeatInterval = 1'500;
 
-  // See IsProven(). Twice the interval of the lists of runs.
-  static constexpr millis kProvingTime = 500;
+  // A task is given up when it was the only possible cause of a crash and the
+  // executor of an earlier run has crashed, too; or after kMaxCrashes, however
+  // many other tasks were there. Rules allow five.
+  static constexpr std::size_t kCrashesOfCause = 2;
+  static constexpr std::size_t kMaxCrashes = 4;
+
+  // How long a worker that is reserved waits until its runs are proven. It
+  // covers kProvingTime, a list of runs and its way.
+  static constexpr millis kReservationTime = 1'000;
+
+  // Starts ordered so long after the last list did not reach the executor
+  // before its crash.
+  static constexpr millis kMaxListGap = 1'000;
+
+  // Each service has at most this part of its workers reserved, and one at
+  // least.
+  static constexpr std::size_t kWorkersPerReservation = 3;
+
+  // A worker whose executor has crashed in the last kCrashMemory ms is the last
+  // choice for a trial: the executor itself may be the cause.
+  static constexpr millis kCrashMemory = 10'000;
+  static constexpr double kCrashPenalty = 8.0;  // Of a score.
+  // A worker on which a trial can begin at once goes before one that has to be
+  // reserved first.
+  static constexpr double kReadyForTrialBonus = 4.0;
+
+  // How long a silent worker raises doubts; executors are back within seconds.
+  static constexpr millis kMaxDoubt = 10'000;
+  // With so many doubtful runs a task waits until one of them is settled.
+  static constexpr std::size_t kMaxDoubtfulRuns = 2;
 
   // Tasks that a log line about a crash names.
   static constexpr std::uint64_t kMaxNamedRuns = 8;
@@ -564,6 +645,8 @@
     double jobs = 0;
   };
   std::map<std::string, work_mean> mean_work_;  // By queue.
+  // Services that have no worker for a trial; valid within one PlaceWaiting().
+  std::set<std::string> services_without_trials_;
   std::set<std::string> repeating_jobs_;  // Jobs with occurrences to come.
   pressure_model pressure_model_;
   std::int64_t wall_ms_ = 0;
--- a/src/include/chervilkeel/worker_report.h
+++ b/src/include/chervilkeel/worker_report.h
@@ -100,6 +100,23 @@
   start_outcome outcome = start_outcome::kStarted;
 };
 
+// A run is proven once its executor has answered this long after its start, in
+// ms: a task that crashes its executor usually does so right away.
+inline constexpr millis kProvingTime = 250;
+
+// A run that was lost with its executor.
+struct lost_run {
+  task_name task;
+  std::uint64_t run = 0;
+  bool proven = false;
+};
+
+// An executor that has crashed, and what ran there as far as its agent knows.
+struct crashed_executor {
+  executor_boot boot;
+  std::vector<lost_run> runs;
+};
+
 // A report of an agent. `runs` is complete if `has_runs` is set.
 struct worker_report {
   std::string agent;
@@ -109,6 +126,8 @@
   std::vector<run_status> runs;
   std::vector<ended_run> ends;
   std::vector<start_result> starts;
+  // The latest crashes; an owner may be told of one more than once.
+  std::vector<crashed_executor> crashes;
 };
 
 enum class order_kind { kStart, kStop, kPace };
--- a/src/libkernel/job.cpp
+++ b/src/libkernel/job.cpp
@@ -108,10 +108,12 @@
   return out;
 }
 
-// Encodes one row per task: its index, then the numbers of its failed runs.
-json::array EncodeFailedRuns(const step_progress& step) {
+using runs_by_task = std::map<std::uint32_t, std::set<std::uint64_t>>;
+
+// Encodes one row per task: its index, then the numbers of the runs.
+json::array EncodeRuns(const runs_by_task& runs_of_tasks) {
   json::array out;
-  for (const auto& [task, runs] : step.failed_runs) {
+  for (const auto& [task, runs] : runs_of_tasks) {
     json::array row{task};
     row.insert(row.end(), runs.begin(), runs.end());
     out.push_back(std::move(row));
@@ -123,7 +125,13 @@
   json::object out{{"step", step.step}, {"done", step.done}};
   AddIfSet(out, "occurrence", step.occurrence);
   if (!step.failed_runs.empty()) {
-    out["failed_runs"] = EncodeFailedRuns(step);
+    out["failed_runs"] = EncodeRuns(step.failed_runs);
+  }
+  if (!step.crashed_runs.empty()) {
+    out["crashed_runs"] = EncodeRuns(step.crashed_runs);
+  }
+  if (!step.late_crashed_runs.empty()) {
+    out["late_crashed_runs"] = EncodeRuns(step.late_crashed_runs);
   }
   if (!step.checkpoints.empty()) {
     out["checkpoints"] = EncodeCheckpoints(step);
@@ -131,18 +139,20 @@
   return out;
 }
 
-void DecodeFailedRuns(const json::object& object, step_progress& step) {
-  const json::value* rows = object.if_contains("failed_runs");
+runs_by_task DecodeRuns(const json::object& object, const char* member) {
+  runs_by_task runs_of_tasks;
+  const json::value* rows = object.if_contains(member);
   if (rows == nullptr) {
-    return;
+    return runs_of_tasks;
   }
   for (const json::value& row : rows->as_array()) {
     const json::array& values = row.as_array();
-    auto& runs = step.failed_runs[values.at(0).to_number<std::uint32_t>()];
+    auto& runs = runs_of_tasks[values.at(0).to_number<std::uint32_t>()];
     for (std::size_t i = 1; i < values.size(); ++i) {
       runs.insert(values[i].to_number<std::uint64_t>());
     }
   }
+  return runs_of_tasks;
 }
 
 step_progress DecodeStepProgress(const json::object& object) {
@@ -150,7 +160,9 @@
   step.step = ReadNumber<std::uint32_t>(object, "step");
   step.occurrence = ReadNumber<std::uint32_t>(object, "occurrence");
   step.done = ReadText(object, "done");
-  DecodeFailedRuns(object, step);
+  step.failed_runs = DecodeRuns(object, "failed_runs");
+  step.crashed_runs = DecodeRuns(object, "crashed_runs");
+  step.late_crashed_runs = DecodeRuns(object, "late_crashed_runs");
   if (const json::value* pairs = object.if_contains("checkpoints")) {
     for (const json::value& pair : pairs->as_array()) {
       step.checkpoints[pair.at(0).to_number<std::uint32_t>()] =
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -84,6 +84,19 @@
         ++job.started_tasks;
       }
     }
+    for (const auto& [index, runs] : saved.crashed_runs) {
+      if (index < step.tasks.size()) {
+        step.tasks[index].crashed_runs = runs;
+        step.tasks[index].is_suspect = true;
+        ++job.started_tasks;
+      }
+    }
+    for (const auto& [index, runs] : saved.late_crashed_runs) {
+      if (index < step.tasks.size()) {
+        step.tasks[index].late_crashed_runs = runs;
+        ++job.started_tasks;
+      }
+    }
     for (const auto& [index, checkpoint] : saved.checkpoints) {
       if (index < step.tasks.size()) {
         step.tasks[index].checkpoint = checkpoint;
@@ -339,11 +352,18 @@
         if (!task.failed_runs.empty() && !task.done) {
           saved.failed_runs[i] = task.failed_runs;
         }
+        if (!task.crashed_runs.empty() && !task.done) {
+          saved.crashed_runs[i] = task.crashed_runs;
+        }
+        if (!task.late_crashed_runs.empty() && !task.done) {
+          saved.late_crashed_runs[i] = task.late_crashed_runs;
+        }
         if (!task.checkpoint.empty()) {
           saved.checkpoints[i] = task.checkpoint;
         }
       }
       if (step.done > 0 || !saved.failed_runs.empty() ||
+          !saved.crashed_runs.empty() || !saved.late_crashed_runs.empty() ||
           !saved.checkpoints.empty()) {
         progress.steps.push_back(std::move(saved));
       }
--- a/src/libkernel/job_scheduler_crashes.cpp
+++ b/src/libkernel/job_scheduler_crashes.cpp
@@ -1,4 +1,8 @@
-// Executors that crash, and the tasks that may be the cause.
+// Executors that crash, and the tasks that may be the cause. A crash takes all
+// tasks of an executor. Those that it had not yet shown to be running for
+// kProvingTime become suspect. A suspect task starts on a worker where all
+// other runs are proven, and nothing else starts there until it is proven, too:
+// if that executor crashes, the task is the cause.
 #include <algorithm>
 
 #include "chervilkeel/job_scheduler.h"
@@ -11,28 +15,238 @@
          worker.listed_at - run.active_since >= kProvingTime;
 }
 
-void job_scheduler::ReportCrash(const scheduled_worker& worker) {
-  std::uint64_t runs = 0;
-  std::uint64_t unproven = 0;
-  std::string names;
+std::vector<lost_run> job_scheduler::RunsToLose(
+    const scheduled_worker& worker) {
+  std::vector<lost_run> runs;
   for (const task_name& key : worker.tasks) {
     const scheduled_task* task = FindTask(key);
     if (task == nullptr) {
       continue;
     }
     for (const task_run& run : task->runs) {
-      if (run.agent != worker.agent) {
-        continue;
+      const bool came_too_late =
+          run.phase == run_phase::kOrdered &&
+          run.active_since - worker.listed_at > kMaxListGap;
+      if (run.agent == worker.agent && !came_too_late) {
+        runs.push_back({key, run.run, IsProven(worker, run)});
       }
-      ++runs;
-      if (!IsProven(worker, run) && ++unproven <= kMaxNamedRuns) {
-        names += (names.empty() ? "" : ",") + key.ToString();
+    }
+  }
+  return runs;
+}
+
+bool job_scheduler::HasUnprovenRuns(const scheduled_worker& worker) {
+  return std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                     [&](const task_name& key) {
+                       const scheduled_task* task = FindTask(key);
+                       return task != nullptr &&
+                              std::any_of(task->runs.begin(), task->runs.end(),
+                                          [&](const task_run& run) {
+                                            return run.agent == worker.agent &&
+                                                   !IsProven(worker, run);
+                                          });
+                     });
+}
+
+bool job_scheduler::IsRecorded(const crashed_executor& crashed) {
+  return std::any_of(
+      crashed.runs.begin(), crashed.runs.end(), [this](const lost_run& run) {
+        const scheduled_task* task = FindTask(run.task);
+        return task != nullptr && (task->crashed_runs.count(run.run) != 0 ||
+                                   task->late_crashed_runs.count(run.run) != 0);
+      });
+}
+
+void job_scheduler::OnExecutorCrashed(scheduled_worker& worker,
+                                      const crashed_executor& crashed,
+                                      millis now) {
+  if (worker.crashed_boot == crashed.boot || IsRecorded(crashed)) {
+    return;
+  }
+  worker.crashed_boot = crashed.boot;
+  worker.crashed_at = now;
+  std::vector<lost_run> unproven;
+  std::vector<lost_run> suspects;
+  std::string names;
+  for (const lost_run& run : crashed.runs) {
+    const scheduled_task* task = FindTask(run.task);
+    if (run.proven || task == nullptr) {
+      continue;
+    }
+    unproven.push_back(run);
+    if (!task->crashed_runs.empty()) {
+      suspects.push_back(run);
+    }
+    if (unproven.size() <= kMaxNamedRuns) {
+      names += (names.empty() ? "" : ",") + run.task.ToString();
+    }
+  }
+  Emit("executor_crashed", crashed.boot.id, worker.agent,
+       "runs=" + std::to_string(crashed.runs.size()) +
+           " unproven=" + std::to_string(unproven.size()) + " suspects=" +
+           std::to_string(suspects.size()) + " tasks=\"" + names + "\"");
+  for (const lost_run& run : suspects.empty() ? unproven : suspects) {
+    BlameRun(run, worker.agent, unproven.size() == 1);
+  }
+  if (!unproven.empty()) {
+    return;
+  }
+  // The cause may be the executor, or a task that takes longer to crash it.
+  // A service runs for too long to tell.
+  for (const lost_run& run : crashed.runs) {
+    const auto job = jobs_.find(run.task.job);
+    if (FindTask(run.task) != nullptr &&
+        !job->second.record.spec.steps[run.task.step].service) {
+      BlameRun(run, worker.agent, false);
+    }
+  }
+}
+
+void job_scheduler::BlameRun(const lost_run& lost,
+                             const std::string& agent,
+                             bool is_only_suspect) {
+  scheduled_task* task = FindTask(lost.task);
+  const auto job = jobs_.find(lost.task.job);
+  if (task == nullptr || task->done || IsFinal(job->second.state)) {
+    return;
+  }
+  std::set<std::uint64_t>& runs =
+      lost.proven ? task->late_crashed_runs : task->crashed_runs;
+  runs.insert(lost.run);
+  task->is_suspect = task->is_suspect || !lost.proven;
+  task->failed_on.push_back(agent);  // Goes elsewhere, if it can.
+  dirty_.insert(lost.task.job);
+  Emit("crash_blamed", lost.task.ToString(), agent,
+       "run=" + std::to_string(lost.run) +
+           " crashes=" + std::to_string(runs.size()) +
+           " proven=" + (lost.proven ? "true" : "false") +
+           " only_suspect=" + (is_only_suspect ? "true" : "false"));
+  if (runs.size() >= kMaxCrashes ||
+      (is_only_suspect && runs.size() >= kCrashesOfCause)) {
+    Emit("task_given_up", lost.task.ToString(), agent,
+         "crashes=" + std::to_string(runs.size()) +
+             " reason=\"executors crashed under it\"");
+    EndJob(job->second, job_state::kFailed);
+  }
+}
+
+void job_scheduler::ClearSuspect(const task_name& key, scheduled_task& task) {
+  task.is_suspect = false;
+  task.doubtful_runs.clear();
+  if (!task.crashed_runs.empty()) {
+    task.crashed_runs.clear();
+    dirty_.insert(key.job);
+  }
+  Emit("suspect_cleared", key.ToString(), "", "");
+}
+
+void job_scheduler::RememberSilentRuns(scheduled_worker& worker, millis now) {
+  ForgetSilentRuns(worker);
+  worker.silent_runs = RunsToLose(worker);
+  worker.silent_since = now;
+  for (const lost_run& run : worker.silent_runs) {
+    scheduled_task* task = FindTask(run.task);
+    if (!run.proven && task != nullptr) {
+      task->doubtful_runs.insert(run.run);
+      task->is_suspect = true;
+    }
+  }
+}
+
+void job_scheduler::ForgetSilentRuns(scheduled_worker& worker) {
+  for (const lost_run& run : std::exchange(worker.silent_runs, {})) {
+    scheduled_task* task = FindTask(run.task);
+    if (task != nullptr && task->doubtful_runs.erase(run.run) != 0) {
+      task->is_suspect =
+          !task->crashed_runs.empty() || !task->doubtful_runs.empty();
+    }
+  }
+}
+
+bool job_scheduler::IsReserved(const scheduled_worker& worker, millis now) {
+  if (now < worker.reserved_until) {
+    return true;
+  }
+  const scheduled_task* task =
+      worker.trial_run == 0 ? nullptr : FindTask(worker.trial);
+  return task != nullptr && std::any_of(task->runs.begin(), task->runs.end(),
+                                        [&](const task_run& run) {
+                                          return run.agent == worker.agent &&
+                                                 run.run == worker.trial_run &&
+                                                 !IsProven(worker, run);
+                                        });
+}
+
+bool job_scheduler::StartTrial(scheduled_job& job,
+                               const task_name& key,
+                               scheduled_task& task,
+                               millis now) {
+  const std::string& service = job.policy.service;
+  if (services_without_trials_.count(service) != 0) {
+    return false;
+  }
+  if (task.doubtful_runs.size() >= kMaxDoubtfulRuns) {
+    return true;  // Others of the step may start.
+  }
+  std::size_t usable = 0;
+  std::size_t reserved = 0;
+  bool has_free_one = false;
+  scheduled_worker* reserved_before = nullptr;
+  for (auto& [agent, worker] : workers_) {
+    if (!worker.runs_known || worker.description.draining ||
+        worker.description.service != service) {
+      continue;
+    }
+    ++usable;
+    if (IsReserved(worker, now)) {
+      ++reserved;
+      const bool is_free = !HasUnprovenRuns(worker);
+      has_free_one = has_free_one || is_free;
+      if (now < worker.reserved_until && worker.reserved_for == key) {
+        reserved_before = &worker;
+        if (!is_free) {
+          return true;  // Waits until that worker's runs are proven.
+        }
       }
     }
   }
-  Emit("executor_crashed", worker.description.boot.id, worker.agent,
-       "runs=" + std::to_string(runs) + " unproven=" +
-           std::to_string(unproven) + " tasks=\"" + names + "\"");
+  const bool may_reserve =
+      reserved < std::max<std::size_t>(1, usable / kWorkersPerReservation);
+  if (!may_reserve && !has_free_one) {
+    services_without_trials_.insert(service);
+    return false;
+  }
+  std::vector<candidate> candidates =
+      Candidates(job, key, start_kind::kTrial, now);
+  std::erase_if(candidates, [&](candidate& entry) {
+    const scheduled_worker& worker = *entry.worker;
+    if (worker.crashed_at != 0 && now - worker.crashed_at < kCrashMemory) {
+      entry.score -= kCrashPenalty;
+    }
+    const bool is_free = !HasUnprovenRuns(worker);
+    if (is_free) {
+      entry.score += kReadyForTrialBonus;
+    }
+    return IsReserved(worker, now) ? !is_free : !may_reserve;
+  });
+  const candidate* best = BestCandidate(
+      candidates, key, task, job.record.spec.steps[key.step].filler, now);
+  if (best == nullptr) {
+    return false;
+  }
+  scheduled_worker& worker = *best->worker;
+  if (reserved_before != nullptr) {
+    reserved_before->reserved_until = 0;
+  }
+  worker.reserved_until = now + kReservationTime;
+  worker.reserved_for = key;
+  if (HasUnprovenRuns(worker)) {
+    return true;
+  }
+  worker.trial = key;
+  worker.trial_run = NextRunNumber(task);
+  OrderStart(worker, job, key, task, worker.trial_run, now);
+  return true;
 }
 
 }  // namespace chervilkeel
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -263,6 +263,7 @@
     return;
   }
   next_placement_ = now + kPlacementInterval;
+  services_without_trials_.clear();
   for (const waiting_step& waiting : WaitingSteps()) {
     if (waiting.job->record.spec.steps[waiting.step_index].gang) {
       PlaceGang(waiting, now);
@@ -278,17 +279,28 @@
   scheduled_job& job = *waiting.job;
   const bool is_best_effort = job.record.spec.steps[waiting.step_index].filler;
   task_name key{job.record.id, waiting.occurrence, waiting.step_index, 0};
-  std::vector<candidate> candidates = Candidates(job, key, now);
+  auto& tasks = job.occurrences.at(key.occurrence).steps[key.step].tasks;
   for (const std::uint32_t index : waiting.tasks) {
     key.index = index;
-    scheduled_task& task =
-        job.occurrences.at(key.occurrence).steps[key.step].tasks[index];
+    if (tasks[index].is_suspect && !StartTrial(job, key, tasks[index], now)) {
+      break;
+    }
+  }
+  std::vector<candidate> candidates =
+      Candidates(job, key, start_kind::kNormal, now);
+  for (const std::uint32_t index : waiting.tasks) {
+    key.index = index;
+    scheduled_task& task = tasks[index];
+    if (task.is_suspect) {
+      continue;
+    }
     candidate* best = BestCandidate(candidates, key, task, is_best_effort, now);
     if (best == nullptr) {
       return;
     }
     OrderStart(*best->worker, job, key, task, NextRunNumber(task), now);
-    const auto reevaluated = Evaluate(*best->worker, job, key, now);
+    const auto reevaluated =
+        Evaluate(*best->worker, job, key, start_kind::kNormal, now);
     if (reevaluated) {
       *best = *reevaluated;
     } else {
@@ -396,10 +408,11 @@
 std::vector<job_scheduler::candidate> job_scheduler::Candidates(
     const scheduled_job& job,
     const task_name& step_key,
+    start_kind kind,
     millis now) {
   std::vector<candidate> candidates;
   for (auto& [agent, worker] : workers_) {
-    const auto found = Evaluate(worker, job, step_key, now);
+    const auto found = Evaluate(worker, job, step_key, kind, now);
     if (found) {
       candidates.push_back(*found);
     }
@@ -413,8 +426,10 @@
     scheduled_worker& worker,
     const scheduled_job& job,
     const task_name& step_key,
+    start_kind kind,
     millis now) {
-  if (!IsEligible(worker, job, step_key, now)) {
+  if ((kind == start_kind::kNormal && IsReserved(worker, now)) ||
+      !IsEligible(worker, job, step_key, now)) {
     return std::nullopt;
   }
   const job_step& step = job.record.spec.steps[step_key.step];
@@ -474,7 +489,8 @@
                                               const task_name& key,
                                               const scheduled_task& task,
                                               millis now) {
-  std::vector<candidate> candidates = Candidates(job, key, now);
+  std::vector<candidate> candidates =
+      Candidates(job, key, start_kind::kNormal, now);
   const candidate* best = BestCandidate(
       candidates, key, task, job.record.spec.steps[key.step].filler, now);
   return best == nullptr ? nullptr : best->worker;
@@ -498,7 +514,7 @@
                                 static_cast<double>(spec.expected));
         for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
           scheduled_task& task = step.tasks[i];
-          if (task.done || task.runs.size() != 1 ||
+          if (task.done || task.is_suspect || task.runs.size() != 1 ||
               now - task.runs.front().active_since < limit) {
             continue;
           }
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -58,6 +58,9 @@
     Emit("report_of_former_boot", report.worker.boot.id, report.agent, "");
     return;
   }
+  for (const crashed_executor& crashed : report.crashes) {
+    OnExecutorCrashed(worker, crashed, now);
+  }
   if (report.worker.boot != worker.description.boot) {
     OnBootChanged(worker, report.worker, now);
   }
@@ -65,6 +68,7 @@
     Emit("worker_draining", report.worker.boot.id, report.agent,
          "remaining_ms=" + std::to_string(report.worker.remaining));
   }
+  ForgetSilentRuns(worker);
   worker.description = report.worker;
   worker.granted_until = now + options_.grant;
   for (const ended_run& ended : report.ends) {
@@ -95,6 +99,7 @@
   if (found == workers_.end() || found->second.description.boot != boot) {
     return;
   }
+  ForgetSilentRuns(found->second);
   RemoveAllRuns(found->second, "executor left for good", now);
   found->second.runs_known = false;
 }
@@ -103,7 +108,13 @@
                                   const executor_description& description,
                                   millis now) {
   if (!worker.description.boot.id.empty()) {
-    ReportCrash(worker);
+    if (!worker.description.draining) {
+      crashed_executor crashed{worker.description.boot, RunsToLose(worker)};
+      crashed.runs.insert(crashed.runs.end(), worker.silent_runs.begin(),
+                          worker.silent_runs.end());
+      OnExecutorCrashed(worker, crashed, now);
+    }
+    ForgetSilentRuns(worker);
     RemoveAllRuns(worker, "executor restarted", now);
   }
   Emit("worker_boot", description.boot.id, worker.agent,
@@ -167,6 +178,9 @@
           task->checkpoint = status.checkpoint;
         }
         RepeatLostStop(worker, status.task, run);
+        if (task->is_suspect && IsProven(worker, run)) {
+          ClearSuspect(status.task, *task);
+        }
         return;
       }
     }
@@ -404,6 +418,9 @@
   const auto drift = static_cast<millis>(static_cast<double>(options_.grant) *
                                          options_.clock_drift);
   for (auto& [agent, worker] : workers_) {
+    if (!worker.silent_runs.empty() && now > worker.silent_since + kMaxDoubt) {
+      ForgetSilentRuns(worker);
+    }
     if (worker.granted_until == 0 ||
         now <= worker.granted_until + drift + options_.grant_margin) {
       continue;
@@ -411,6 +428,7 @@
     Emit("worker_silent", worker.description.boot.id, agent,
          "silent_ms=" +
              std::to_string(now - worker.granted_until + options_.grant));
+    RememberSilentRuns(worker, now);
     RemoveAllRuns(worker, "agent grant expired without a report", now);
     worker.runs_known = false;
     worker.granted_until = 0;
