A trial without an outcome keeps its worker for six seconds at most

Cause: a worker stayed reserved while its trial's run was unproven. A start order that is lost with its agent's process is never proven, so that the worker got no other task for good.

Change: the reservation ends after 6 s, longer than a silent worker is waited for.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -199,10 +199,11 @@
   // for which the worker was reserved.
   millis reserved_until = 0;
   task_name reserved_for;
-  // The last trial that began here; the worker stays reserved until its run is
-  // proven.
+  // The trial that goes on here; the worker stays reserved until its run is
+  // proven or gone, but not beyond `trial_until`.
   task_name trial;
   std::uint64_t trial_run = 0;  // 0: none.
+  millis trial_until = 0;
   std::uint64_t last_order_number = 0;
   // Orders that the agent has not acknowledged, with their numbers.
   std::deque<std::pair<std::uint64_t, worker_order>> orders;
@@ -415,7 +416,7 @@
                   const task_name& key,
                   scheduled_task& task,
                   millis now);
-  bool IsReserved(const scheduled_worker& worker, millis now);
+  bool IsReserved(scheduled_worker& worker, millis now);
 
   // job_scheduler_workers.cpp, continued.
   // Returns whether the silence of a worker is its own. After a pause of this
@@ -575,6 +576,10 @@
   // covers kProvingTime, a list of runs and its way.
   static constexpr millis kReservationTime = 1'000;
 
+  // A trial whose outcome is not known by then no longer keeps its worker: its
+  // executor has been silent for longer than a grant.
+  static constexpr millis kMaxTrialTime = 6'000;
+
   // Starts ordered so long after the last list did not reach the executor
   // before its crash.
   static constexpr millis kMaxListGap = 1'000;
--- a/src/libkernel/job_scheduler_crash_test.cpp
+++ b/src/libkernel/job_scheduler_crash_test.cpp
@@ -33,7 +33,8 @@
   std::function<millis(const task_name&)> crash_delay =
       [](const task_name&) -> millis { return 0; };
   bool agents_remember = true;
-  millis down_time = 3'200;  // After a crash.
+  bool loses_orders = false;  // Between the agents and their executors.
+  millis down_time = 3'200;   // After a crash.
   std::map<task_name, int> starts;
   std::map<task_name, int> crashes;  // By their cause.
   std::vector<std::pair<millis, std::pair<std::string, task_name>>> due_crashes;
@@ -121,7 +122,8 @@
 
   void CarryOut(const std::string& name, const worker_order& order) {
     simulated_executor& executor = executors[name];
-    if (now < executor.down_until || order.boot.started_ms != executor.boot) {
+    if (loses_orders || now < executor.down_until ||
+        order.boot.started_ms != executor.boot) {
       return;
     }
     if (order.kind == order_kind::kStop &&
@@ -442,6 +444,21 @@
   BOOST_TEST(NameOf(*scheduler.StateOf("bad")) == "completed");
 }
 
+// The agent was replaced with the order: nothing is heard of the trial again.
+BOOST_FIXTURE_TEST_CASE(trial_without_an_outcome_does_not_keep_its_worker,
+                        crash_fixture) {
+  AddExecutors("a");
+  Submit(MakeJob("bad", 1));
+  PassFleetTime(100);
+  Crash("a");
+  loses_orders = true;
+  PassFleetTime(5'000);
+  loses_orders = false;
+  Submit(MakeJob("other", 1));
+  PassFleetTime(10'000);
+  BOOST_TEST(NameOf(*scheduler.StateOf("other")) == "completed");
+}
+
 // The capacity of a running executor may shrink: what it says last counts.
 BOOST_FIXTURE_TEST_CASE(worker_whose_capacity_has_shrunk_gets_no_start_over_it,
                         scheduler_fixture) {
--- a/src/libkernel/job_scheduler_crashes.cpp
+++ b/src/libkernel/job_scheduler_crashes.cpp
@@ -163,18 +163,19 @@
   }
 }
 
-bool job_scheduler::IsReserved(const scheduled_worker& worker, millis now) {
-  if (now < worker.reserved_until) {
-    return true;
-  }
-  const scheduled_task* task =
-      worker.trial_run == 0 ? nullptr : FindTask(worker.trial);
-  return task != nullptr && std::any_of(task->runs.begin(), task->runs.end(),
-                                        [&](const task_run& run) {
-                                          return run.agent == worker.agent &&
-                                                 run.run == worker.trial_run &&
-                                                 !IsProven(worker, run);
-                                        });
+bool job_scheduler::IsReserved(scheduled_worker& worker, millis now) {
+  if (worker.trial_run != 0) {
+    const scheduled_task* task = FindTask(worker.trial);
+    const bool goes_on = now < worker.trial_until && task != nullptr &&
+                         std::any_of(task->runs.begin(), task->runs.end(),
+                                     [&](const task_run& run) {
+                                       return run.agent == worker.agent &&
+                                              run.run == worker.trial_run &&
+                                              !IsProven(worker, run);
+                                     });
+    worker.trial_run = goes_on ? worker.trial_run : 0;
+  }
+  return worker.trial_run != 0 || now < worker.reserved_until;
 }
 
 bool job_scheduler::StartTrial(scheduled_job& job,
@@ -219,7 +220,7 @@
   std::vector<candidate> candidates =
       Candidates(job, key, start_kind::kTrial, now);
   std::erase_if(candidates, [&](candidate& entry) {
-    const scheduled_worker& worker = *entry.worker;
+    scheduled_worker& worker = *entry.worker;
     if (worker.crashed_at != 0 && now - worker.crashed_at < kCrashMemory) {
       entry.score -= kCrashPenalty;
     }
@@ -244,6 +245,7 @@
     return true;
   }
   worker.trial = key;
+  worker.trial_until = now + kMaxTrialTime;
   worker.trial_run = NextRunNumber(task);
   OrderStart(worker, job, key, task, worker.trial_run, now);
   return true;
