A start that was lost with its agent's process is ordered again

What users would see: a task that never runs (LOST), after an agent's process was killed in the few milliseconds between taking an order and calling its executor.

Cause: an order is done for the owner once it is acknowledged. The next process of the agent knows nothing of it, and no list shows a run that never began, so the run stayed ordered for good.

Change: reports carry the incarnation of the agent's process, as calls did already. With a new one the owner orders each start again whose outcome it does not know, under the same run number: an executor that has the run takes it as the same one.

--- a/src/chervilkeeld/job_wire.cpp
+++ b/src/chervilkeeld/job_wire.cpp
@@ -98,6 +98,7 @@
 worker_report FromWire(const wire::agent_sync& sync) {
   worker_report report;
   report.agent = sync.agent();
+  report.incarnation = sync.incarnation();
   const wire::worker_state& worker = sync.worker();
   report.worker.boot = FromWire(worker.boot());
   report.worker.service = worker.service();
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -168,6 +168,7 @@
 // A worker, its reserved resources and its tasks.
 struct scheduled_worker {
   std::string agent;
+  std::uint64_t incarnation = 0;  // Of the agent's process; 0: not known.
   executor_description description;
   // True when a report of the present boot has listed the worker's runs.
   bool runs_known = false;
@@ -480,6 +481,13 @@
                   scheduled_task& task,
                   std::uint64_t run,
                   millis now);
+  void SendStart(const scheduled_job& job,
+                 const task_name& key,
+                 const scheduled_task& task,
+                 const task_run& run);
+  // Orders the starts again whose outcome the agent's former process has not
+  // told. An executor that has the run already takes it as the same one.
+  void RepeatOpenStarts(const scheduled_worker& worker);
   void OrderStop(const task_name& key, task_run& run, const char* reason);
   // Orders a stop again if lists still show the run long after the order.
   void RepeatLostStop(const scheduled_worker& worker,
--- a/src/include/chervilkeel/worker_report.h
+++ b/src/include/chervilkeel/worker_report.h
@@ -120,6 +120,8 @@
 // A report of an agent. `runs` is complete if `has_runs` is set.
 struct worker_report {
   std::string agent;
+  // Of the agent's process; another one knows nothing of former orders.
+  std::uint64_t incarnation = 0;
   executor_description worker;
   bool has_runs = false;
   millis runs_age = 0;  // Since the executor listed them.
--- a/src/libkernel/job_scheduler_crash_test.cpp
+++ b/src/libkernel/job_scheduler_crash_test.cpp
@@ -459,6 +459,35 @@
   BOOST_TEST(NameOf(*scheduler.StateOf("other")) == "completed");
 }
 
+// An agent's process ended between taking an order and calling its executor:
+// the task never ran.
+BOOST_FIXTURE_TEST_CASE(start_that_was_lost_with_its_agent_is_ordered_again,
+                        scheduler_fixture) {
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  report.incarnation = 1;
+  scheduler.OnReport(report, now);
+  Commit();
+  scheduler.AddJob(MakeJob("j", 2), now);
+  Tick();
+  const auto orders = TakeOrders("a");
+  BOOST_REQUIRE_EQUAL(orders.size(), 2);
+  report.starts.push_back(
+      {orders[0].task, orders[0].run, start_outcome::kStarted});
+  scheduler.OnReport(report, now);
+  BOOST_TEST(TakeOrders("a").empty());
+  report.starts.clear();
+  report.incarnation = 2;
+  scheduler.OnReport(report, now);
+  const auto repeated = TakeOrders("a");
+  BOOST_REQUIRE_EQUAL(repeated.size(), 1);
+  BOOST_CHECK(repeated[0].kind == order_kind::kStart);
+  BOOST_TEST(repeated[0].task.ToString() == orders[1].task.ToString());
+  BOOST_TEST(repeated[0].run == orders[1].run);
+  scheduler.OnReport(report, now);
+  BOOST_TEST(TakeOrders("a").empty());
+}
+
 // The capacity of a running executor may shrink: what it says last counts.
 BOOST_FIXTURE_TEST_CASE(worker_whose_capacity_has_shrunk_gets_no_start_over_it,
                         scheduler_fixture) {
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -116,14 +116,7 @@
   }
   ++job.started_tasks;
   job.state = job_state::kRunning;
-  worker_order order;
-  order.kind = order_kind::kStart;
-  order.boot = worker.description.boot;
-  order.task = key;
-  order.run = number;
-  order.payload = job.record.spec.payload;
-  order.checkpoint = task.checkpoint;
-  AddOrder(worker.agent, std::move(order));
+  SendStart(job, key, task, run);
   Emit("start_ordered", key.ToString(), worker.agent,
        "run=" + std::to_string(number) +
            " waited_ms=" + std::to_string(now - task.ready_since) +
@@ -133,6 +126,36 @@
            " failures=" + std::to_string(task.failed_runs.size()));
 }
 
+void job_scheduler::SendStart(const scheduled_job& job,
+                              const task_name& key,
+                              const scheduled_task& task,
+                              const task_run& run) {
+  worker_order order;
+  order.kind = order_kind::kStart;
+  order.boot = run.boot;
+  order.task = key;
+  order.run = run.run;
+  order.payload = job.record.spec.payload;
+  order.checkpoint = task.checkpoint;
+  AddOrder(run.agent, std::move(order));
+}
+
+void job_scheduler::RepeatOpenStarts(const scheduled_worker& worker) {
+  for (const task_name& key : worker.tasks) {
+    const scheduled_task* task = FindTask(key);
+    if (task == nullptr) {
+      continue;
+    }
+    for (const task_run& run : task->runs) {
+      if (run.agent == worker.agent && run.phase == run_phase::kOrdered) {
+        SendStart(jobs_.at(key.job), key, *task, run);
+        Emit("start_repeated", key.ToString(), worker.agent,
+             "run=" + std::to_string(run.run));
+      }
+    }
+  }
+}
+
 void job_scheduler::OrderStop(const task_name& key,
                               task_run& run,
                               const char* reason) {
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -69,6 +69,12 @@
          "remaining_ms=" + std::to_string(report.worker.remaining));
   }
   ForgetSilentRuns(worker);
+  if (report.incarnation != worker.incarnation) {
+    if (worker.incarnation != 0) {
+      RepeatOpenStarts(worker);
+    }
+    worker.incarnation = report.incarnation;
+  }
   worker.description = report.worker;
   worker.granted_until = now + options_.grant;
   for (const ended_run& ended : report.ends) {
