--- a/src/chervilkeeld/job_entry_process_test.cpp
+++ b/src/chervilkeeld/job_entry_process_test.cpp
@@ -21,7 +21,7 @@
 using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 
-// Makes a store in memory that the test can reach.
+// Makes a store in memory that the test can reach. It elects no owner.
 class memory_adapter : public versioned_adapter {
  public:
   explicit memory_adapter(store_in_memory*& memory) : memory_(memory) {}
@@ -31,6 +31,7 @@
       const endpoint& /*peer*/) const override {
     auto store = std::make_unique<store_in_memory>(context);
     store->Put("config", "1 /paths/ paths");
+    store->refuses_leases = true;
     memory_ = store.get();
     return store;
   }
@@ -39,7 +40,8 @@
   store_in_memory*& memory_;
 };
 
-// An entry without peers: once it leaves, no entry owns the jobs.
+// An entry without peers that is never elected, as an owner without peers keeps
+// the jobs while it leaves: no entry owns the jobs.
 struct leaving_entry_fixture {
   asio::io_context context;
   asio::io_context client_context;
--- a/src/chervilkeeld/store_in_memory.h
+++ b/src/chervilkeeld/store_in_memory.h
@@ -13,8 +13,8 @@
 
 namespace chervilkeel {
 
-// A store in memory. It can refuse commits, and lose the answers of commits
-// that took effect.
+// A store in memory. It can refuse commits and leases, lose the answers of
+// commits that took effect, and fall silent.
 class store_in_memory : public coordination_store {
  public:
   explicit store_in_memory(boost::asio::io_context& context)
@@ -77,6 +77,9 @@
   void Commit(const store_transaction& transaction,
               millis /*timeout*/,
               store_callback<transaction_outcome> callback) override {
+    if (is_silent) {
+      return;
+    }
     if (refused_commits > 0) {
       --refused_commits;
       Post(std::move(callback), Fail(error_code::kUnavailable, "refused"));
@@ -115,6 +118,10 @@
   void GrantLease(millis duration,
                   millis /*timeout*/,
                   store_callback<store_lease> callback) override {
+    if (refuses_leases) {
+      Post(std::move(callback), Fail(error_code::kConflict, "no lease"));
+      return;
+    }
     Answer<store_lease>(std::move(callback), {++lease_, duration});
   }
 
@@ -127,6 +134,9 @@
   void EndLease(std::uint64_t lease,
                 millis /*timeout*/,
                 store_callback<bool> callback) override {
+    if (is_silent) {
+      return;
+    }
     std::erase_if(items,
                   [&](const auto& item) { return item.second.lease == lease; });
     Answer<bool>(std::move(callback), true);
@@ -145,13 +155,18 @@
   std::uint64_t oldest_revision = 0;  // Changes before it are forgotten.
   int refused_commits = 0;            // The next ones have no effect.
   std::size_t conflict_bytes = 0;     // Of the values that conflicts returned.
-  int lost_answers = 0;  // Of the next commits that have an effect.
+  int lost_answers = 0;         // Of the next commits that have an effect.
+  bool refuses_leases = false;  // So no entry is elected.
+  bool is_silent = false;       // Calls have no effect and no answer.
 
  private:
   static constexpr millis kShortestWait = 1;
 
   template <class value_type, class failure_type>
   void Post(store_callback<value_type> callback, failure_type failure) {
+    if (is_silent) {
+      return;
+    }
     boost::asio::post(context_, [callback = std::move(callback), failure] {
       callback(failure);
     });
@@ -159,6 +174,9 @@
 
   template <class value_type>
   void Answer(store_callback<value_type> callback, value_type value) {
+    if (is_silent) {
+      return;
+    }
     boost::asio::post(
         context_, [callback = std::move(callback), value = std::move(value)] {
           callback(value);
