An owner that leaves keeps the jobs until another entry can take them

At SIGTERM an owner resigned at once, also when all other entries were leaving. Now it serves agents and questions, renews its lease and commits until another entry can take the jobs: one that has answered the gossip in the last second, does not leave, has a configuration and has the store. It resigns at once when it knows such an entry, and in any case at its end: it commits what is outstanding once its requests are answered, or answer_ms after shutdown_ms; 0.1 s after that time it resigns without the commit, and 0.1 s more is left for the store's answer. So the end stays within shutdown_ms + answer_ms + 0.2 s. The process waits for the end of its lease, which it used to send long before.

fleet_reply tells whether an entry leaves. HandOverIfSlow uses the same condition for the faster entry. An entry that leaves and loses the jobs, or never had them, resigns from the election for good; a new configuration does not make it a candidate. A leaving owner stays in the list of entries that agents are told.

--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -20,12 +20,21 @@
 constexpr double kMuchFaster = 2.0;   // Worth a change of owner.
 constexpr millis kEntryGone = 3'000;  // An entry not heard is left out.
 constexpr millis kEntryForgotten = 4'000;  // One silent for so long is gone.
-constexpr millis kPeerStoreFresh = 1'000;  // What a peer said of the store.
+constexpr millis kPeerFresh = 1'000;       // What a peer said of itself.
 constexpr millis kProbeTimeout = 400;
 constexpr millis kDrainCheckInterval = 10;
 constexpr millis kLastWriteTime = 200;  // To send the last answers.
+// Part of it: an owner that can't commit by then resigns all the same, so that
+// the store hears of it before the process ends.
+constexpr millis kLastCommitTime = 100;
 constexpr std::uint64_t kFrontBodyLimit = 4U << 20U;
 
+// Whether an entry can be elected, by what it has said of itself.
+bool CanOwn(const known_entry& entry) {
+  return entry.answered > 0 && BootNow() - entry.answered < kPeerFresh &&
+         !entry.leaving && entry.config_version > 0 && entry.store_silent == 0;
+}
+
 }  // namespace
 
 // Takes calls on gRPC's threads and hands them to the io_context's thread.
@@ -95,7 +104,12 @@
         handing_over_ = false;
         owner_->Begin(won);
       },
-      [this](const std::string&) { owner_->End(); });
+      [this](const std::string&) {
+        owner_->End();
+        if (leaving_) {
+          election_->Resign();  // It must not be elected again.
+        }
+      });
   front_ = std::make_unique<job_front>(
       context_, store_, metrics_, *adapter_, config_,
       [this](const wire::job_question& question, millis timeout,
@@ -172,11 +186,17 @@
   leaving_ = true;
   leaving_since_ = BootNow();
   front_server_->Drain();
-  // Callers go on using open connections; the jobs move to another owner now.
-  owner_->Finish([this] {
-    owner_->End();
+  // Callers go on using open connections. Without an owner their questions have
+  // no answer and runs lapse, so the jobs stay here until another entry can
+  // take them: all entries may be leaving.
+  if (election_->IsOwner()) {
+    ResignIfReplaceable();
+    if (!is_giving_up_) {
+      LogEvent(kPart, "keeps_jobs", {{"epoch", election_->View().epoch}}, true);
+    }
+  } else {
     election_->Resign();
-  });
+  }
   ended_ = std::move(done);
   RunAfter(static_cast<millis>(settings_.shutdown_time),
            &job_entry_process::CloseFront);
@@ -201,19 +221,62 @@
 
 void job_entry_process::EndWhenAnswered() {
   const millis now = BootNow();
-  if (now >= answer_by_ && end_by_ == 0) {
+  if (now >= answer_by_ && last_answers_at_ == 0) {
     front_->AnswerAll();
-    end_by_ = now + kLastWriteTime;
+    last_answers_at_ = now;
+  }
+  const bool gives_up = last_answers_at_ != 0;
+  const bool is_answered = front_server_->InFlight() == 0;
+  if (is_answered || gives_up) {
+    GiveUpJobs("the process ends");
   }
-  if (front_server_->InFlight() != 0 && (end_by_ == 0 || now < end_by_)) {
+  if (gives_up && now >= last_answers_at_ + kLastCommitTime) {
+    Resign();
+  }
+  const bool has_ended =
+      is_answered && !election_->IsOwner() && !election_->IsEndingLease();
+  if (!has_ended && (!gives_up || now < last_answers_at_ + kLastWriteTime)) {
     RunAfter(kDrainCheckInterval, &job_entry_process::EndWhenAnswered);
     return;
   }
-  election_->Resign();
   ReportDrained();
   ended_();
 }
 
+std::string job_entry_process::Successor() const {
+  for (const auto& [address, entry] : entries_) {
+    if (CanOwn(entry)) {
+      return address;
+    }
+  }
+  return "";
+}
+
+void job_entry_process::ResignIfReplaceable() {
+  if (!leaving_ || !election_->IsOwner()) {
+    return;
+  }
+  const std::string successor = Successor();
+  if (!successor.empty()) {
+    GiveUpJobs("entry " + successor + " can take them");
+  }
+}
+
+void job_entry_process::GiveUpJobs(const std::string& cause) {
+  if (is_giving_up_ || !election_->IsOwner()) {
+    return;
+  }
+  is_giving_up_ = true;
+  LogEvent(kPart, "gives_up_jobs",
+           {{"epoch", election_->View().epoch}, {"cause", cause}}, true);
+  owner_->Finish([this] { Resign(); });
+}
+
+void job_entry_process::Resign() {
+  owner_->End();
+  election_->Resign();
+}
+
 // Requests that the server holds and the front does not know were not read
 // whole.
 void job_entry_process::ReportDrained() {
@@ -235,7 +298,7 @@
     scheduling.queues[route.queue.name] = route.queue;
   }
   owner_->SetConfig(scheduling);
-  election_->SetReady(true);
+  election_->SetReady(!leaving_);
 }
 
 // Exchanges with the other entries who owns the jobs, which configuration is in
@@ -273,8 +336,7 @@
     return;
   }
   for (const auto& [address, entry] : entries_) {
-    if (entry.heard > 0 && BootNow() - entry.heard < kPeerStoreFresh &&
-        entry.store_silent == 0 &&
+    if (CanOwn(entry) &&
         entry.processors >= kMuchFaster * settings_.processors) {
       handing_over_ = true;
       owner_->Finish([this, faster = address] {
@@ -305,9 +367,12 @@
   }
   known_entry& entry = entries_[address];
   entry.heard = BootNow();
+  entry.answered = entry.heard;
   entry.store_silent = reply.value().store_silent_ms();
   entry.epoch = reply.value().epoch();
   entry.processors = reply.value().processors();
+  entry.config_version = reply.value().config_version();
+  entry.leaving = reply.value().leaving();
   election_->Learn(
       {reply.value().owner_address(), reply.value().epoch(), BootNow()});
   for (const std::string& other : reply.value().entries()) {
@@ -319,6 +384,7 @@
     config_.OfferFromPeer(reply.value().config());
   }
   owner_->SetEntries(LiveEntries());
+  ResignIfReplaceable();
 }
 
 void job_entry_process::AnswerFleet(
@@ -333,6 +399,7 @@
   }
   call.reply->set_is_owner(owner_->IsActive());
   call.reply->set_processors(settings_.processors);
+  call.reply->set_leaving(leaving_);
   const std::uint64_t version = config_.Version();
   call.reply->set_config_version(version);
   if (version > call.request->config_version()) {
@@ -365,7 +432,7 @@
 
 std::vector<std::string> job_entry_process::LiveEntries() const {
   std::vector<std::string> live;
-  if (!leaving_) {
+  if (!leaving_ || election_->IsOwner()) {
     live.push_back(Address());
   }
   for (const auto& [address, entry] : entries_) {
@@ -391,7 +458,7 @@
     if (entry.heard == 0 || silent > kEntryForgotten) {
       continue;
     }
-    const bool lost_store = silent < kPeerStoreFresh && entry.store_silent > 0;
+    const bool lost_store = silent < kPeerFresh && entry.store_silent > 0;
     if (!lost_store) {
       return false;
     }
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -23,9 +23,12 @@
 // What is known of another entry.
 struct known_entry {
   millis heard = 0;
+  millis answered = 0;      // When it last told what follows.
   millis store_silent = 0;  // 0: its store answers.
   std::uint64_t epoch = 0;
-  double processors = 0;  // What it may use, of a core.
+  double processors = 0;             // What it may use, of a core.
+  std::uint64_t config_version = 0;  // 0: it has none.
+  bool leaving = false;
 };
 
 class job_entry_process {
@@ -40,7 +43,8 @@
   result<void> Start();
 
   // Leaves gracefully: serves for the shutdown time, then answers what it has
-  // taken. `done` is called when the process may end.
+  // taken. An owner keeps the jobs until another entry can take them. `done` is
+  // called when the process may end.
   void Stop(std::function<void()> done);
 
   // Answers operators: /metrics, /dump, /healthz.
@@ -54,6 +58,13 @@
   // Takes no more requests, and lets those that it has come to their answers.
   void CloseFront();
   void EndWhenAnswered();
+  // Returns the address of an entry that can take the jobs; empty if none is
+  // known.
+  std::string Successor() const;
+  void ResignIfReplaceable();
+  // Commits what is outstanding, then resigns.
+  void GiveUpJobs(const std::string& cause);
+  void Resign();
   void ReportDrained();
   void OnConfig(const std::shared_ptr<const deployed_config>& config);
   void ProbeStore();
@@ -91,9 +102,10 @@
   boost::asio::steady_timer stop_timer_;
   std::map<std::string, known_entry> entries_;  // By address.
   bool leaving_ = false;
+  bool is_giving_up_ = false;
   millis leaving_since_ = 0;
   millis answer_by_ = 0;  // Then requests are answered as far as they are.
-  millis end_by_ = 0;     // 0: the last answers have not been given.
+  millis last_answers_at_ = 0;  // 0: they have not been given.
   std::function<void()> ended_;
   bool probing_ = false;
   bool was_ready_ = false;
--- a/src/chervilkeeld/owner_election.cpp
+++ b/src/chervilkeeld/owner_election.cpp
@@ -302,11 +302,15 @@
 }
 
 void owner_election::EndLease() {
-  store_.Client().EndLease(lease_, kCallTimeout, [](const result<bool>& ended) {
-    if (!ended) {
-      LogEvent(kPart, "resign_failed", {{"error", ToString(ended.error())}});
-    }
-  });
+  is_ending_lease_ = true;
+  store_.Client().EndLease(lease_, kCallTimeout,
+                           [this](const result<bool>& ended) {
+                             is_ending_lease_ = false;
+                             if (!ended) {
+                               LogEvent(kPart, "resign_failed",
+                                        {{"error", ToString(ended.error())}});
+                             }
+                           });
 }
 
 void owner_election::Resign() {
--- a/src/chervilkeeld/owner_election.h
+++ b/src/chervilkeeld/owner_election.h
@@ -60,6 +60,9 @@
 
   bool IsOwner() const { return is_owner_; }
 
+  // True until the store has answered the end of the lease.
+  bool IsEndingLease() const { return is_ending_lease_; }
+
   // True while no other entry can have been elected: the lease is still valid
   // by this VM's clock.
   bool IsLeaseValid() const {
@@ -114,6 +117,7 @@
   bool is_owner_ = false;
   bool ready_ = false;
   bool resigned_ = false;
+  bool is_ending_lease_ = false;
 };
 
 }  // namespace chervilkeel
