An owner that is overtaken while it recovers does not die of it

What users could see: an entry that ends by itself in its recovery, and again if that repeats.

Cause: jobs stored under a later epoch are left to their owner, but the recovery went on with such a job as if it had been added.

Evidence: job_of_a_later_epoch_does_not_stop_the_recovery threw out_of_range in two runs before this change.

--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -38,7 +38,11 @@
   }
   for (const job_record& record : records) {
     AddJob(record, now);
-    scheduled_job& job = jobs_.at(record.id);
+    const auto added = jobs_.find(record.id);
+    if (added == jobs_.end()) {
+      continue;  // Stored under a later epoch.
+    }
+    scheduled_job& job = added->second;
     const auto found = by_id.find(record.id);
     if (found != by_id.end()) {
       RestoreProgress(job, *found->second);
--- a/src/libkernel/job_scheduler_test.cpp
+++ b/src/libkernel/job_scheduler_test.cpp
@@ -707,6 +707,14 @@
   BOOST_TEST(pace == 100);
 }
 
+// A scheduler that was elected before another one reads what was stored under
+// the later epoch.
+BOOST_AUTO_TEST_CASE(job_of_a_later_epoch_does_not_stop_the_recovery) {
+  job_record record = MakeJob("later", 1);
+  record.epoch = options.epoch + 1;
+  BOOST_CHECK_NO_THROW(scheduler.Restore({record}, {}, {}, {}, now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
