Judge each lost run by itself, and try the suspects of one crash together

- A crash that an agent tells again, or to a new owner, counted once more for a task that had been cleared since: a job failed while its task worked.
The highest run that cleared a task is stored, and crashes of runs up to it are settled.
(crash_that_is_told_again_after_clearing_is_not_counted, task_that_works_is_not_given_up_for_old_crashes_by_a_new_owner)
- What one transaction of a commit had stored of a crash hid the rest from the next owner; now each run counts by itself.
(crash_that_was_stored_in_part_is_counted_for_the_rest)
- A refusal by the next boot proved the runs of the former one, and a refused start counted as a run that was lost.
(refusal_by_the_next_boot_proves_no_run_of_the_former_one, refused_start_is_not_among_the_runs_of_a_crash)
- After one crash of a worker with 24 young tasks the last of them started 7.2 s after its return, and 17.7 s after a power loss of six workers with 120: trials went one at a time.
Up to four suspects of one crash are tried together if many wait, and a trial keeps its worker only until its runs are proven.
Tasks that have crashed again are tried alone.
(tasks_of_one_worker_start_soon_after_its_crash, all_tasks_start_soon_after_a_power_loss)

Tests that find each part of the fix taken out: crash_is_stored_for_the_next_owner, worker_of_a_trial_gets_no_other_start, start_at_a_dead_executor_is_not_among_its_lost_runs.

--- a/src/chervilkeeld/executor_history.cpp
+++ b/src/chervilkeeld/executor_history.cpp
@@ -17,7 +17,8 @@
   }
 }
 
-void executor_history::OnStartUnsent(const task_name& task, std::uint64_t run) {
+void executor_history::OnStartWithoutEffect(const task_name& task,
+                                            std::uint64_t run) {
   const auto found = runs_.find({task, run});
   if (found != runs_.end() && --found->second.open_tries == 0 &&
       !found->second.is_there) {
--- a/src/chervilkeeld/executor_history.h
+++ b/src/chervilkeeld/executor_history.h
@@ -19,8 +19,8 @@
   void OnStartSent(const task_name& task, std::uint64_t run, millis now);
   // Records that the executor has answered it: the run is there.
   void OnStarted(const task_name& task, std::uint64_t run);
-  // Records that a start did not reach the executor.
-  void OnStartUnsent(const task_name& task, std::uint64_t run);
+  // Records that a try to start had no effect: it was refused or not sent.
+  void OnStartWithoutEffect(const task_name& task, std::uint64_t run);
 
   // Records that the executor has answered any call.
   void OnAnswer(millis now) { answered_at_ = now; }
--- a/src/chervilkeeld/executor_history_test.cpp
+++ b/src/chervilkeeld/executor_history_test.cpp
@@ -68,9 +68,9 @@
 // Orders go on to an executor that is down already: none of them is a cause.
 BOOST_AUTO_TEST_CASE(start_that_did_not_reach_the_executor_is_not_lost) {
   history.OnStartSent(Task(0), 1, 1'000);
-  history.OnStartUnsent(Task(0), 1);
+  history.OnStartWithoutEffect(Task(0), 1);
   history.OnStartSent(Task(0), 1, 1'100);
-  history.OnStartUnsent(Task(0), 1);
+  history.OnStartWithoutEffect(Task(0), 1);
   history.OnCrash(boot, 1'200);
   BOOST_TEST(LostRuns(1'200).empty());
 }
@@ -78,7 +78,7 @@
 BOOST_AUTO_TEST_CASE(start_of_which_one_try_may_have_arrived_is_lost) {
   history.OnStartSent(Task(0), 1, 1'000);
   history.OnStartSent(Task(0), 1, 1'100);
-  history.OnStartUnsent(Task(0), 1);
+  history.OnStartWithoutEffect(Task(0), 1);
   history.OnCrash(boot, 1'200);
   BOOST_TEST((LostRuns(1'200) == names{"0"}));
 }
--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -94,13 +94,28 @@
       });
 }
 
-void job_agent_process::OnStartAnswer(const run_name& name,
-                                      const result<executor_answer>& answer) {
-  if (answer) {
+// Another boot says nothing about the runs of the one that was called.
+void job_agent_process::NoteStartAnswer(const run_name& name,
+                                        const result<executor_answer>& answer) {
+  if (!answer) {
+    if (answer.error().code == error_code::kUnavailable) {
+      history_.OnStartWithoutEffect(name.first, name.second);
+    }
+    return;
+  }
+  const executor_verdict verdict = answer.value().verdict;
+  if (verdict != executor_verdict::kOtherBoot) {
     history_.OnAnswer(BootNow());
-  } else if (answer.error().code == error_code::kUnavailable) {
-    history_.OnStartUnsent(name.first, name.second);
   }
+  if (verdict != executor_verdict::kAccepted &&
+      verdict != executor_verdict::kOutdated) {
+    history_.OnStartWithoutEffect(name.first, name.second);
+  }
+}
+
+void job_agent_process::OnStartAnswer(const run_name& name,
+                                      const result<executor_answer>& answer) {
+  NoteStartAnswer(name, answer);
   const auto open = open_starts_.find(name);
   if (open == open_starts_.end()) {
     return;
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -89,6 +89,8 @@
   void SendStart(const run_name& name);
   void SendStop(const run_name& name);
   void SendPace(const worker_order& order);
+  void NoteStartAnswer(const run_name& name,
+                       const result<executor_answer>& answer);
   void OnStartAnswer(const run_name& name,
                      const result<executor_answer>& answer);
   void SettleOrders(const executor_run_list& listing, millis asked);
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -27,6 +27,10 @@
   std::vector<ended_run> ends;  // Listed until they are recorded.
   std::uint64_t highest_recorded = 0;  // That a call has named.
   int lists = 0;                       // Made by the present boot.
+  // How starts are answered, by task index; the others are not.
+  std::map<std::uint32_t, executor_verdict> start_verdicts;
+  bool refuses_connections = false;  // Starts do not reach the executor.
+  int unsent_starts = 0;
 };
 
 // An executor that carries out starts without answering them.
@@ -39,9 +43,27 @@
              const worker_order& order,
              millis /*lease_end*/,
              executor_callback<executor_answer> callback) override {
-    run_.task = order.task;
-    run_.run = order.run;
-    callback(Fail(error_code::kUnknown, "no answer"));
+    if (script_.refuses_connections) {
+      ++script_.unsent_starts;
+      callback(Fail(error_code::kUnavailable, "connection refused"));
+      return;
+    }
+    const auto verdict = script_.start_verdicts.find(order.task.index);
+    if (verdict == script_.start_verdicts.end()) {
+      run_.task = order.task;
+      run_.run = order.run;
+      callback(Fail(error_code::kUnknown, "no answer"));
+      return;
+    }
+    if (verdict->second == executor_verdict::kAccepted) {
+      run_.task = order.task;
+      run_.run = order.run;
+    }
+    executor_answer answer;
+    answer.verdict = verdict->second;
+    boost::asio::post(context_, [callback = std::move(callback), answer] {
+      callback(answer);
+    });
   }
   void Stop(const order_context& /*context*/,
             const task_name& /*task*/,
@@ -155,6 +177,13 @@
       order.run = 7;
       *reply->add_orders() = ToWire(1, order);
     }
+    if (starts_second_task && request->acked_order() <= 1) {
+      worker_order order;
+      order.boot = {"executor", 5};
+      order.task = {"job", 0, 0, 1};
+      order.run = 8;
+      *reply->add_orders() = ToWire(2, order);
+    }
     boost::asio::post(context_, [this, sync = *request] { heard_(sync); });
     auto* reactor = context->DefaultReactor();
     if (holds_one_reply && request->obeys() && request->wait()) {
@@ -178,6 +207,7 @@
   std::atomic<grpc::ServerUnaryReactor*> held_reactor = nullptr;
 
   std::atomic<bool> starts_task = false;
+  std::atomic<bool> starts_second_task = false;
   std::atomic<std::uint64_t> epoch = 1;
 
  private:
@@ -340,6 +370,77 @@
   BOOST_TEST(crashes.size() == 2);
 }
 
+// The next boot refuses a call to the former one before it is announced. That
+// answer says nothing about the runs of the former boot.
+BOOST_AUTO_TEST_CASE(refusal_by_the_next_boot_proves_no_run_of_the_former_one) {
+  script.listings = 1'000'000;
+  script.start_verdicts[0] = executor_verdict::kAccepted;
+  script.start_verdicts[1] = executor_verdict::kOtherBoot;
+  owner->starts_task = true;
+  // No list comes after the start.
+  Announce();
+  RunUntil([this] {
+    script.listings = outcome ? 0 : 1;
+    return outcome.has_value();
+  });
+  const millis started = BootNow();
+  RunUntil([&] { return BootNow() > started + 2 * kProvingTime; });
+  outcome.reset();
+  owner->starts_second_task = true;
+  const millis ordered = BootNow();
+  RunUntil([&] { return BootNow() > ordered + kProvingTime; });
+  script.lists_start = false;
+  script.listings = 1'000'000;
+  script.started_ms = 6;
+  AnnounceBoot();
+  RunUntil([this] { return crashes.count(1) != 0; });
+  BOOST_REQUIRE_EQUAL(crashes.count(1), 1);
+  for (const lost_run& run : crashes.at(1)[0].runs) {
+    BOOST_TEST_MESSAGE("run " << run.run << " proven " << run.proven);
+    if (run.run == 7) {
+      BOOST_TEST(!run.proven);
+    }
+  }
+}
+
+// A start at an executor that is down already can't have crashed it.
+BOOST_AUTO_TEST_CASE(start_at_a_dead_executor_is_not_among_its_lost_runs) {
+  script.listings = 1'000'000;
+  script.refuses_connections = true;
+  owner->starts_task = true;
+  Announce();
+  RunUntil([this] {
+    script.listings = script.unsent_starts > 0 ? 0 : 1;
+    return script.unsent_starts > 0;
+  });
+  script.lists_start = false;
+  script.listings = 1'000'000;
+  script.started_ms = 6;
+  AnnounceBoot();
+  RunUntil([this] { return crashes.count(1) != 0; });
+  BOOST_REQUIRE_EQUAL(crashes.count(1), 1);
+  BOOST_TEST(crashes.at(1)[0].runs.empty());
+}
+
+// A start that the executor has refused is none: its task can't be the cause.
+BOOST_AUTO_TEST_CASE(refused_start_is_not_among_the_runs_of_a_crash) {
+  script.listings = 1'000'000;
+  script.start_verdicts[0] = executor_verdict::kNoCapacity;
+  owner->starts_task = true;
+  Announce();
+  RunUntil([this] {
+    script.listings = outcome ? 0 : 1;
+    return outcome.has_value();
+  });
+  script.lists_start = false;
+  script.listings = 1'000'000;
+  script.started_ms = 6;
+  AnnounceBoot();
+  RunUntil([this] { return crashes.count(1) != 0; });
+  BOOST_REQUIRE_EQUAL(crashes.count(1), 1);
+  BOOST_TEST(crashes.at(1)[0].runs.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/include/chervilkeel/job.h
+++ b/src/include/chervilkeel/job.h
@@ -103,6 +103,8 @@
   // after their start, and later.
   std::map<std::uint32_t, std::set<std::uint64_t>> crashed_runs;
   std::map<std::uint32_t, std::set<std::uint64_t>> late_crashed_runs;
+  // The highest run of a task that has cleared it of such crashes.
+  std::map<std::uint32_t, std::uint64_t> proven_runs;
   std::map<std::uint32_t, std::string> checkpoints;  // By task.
 };
 
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -109,6 +109,9 @@
   std::set<std::uint64_t> crashed_runs;
   // Proven runs that may have crashed their executors.
   std::set<std::uint64_t> late_crashed_runs;
+  // The highest run that has cleared the task; crashes of runs up to it are
+  // settled.
+  std::uint64_t proven_run = 0;
   // Unproven runs on workers that fell silent: whether their executors have
   // crashed is not known yet.
   std::set<std::uint64_t> doubtful_runs;
@@ -200,10 +203,10 @@
   // for which the worker was reserved.
   millis reserved_until = 0;
   task_name reserved_for;
-  // The trial that goes on here; the worker stays reserved until its run is
-  // proven or gone, but not beyond `trial_until`.
-  task_name trial;
-  std::uint64_t trial_run = 0;  // 0: none.
+  // When the last trial began here, and with how many tasks. The worker stays
+  // reserved until all runs are proven or gone, but not beyond `trial_until`.
+  millis trial_began = 0;
+  std::size_t trial_size = 0;
   millis trial_until = 0;
   std::uint64_t last_order_number = 0;
   // Orders that the agent has not acknowledged, with their numbers.
@@ -397,8 +400,8 @@
   void OnExecutorCrashed(scheduled_worker& worker,
                          const crashed_executor& crashed,
                          millis now);
-  // Whether a former scheduler has found the causes of that crash.
-  bool IsRecorded(const crashed_executor& crashed);
+  // Whether a crash of that run has been counted, or is settled.
+  static bool IsSettled(const scheduled_task& task, const lost_run& lost);
   // Remembers the runs of a worker that has fallen silent: whether its executor
   // has crashed will only be known when it reports again.
   void RememberSilentRuns(scheduled_worker& worker, millis now);
@@ -406,7 +409,9 @@
   void ForgetSilentRuns(scheduled_worker& worker);
   // Drops what the task is suspected of once a run of it is proven: a task that
   // crashes its executors does so each time.
-  void ClearSuspect(const task_name& key, scheduled_task& task);
+  void ClearSuspect(const task_name& key,
+                    scheduled_task& task,
+                    std::uint64_t proven_run);
   void BlameRun(const lost_run& lost,
                 const std::string& agent,
                 bool is_only_suspect);
@@ -418,6 +423,11 @@
                   scheduled_task& task,
                   millis now);
   bool IsReserved(scheduled_worker& worker, millis now);
+  // Whether a trial of that task may begin on a worker now.
+  bool IsFreeForTrial(const scheduled_worker& worker,
+                      const scheduled_task& task,
+                      std::size_t trial_size,
+                      millis now);
 
   // job_scheduler_workers.cpp, continued.
   // Returns whether the silence of a worker is its own. After a pause of this
@@ -596,6 +606,12 @@
   // least.
   static constexpr std::size_t kWorkersPerReservation = 3;
 
+  // Suspects of one crash are tried together if many wait; those that have
+  // crashed again are always tried alone.
+  static constexpr std::size_t kMaxTrialSize = 4;
+  // So many trials one after the other are few on a worker.
+  static constexpr std::size_t kFewTrials = 2;
+
   // A worker whose executor has crashed in the last kCrashMemory ms is the last
   // choice for a trial: the executor itself may be the cause.
   static constexpr millis kCrashMemory = 10'000;
@@ -658,8 +674,10 @@
     double jobs = 0;
   };
   std::map<std::string, work_mean> mean_work_;  // By queue.
-  // Services that have no worker for a trial; valid within one PlaceWaiting().
+  // Services that have no worker for a trial, and how many suspect tasks wait
+  // for one; valid within one PlaceWaiting().
   std::set<std::string> services_without_trials_;
+  std::map<std::string, std::size_t> waiting_suspects_;
   std::set<std::string> repeating_jobs_;  // Jobs with occurrences to come.
   pressure_model pressure_model_;
   std::int64_t wall_ms_ = 0;
--- a/src/libkernel/job.cpp
+++ b/src/libkernel/job.cpp
@@ -133,6 +133,13 @@
   if (!step.late_crashed_runs.empty()) {
     out["late_crashed_runs"] = EncodeRuns(step.late_crashed_runs);
   }
+  if (!step.proven_runs.empty()) {
+    json::array rows;
+    for (const auto& [task, run] : step.proven_runs) {
+      rows.push_back(json::array{task, run});
+    }
+    out["proven_runs"] = std::move(rows);
+  }
   if (!step.checkpoints.empty()) {
     out["checkpoints"] = EncodeCheckpoints(step);
   }
@@ -163,6 +170,12 @@
   step.failed_runs = DecodeRuns(object, "failed_runs");
   step.crashed_runs = DecodeRuns(object, "crashed_runs");
   step.late_crashed_runs = DecodeRuns(object, "late_crashed_runs");
+  if (const json::value* pairs = object.if_contains("proven_runs")) {
+    for (const json::value& pair : pairs->as_array()) {
+      step.proven_runs[pair.at(0).to_number<std::uint32_t>()] =
+          pair.at(1).to_number<std::uint64_t>();
+    }
+  }
   if (const json::value* pairs = object.if_contains("checkpoints")) {
     for (const json::value& pair : pairs->as_array()) {
       step.checkpoints[pair.at(0).to_number<std::uint32_t>()] =
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -95,6 +95,11 @@
         ++job.started_tasks;
       }
     }
+    for (const auto& [index, run] : saved.proven_runs) {
+      if (index < step.tasks.size()) {
+        step.tasks[index].proven_run = run;
+      }
+    }
     for (const auto& [index, runs] : saved.late_crashed_runs) {
       if (index < step.tasks.size()) {
         step.tasks[index].late_crashed_runs = runs;
@@ -362,13 +367,16 @@
         if (!task.late_crashed_runs.empty() && !task.done) {
           saved.late_crashed_runs[i] = task.late_crashed_runs;
         }
+        if (task.proven_run != 0 && !task.done) {
+          saved.proven_runs[i] = task.proven_run;
+        }
         if (!task.checkpoint.empty()) {
           saved.checkpoints[i] = task.checkpoint;
         }
       }
       if (step.done > 0 || !saved.failed_runs.empty() ||
           !saved.crashed_runs.empty() || !saved.late_crashed_runs.empty() ||
-          !saved.checkpoints.empty()) {
+          !saved.proven_runs.empty() || !saved.checkpoints.empty()) {
         progress.steps.push_back(std::move(saved));
       }
     }
--- a/src/libkernel/job_scheduler_crash_test.cpp
+++ b/src/libkernel/job_scheduler_crash_test.cpp
@@ -1,203 +1,12 @@
 // Executors that crash, and tasks that make them.
-#include "job_scheduler_fixture.h"
+#include "crash_fixture.h"
 
 #include <algorithm>
-#include <functional>
-#include <set>
 
 #include <boost/test/unit_test.hpp>
 
 namespace chervilkeel {
 
-namespace {
-
-// An executor with its agent. It is down for a while after a crash.
-struct simulated_executor {
-  std::int64_t boot = 1;
-  millis down_until = 0;
-  std::map<std::pair<task_name, std::uint64_t>, millis>
-      runs;  // To their start.
-  std::uint64_t last_end = 0;
-  std::vector<ended_run> ends;
-  std::vector<crashed_executor> crashes;  // What its agent tells each owner.
-};
-
-// A fleet whose executors crash under some tasks, and a store that keeps what
-// the scheduler commits.
-struct crash_fixture : scheduler_fixture {
-  std::map<std::string, simulated_executor> executors;
-  std::map<std::string, job_record> records;
-  std::map<std::string, job_progress> progress;
-  std::set<std::string> members;
-  // Time from a task's start to the crash that it causes; 0: it causes none.
-  std::function<millis(const task_name&)> crash_delay =
-      [](const task_name&) -> millis { return 0; };
-  bool agents_remember = true;
-  bool loses_orders = false;  // Between the agents and their executors.
-  millis down_time = 3'200;   // After a crash.
-  std::map<task_name, int> starts;
-  std::map<task_name, int> crashes;  // By their cause.
-  std::vector<std::pair<millis, std::pair<std::string, task_name>>> due_crashes;
-
-  void AddExecutors(const std::string& names) {
-    for (const char name : names) {
-      executors[std::string(1, name)];
-    }
-    PassFleetTime(200);
-  }
-
-  void Submit(job_record record) {
-    record.epoch = options.epoch;
-    records[record.id] = record;
-    scheduler.AddJob(record, now);
-  }
-
-  void Store() {
-    while (const auto changes = scheduler.TakeChanges(kWallMs + now)) {
-      for (const job_progress& saved : changes->progress) {
-        progress[saved.id] =
-            DecodeJobProgress(EncodeJobProgress(saved)).value();
-      }
-      members = changes->members.value_or(members);
-      scheduler.Committed(changes->number);
-    }
-  }
-
-  void Crash(const std::string& name) {
-    simulated_executor& executor = executors[name];
-    crashed_executor crashed{{"executor-" + name, executor.boot}, {}};
-    for (const auto& [run, started] : executor.runs) {
-      crashed.runs.push_back(
-          {run.first, run.second, now - started > kProvingTime});
-    }
-    if (agents_remember) {
-      executor.crashes.push_back(crashed);
-    }
-    executor = {executor.boot + 1, now + down_time, {}, 0, {},
-                executor.crashes};
-  }
-
-  // Another scheduler takes over with what is stored.
-  void TakeOver() {
-    ++options.epoch;
-    std::vector<job_record> all_records;
-    for (const auto& [id, record] : records) {
-      all_records.push_back(record);
-    }
-    std::vector<job_progress> all_progress;
-    for (const auto& [id, saved] : progress) {
-      all_progress.push_back(saved);
-    }
-    scheduler = job_scheduler(options, now);
-    SetConfig();
-    scheduler.Restore(all_records, all_progress, {}, members, now);
-    acked.clear();
-  }
-
-  bool IsService(const task_name& task) const {
-    return records.at(task.job).spec.steps[task.step].service;
-  }
-
-  void Report(const std::string& name, simulated_executor& executor) {
-    worker_report report = MakeReport(name);
-    report.worker.boot.started_ms = executor.boot;
-    report.has_runs = true;
-    for (auto run = executor.runs.begin(); run != executor.runs.end();) {
-      if (!IsService(run->first.first) && run->second + kTaskTime <= now) {
-        executor.ends.push_back({++executor.last_end, run->first.first,
-                                 run->first.second, run_end::kDone, ""});
-        run = executor.runs.erase(run);
-        continue;
-      }
-      run_status status;
-      status.task = run->first.first;
-      status.run = run->first.second;
-      report.runs.push_back(status);
-      ++run;
-    }
-    report.ends = executor.ends;
-    report.crashes = executor.crashes;
-    scheduler.OnReport(report, now);
-  }
-
-  void CarryOut(const std::string& name, const worker_order& order) {
-    simulated_executor& executor = executors[name];
-    if (loses_orders || now < executor.down_until ||
-        order.boot.started_ms != executor.boot) {
-      return;
-    }
-    if (order.kind == order_kind::kStop &&
-        executor.runs.erase({order.task, order.run}) != 0) {
-      executor.ends.push_back(
-          {++executor.last_end, order.task, order.run, run_end::kStopped, ""});
-    }
-    if (order.kind != order_kind::kStart) {
-      return;
-    }
-    ++starts[order.task];
-    executor.runs[{order.task, order.run}] = now;
-    if (const millis delay = crash_delay(order.task); delay > 0) {
-      due_crashes.push_back({now + delay, {name, order.task}});
-    }
-  }
-
-  void CrashWhatIsDue() {
-    for (const auto& [when, where] : std::exchange(due_crashes, {})) {
-      const auto& [name, task] = where;
-      const bool runs_there = std::any_of(
-          executors[name].runs.begin(), executors[name].runs.end(),
-          [&task = task](const auto& run) { return run.first.first == task; });
-      if (when > now) {
-        due_crashes.push_back({when, where});
-      } else if (runs_there) {
-        ++crashes[task];
-        Crash(name);
-      }
-    }
-  }
-
-  void PassFleetTime(millis duration) {
-    for (const millis until = now + duration; now < until;) {
-      now += kStep;
-      CrashWhatIsDue();
-      for (auto& [name, executor] : executors) {
-        if (now >= executor.down_until) {
-          Report(name, executor);
-        }
-      }
-      Tick();
-      Store();
-      Tick();
-      for (auto& [name, executor] : executors) {
-        for (const worker_order& order : TakeOrders(name)) {
-          CarryOut(name, order);
-        }
-      }
-    }
-  }
-
-  static constexpr millis kStep = 50;
-  static constexpr millis kTaskTime = 800;
-};
-
-// Four executors with work, and one task of "bad" that crashes each executor
-// that starts it.
-struct deadly_task_fixture : crash_fixture {
-  const task_name deadly{"bad", 0, 0, 1};
-
-  deadly_task_fixture() {
-    crash_delay = [this](const task_name& task) -> millis {
-      return task == deadly ? kStep : 0;
-    };
-    AddExecutors("abcd");
-    Submit(MakeJob("before", 6));
-    Submit(MakeJob("bad", 3));
-    Submit(MakeJob("after", 6));
-  }
-};
-
-}  // namespace
-
 // One task crashed executor after executor, as a crash was no attempt.
 BOOST_FIXTURE_TEST_CASE(task_that_crashes_its_executors_is_given_up,
                         deadly_task_fixture) {
@@ -506,4 +315,257 @@
   BOOST_TEST(TakeOrders("a").size() == 2);
 }
 
+// An agent tells the last crashes of its executor again with each new one. A
+// crash for which the task has been cleared counted once more.
+BOOST_FIXTURE_TEST_CASE(crash_that_is_told_again_after_clearing_is_not_counted,
+                        single_job_fixture) {
+  agents_tell_once = true;
+  AddExecutors("a");
+  job_record record = MakeJob("service", 1);
+  record.spec.steps[0].service = true;
+  Submit(record);
+  CrashExecutorOf("service", kStep);
+  CrashExecutorOf("service", 4 * kProvingTime);
+  BOOST_TEST(!TaskOf("service").is_suspect);
+  CrashExecutorOf("service", kStep);
+  PassFleetTime(10'000);
+  BOOST_TEST(NameOf(*scheduler.StateOf("service")) == "running");
+}
+
+// A new owner is told of all recent crashes, also of those for which the former
+// one has cleared the task: it works for seconds, and is given up.
+BOOST_FIXTURE_TEST_CASE(
+    task_that_works_is_not_given_up_for_old_crashes_by_a_new_owner,
+    single_job_fixture) {
+  agents_tell_once = true;
+  AddExecutors("abc");
+  job_record record = MakeJob("service", 1);
+  record.spec.steps[0].service = true;
+  Submit(record);
+  CrashExecutorOf("service", kStep);
+  CrashExecutorOf("service", 4 * kProvingTime);
+  CrashExecutorOf("service", kStep);
+  PassFleetTime(10'000);
+  BOOST_TEST(!TaskOf("service").is_suspect);
+  BOOST_TEST(NameOf(*scheduler.StateOf("service")) == "running");
+  TakeOver();
+  PassFleetTime(10'000);
+  BOOST_TEST(NameOf(*scheduler.StateOf("service")) == "running");
+}
+
+// All machines lose power right after a burst of starts.
+BOOST_FIXTURE_TEST_CASE(all_tasks_start_soon_after_a_power_loss,
+                        one_big_worker_fixture) {
+  AddExecutors("abcdef");
+  for (int i = 0; i < 120; ++i) {
+    Submit(SmallJob("j" + std::to_string(i)));
+  }
+  PassFleetTime(100);
+  for (const char name : std::string("abcdef")) {
+    Crash(std::string(1, name));
+  }
+  PassFleetTime(down_time);
+  const millis back = now;
+  millis last = 0;
+  for (int i = 0; i < 1'200; ++i) {
+    PassFleetTime(kStep);
+    for (const auto& [name, executor] : executors) {
+      for (const auto& [run, started] : executor.runs) {
+        last = std::max(last, started);
+      }
+    }
+  }
+  BOOST_TEST_MESSAGE("last start " << last - back << " ms after the return");
+  BOOST_TEST(last - back <= 7'000);
+}
+
+BOOST_FIXTURE_TEST_CASE(tasks_of_one_worker_start_soon_after_its_crash,
+                        one_big_worker_fixture) {
+  AddExecutors("a");
+  for (int i = 0; i < 24; ++i) {
+    Submit(SmallJob("j" + std::to_string(i)));
+  }
+  PassFleetTime(100);
+  Crash("a");
+  const millis back = executors["a"].down_until;
+  PassFleetTime(down_time);
+  Submit(SmallJob("later"));
+  millis last = 0;
+  millis later = 0;
+  for (int i = 0; i < 800; ++i) {
+    PassFleetTime(kStep);
+    for (const auto& [run, started] : executors["a"].runs) {
+      if (run.first.job == "later") {
+        later = started;
+      }
+      last = std::max(last, started);
+    }
+  }
+  BOOST_TEST_MESSAGE("last start " << last - back << " ms, of the new job "
+                                   << later - back << " ms after the return");
+  BOOST_TEST(last - back <= 3'000);
+  BOOST_TEST(later - back <= 3'000);
+}
+
+// The next owner knows of a crash that no agent remembers.
+BOOST_FIXTURE_TEST_CASE(crash_is_stored_for_the_next_owner,
+                        deadly_task_fixture) {
+  agents_remember = false;
+  const auto is_counted = [this] {
+    return !scheduler.Jobs()
+                .at("bad")
+                .occurrences.at(0)
+                .steps[0]
+                .tasks[1]
+                .crashed_runs.empty();
+  };
+  for (int i = 0; i < 400 && !is_counted(); ++i) {
+    PassFleetTime(kStep);
+  }
+  BOOST_REQUIRE(is_counted());
+  TakeOver();
+  BOOST_TEST(is_counted());
+  PassFleetTime(40'000);
+  BOOST_TEST(starts[deadly] == 2);
+  BOOST_TEST(NameOf(*scheduler.StateOf("bad")) == "failed");
+}
+
+// While a trial runs, its worker gets no other start.
+BOOST_FIXTURE_TEST_CASE(worker_of_a_trial_gets_no_other_start,
+                        single_job_fixture) {
+  AddExecutors("abc");
+  Submit(MakeJob("bad", 1));
+  CrashExecutorOf("bad", kStep);
+  bool was_tried = false;
+  int jobs = 0;
+  for (int i = 0; i < 200; ++i) {
+    Submit(MakeJob("j" + std::to_string(jobs++), 1));
+    PassFleetTime(kStep);
+    for (const auto& [name, executor] : executors) {
+      const auto trial = std::find_if(
+          executor.runs.begin(), executor.runs.end(),
+          [](const auto& run) { return run.first.first.job == "bad"; });
+      if (trial == executor.runs.end()) {
+        continue;
+      }
+      was_tried = true;
+      for (const auto& [run, started] : executor.runs) {
+        BOOST_TEST((run.first.job == "bad" ||
+                    started + kProvingTime <= trial->second ||
+                    started >= trial->second + kProvingTime),
+                   run.first.ToString() << " started beside the trial");
+      }
+    }
+  }
+  BOOST_TEST(was_tried);
+}
+
+// A member of a gang crashes its executors; members share workers.
+BOOST_FIXTURE_TEST_CASE(gang_that_crashes_its_executors_is_given_up,
+                        deadly_task_fixture) {
+  for (const bool changes_owner : {false, true}) {
+    const std::string id = changes_owner ? "gang1" : "gang0";
+    const task_name member{id, 0, 0, 2};
+    crash_delay = [member](const task_name& task) -> millis {
+      return task == member ? kStep : 0;
+    };
+    job_record record = MakeJob(id, 8);
+    record.spec.steps[0].gang = true;
+    Submit(record);
+    for (int i = 0; i < 20; ++i) {
+      Submit(MakeJob(id + "j" + std::to_string(i), 2));
+      for (const millis until = now + 2'000; now < until;) {
+        const int before = crashes[member];
+        PassFleetTime(kStep);
+        if (crashes[member] > before) {
+          BreakGangs(id);
+        }
+      }
+      if (changes_owner && i % 2 == 0) {
+        TakeOver();
+      }
+    }
+    PassFleetTime(20'000);
+    BOOST_TEST(starts[member] <= 5);
+    BOOST_TEST(NameOf(*scheduler.StateOf(id)) == "failed");
+    int failed = 0;
+    for (int i = 0; i < 20; ++i) {
+      failed += *scheduler.StateOf(id + "j" + std::to_string(i)) ==
+                job_state::kFailed;
+    }
+    BOOST_TEST(failed == 0);
+  }
+}
+
+// A worker with the only fitting label.
+BOOST_FIXTURE_TEST_CASE(
+    task_that_crashes_the_only_worker_is_given_up_by_changing_owners,
+    crash_fixture) {
+  crash_delay = [](const task_name& task) -> millis {
+    return task.job == "bad" && task.index % 2 == 0 ? kStep : 0;
+  };
+  AddExecutors("a");
+  Submit(MakeJob("bad", 4));
+  Submit(MakeJob("good", 4));
+  for (int i = 0; i < 40; ++i) {
+    PassFleetTime(1'700);
+    TakeOver();
+  }
+  PassFleetTime(20'000);
+  for (const std::uint32_t index : {0U, 2U}) {
+    BOOST_TEST(starts[(task_name{"bad", 0, 0, index})] <= 5);
+  }
+  BOOST_TEST(NameOf(*scheduler.StateOf("bad")) == "failed");
+  BOOST_TEST(NameOf(*scheduler.StateOf("good")) == "completed");
+}
+
+// An agent names tasks that do not exist.
+BOOST_FIXTURE_TEST_CASE(crash_report_of_unknown_tasks_is_harmless,
+                        scheduler_fixture) {
+  ReportIdleWorker("a");
+  scheduler.AddJob(MakeJob("j", 1), now);
+  worker_report report = MakeReport("a");
+  crashed_executor crashed{{"executor-a", 4}, {}};
+  for (std::uint32_t i = 0; i < 200'000; ++i) {
+    crashed.runs.push_back({{"none", i, i, i}, i, i % 2 == 0});
+    crashed.runs.push_back({{"j", i, 0, 0}, i + 1'000'000, false});
+    crashed.runs.push_back({{"j", 0, i + 1, 0}, i, true});
+    crashed.runs.push_back({{"j", 0, 0, i + 1}, i, false});
+  }
+  report.crashes.push_back(crashed);
+  scheduler.OnReport(report, now);
+  Tick();
+  BOOST_TEST(NameOf(*scheduler.StateOf("j")) != "failed");
+}
+
+// A former owner died between two transactions of one commit: what it had found
+// of a crash is stored for one job only.
+BOOST_FIXTURE_TEST_CASE(crash_that_was_stored_in_part_is_counted_for_the_rest,
+                        scheduler_fixture) {
+  options.epoch = 2;
+  scheduler = job_scheduler(options, now);
+  SetConfig();
+  job_progress progress;
+  progress.id = "first";
+  progress.state = job_state::kRunning;
+  step_progress step;
+  step.done = "0";
+  step.crashed_runs[0] = {1};
+  progress.steps.push_back(step);
+  scheduler.Restore({MakeJob("first", 1), MakeJob("second", 1)}, {progress}, {},
+                    {"a"}, now);
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  report.crashes = {
+      {{"executor-a", 4},
+       {{{"first", 0, 0, 0}, 1, false}, {{"second", 0, 0, 0}, 1, false}}}};
+  scheduler.OnReport(report, now);
+  BOOST_TEST(scheduler.Jobs()
+                 .at("second")
+                 .occurrences.at(0)
+                 .steps[0]
+                 .tasks[0]
+                 .is_suspect);
+}
+
 }  // namespace chervilkeel
--- a/src/libkernel/job_scheduler_crashes.cpp
+++ b/src/libkernel/job_scheduler_crashes.cpp
@@ -48,19 +48,20 @@
                      });
 }
 
-bool job_scheduler::IsRecorded(const crashed_executor& crashed) {
-  return std::any_of(
-      crashed.runs.begin(), crashed.runs.end(), [this](const lost_run& run) {
-        const scheduled_task* task = FindTask(run.task);
-        return task != nullptr && (task->crashed_runs.count(run.run) != 0 ||
-                                   task->late_crashed_runs.count(run.run) != 0);
-      });
+bool job_scheduler::IsSettled(const scheduled_task& task,
+                              const lost_run& lost) {
+  return lost.run <= task.proven_run ||
+         task.crashed_runs.count(lost.run) != 0 ||
+         task.late_crashed_runs.count(lost.run) != 0;
 }
 
+// Agents tell a crash to each owner, and again with the next one, so a crash
+// that a former owner has found is told once more. What counted then is stored
+// by run, so each run is judged by itself.
 void job_scheduler::OnExecutorCrashed(scheduled_worker& worker,
                                       const crashed_executor& crashed,
                                       millis now) {
-  if (worker.crashed_boot == crashed.boot || IsRecorded(crashed)) {
+  if (worker.crashed_boot == crashed.boot) {
     return;
   }
   worker.crashed_boot = crashed.boot;
@@ -74,12 +75,14 @@
       continue;
     }
     unproven.push_back(run);
-    if (!task->crashed_runs.empty()) {
-      suspects.push_back(run);
-    }
     if (unproven.size() <= kMaxNamedRuns) {
       names += (names.empty() ? "" : ",") + run.task.ToString();
     }
+    const bool had_crashed =
+        task->crashed_runs.size() > task->crashed_runs.count(run.run);
+    if (had_crashed && !task->done && !IsFinal(jobs_.at(run.task.job).state)) {
+      suspects.push_back(run);
+    }
   }
   Emit("executor_crashed", crashed.boot.id, worker.agent,
        "runs=" + std::to_string(crashed.runs.size()) +
@@ -107,7 +110,8 @@
                              bool is_only_suspect) {
   scheduled_task* task = FindTask(lost.task);
   const auto job = jobs_.find(lost.task.job);
-  if (task == nullptr || task->done || IsFinal(job->second.state)) {
+  if (task == nullptr || task->done || IsFinal(job->second.state) ||
+      IsSettled(*task, lost)) {
     return;
   }
   std::set<std::uint64_t>& runs =
@@ -130,8 +134,11 @@
   }
 }
 
-void job_scheduler::ClearSuspect(const task_name& key, scheduled_task& task) {
+void job_scheduler::ClearSuspect(const task_name& key,
+                                 scheduled_task& task,
+                                 std::uint64_t proven_run) {
   task.is_suspect = false;
+  task.proven_run = proven_run;
   task.doubtful_runs.clear();
   if (!task.crashed_runs.empty()) {
     task.crashed_runs.clear();
@@ -164,18 +171,22 @@
 }
 
 bool job_scheduler::IsReserved(scheduled_worker& worker, millis now) {
-  if (worker.trial_run != 0) {
-    const scheduled_task* task = FindTask(worker.trial);
-    const bool goes_on = now < worker.trial_until && task != nullptr &&
-                         std::any_of(task->runs.begin(), task->runs.end(),
-                                     [&](const task_run& run) {
-                                       return run.agent == worker.agent &&
-                                              run.run == worker.trial_run &&
-                                              !IsProven(worker, run);
-                                     });
-    worker.trial_run = goes_on ? worker.trial_run : 0;
-  }
-  return worker.trial_run != 0 || now < worker.reserved_until;
+  if (worker.trial_until != 0 &&
+      (now >= worker.trial_until || !HasUnprovenRuns(worker))) {
+    worker.trial_until = 0;
+  }
+  return worker.trial_until != 0 || now < worker.reserved_until;
+}
+
+// Tasks that are tried together start at the same time.
+bool job_scheduler::IsFreeForTrial(const scheduled_worker& worker,
+                                   const scheduled_task& task,
+                                   std::size_t trial_size,
+                                   millis now) {
+  const bool may_join = worker.trial_until != 0 && worker.trial_began == now &&
+                        worker.trial_size < trial_size &&
+                        task.crashed_runs.size() < kCrashesOfCause;
+  return may_join || !HasUnprovenRuns(worker);
 }
 
 bool job_scheduler::StartTrial(scheduled_job& job,
@@ -190,31 +201,40 @@
     return true;  // Others of the step may start.
   }
   std::size_t usable = 0;
+  for (const auto& [agent, worker] : workers_) {
+    usable += worker.runs_known && !worker.description.draining &&
+                      worker.description.service == service
+                  ? 1
+                  : 0;
+  }
+  const std::size_t most_reserved =
+      std::max<std::size_t>(1, usable / kWorkersPerReservation);
+  const std::size_t trial_size = std::clamp<std::size_t>(
+      waiting_suspects_[service] / (kFewTrials * most_reserved), 1,
+      task.crashed_runs.size() < kCrashesOfCause ? kMaxTrialSize : 1);
   std::size_t reserved = 0;
   bool has_free_one = false;
   scheduled_worker* reserved_before = nullptr;
   for (auto& [agent, worker] : workers_) {
-    if (!worker.runs_known || worker.description.draining ||
-        worker.description.service != service) {
+    if (worker.description.service != service || !IsReserved(worker, now)) {
       continue;
     }
-    ++usable;
-    if (IsReserved(worker, now)) {
-      ++reserved;
-      const bool is_free = !HasUnprovenRuns(worker);
-      has_free_one = has_free_one || is_free;
-      if (now < worker.reserved_until && worker.reserved_for == key) {
-        reserved_before = &worker;
-        if (!is_free) {
-          return true;  // Waits until that worker's runs are proven.
-        }
+    ++reserved;
+    const bool is_free = IsFreeForTrial(worker, task, trial_size, now);
+    has_free_one = has_free_one || is_free;
+    if (now < worker.reserved_until && worker.reserved_for == key) {
+      reserved_before = &worker;
+      if (!is_free) {
+        return true;  // Waits until that worker's runs are proven.
       }
     }
   }
-  const bool may_reserve =
-      reserved < std::max<std::size_t>(1, usable / kWorkersPerReservation);
+  const bool may_reserve = reserved < most_reserved;
   if (!may_reserve && !has_free_one) {
-    services_without_trials_.insert(service);
+    // One that has to be tried alone says nothing about those that may join.
+    if (task.crashed_runs.size() < kCrashesOfCause) {
+      services_without_trials_.insert(service);
+    }
     return false;
   }
   std::vector<candidate> candidates =
@@ -224,7 +244,7 @@
     if (worker.crashed_at != 0 && now - worker.crashed_at < kCrashMemory) {
       entry.score -= kCrashPenalty;
     }
-    const bool is_free = !HasUnprovenRuns(worker);
+    const bool is_free = IsFreeForTrial(worker, task, trial_size, now);
     if (is_free) {
       entry.score += kReadyForTrialBonus;
     }
@@ -239,15 +259,20 @@
   if (reserved_before != nullptr) {
     reserved_before->reserved_until = 0;
   }
-  worker.reserved_until = now + kReservationTime;
-  worker.reserved_for = key;
-  if (HasUnprovenRuns(worker)) {
+  if (!IsFreeForTrial(worker, task, trial_size, now)) {
+    worker.reserved_until = now + kReservationTime;
+    worker.reserved_for = key;
     return true;
   }
-  worker.trial = key;
+  const bool joins = worker.trial_until != 0 && worker.trial_began == now;
+  worker.trial_size = joins ? worker.trial_size + 1 : 1;
+  if (task.crashed_runs.size() >= kCrashesOfCause) {
+    worker.trial_size = kMaxTrialSize;  // Nothing may join it.
+  }
+  worker.trial_began = now;
   worker.trial_until = now + kMaxTrialTime;
-  worker.trial_run = NextRunNumber(task);
-  OrderStart(worker, job, key, task, worker.trial_run, now);
+  worker.reserved_until = 0;  // The trial keeps the worker.
+  OrderStart(worker, job, key, task, NextRunNumber(task), now);
   return true;
 }
 
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -259,6 +259,7 @@
           job.has_waiting_tasks = true;
           if (!task.possibly_running || unreported_members_.empty()) {
             entry.tasks.push_back(i);
+            waiting_suspects_[job.policy.service] += task.is_suspect ? 1 : 0;
           }
         }
         if (!entry.tasks.empty()) {
@@ -287,6 +288,7 @@
   }
   next_placement_ = now + kPlacementInterval;
   services_without_trials_.clear();
+  waiting_suspects_.clear();
   for (const waiting_step& waiting : WaitingSteps()) {
     if (waiting.job->record.spec.steps[waiting.step_index].gang) {
       PlaceGang(waiting, now);
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -185,7 +185,7 @@
         }
         RepeatLostStop(worker, status.task, run);
         if (task->is_suspect && IsProven(worker, run)) {
-          ClearSuspect(status.task, *task);
+          ClearSuspect(status.task, *task, run.run);
         }
         return;
       }
--- a/src/libkernel/job_test.cpp
+++ b/src/libkernel/job_test.cpp
@@ -51,6 +51,7 @@
   step.failed_runs[2] = {1, 1'000'002};
   step.crashed_runs[1] = {3, 1'000'004};
   step.late_crashed_runs[0] = {5};
+  step.proven_runs[1] = 2;
   step.checkpoints[0] = "saved";
   progress.steps.push_back(step);
   const auto read = DecodeJobProgress(EncodeJobProgress(progress));
@@ -59,6 +60,7 @@
   BOOST_CHECK(read.value().steps.at(0).crashed_runs == step.crashed_runs);
   BOOST_CHECK(read.value().steps.at(0).late_crashed_runs ==
               step.late_crashed_runs);
+  BOOST_CHECK(read.value().steps.at(0).proven_runs == step.proven_runs);
 }
 
 BOOST_AUTO_TEST_CASE(record_that_is_not_json_is_invalid) {
