An ending manifest entry answers the requests that it has taken

What callers saw: at 'drain_limit_ms' the entry ended, and closed the connections of the requests that it had without an answer.

Cause: entry_process::Stop ended by its clock, whatever was in flight, and RunRole stopped the threads that write.

Change: at the limit each open request is answered as far as it has come: 'unknown' if it was sent to an upstream or its key may be claimed, else 'not run'. It is never tried again. A claim that is granted after that is given back; an unsure claim is not settled, since the key may be another request's. The log says how many were answered so and how many were not.

Locks: no new one. The list of open requests is under entry_tables::mutex; requests are ended with no lock held, each on its own strand. A request is listed before it looks whether the entry drains, so none is missed.

The property of outcomes now includes the end by a leaving entry.

--- a/src/chervilkeeld/entry_process.cpp
+++ b/src/chervilkeeld/entry_process.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
 
+#include "chervilkeel/http_drain.h"
 #include "chervilkeel/log.h"
 #include "chervilkeel/manifest_store.h"
 #include "chervilkeel/wire_json.h"
@@ -139,15 +140,22 @@
   clients_->Stop();
   const millis until =
       MonotonicNow() + static_cast<millis>(core_.settings.drain_limit);
-  while (MonotonicNow() < until &&
-         (tables_.in_flight > 0 || clients_->InFlight() > 0)) {
+  // Looks after a pause only, so that requests on the connections that came
+  // last have been read.
+  do {
     std::this_thread::sleep_for(std::chrono::milliseconds(kDrainPoll));
-  }
+  } while (MonotonicNow() < until &&
+           (tables_.in_flight > 0 || clients_->InFlight() > 0));
+  const std::uint64_t ended = EndOpenRequests(tables_);
+  const std::uint64_t unanswered = AwaitAnswers(*clients_, kLastWriteTime);
   roster_.Stop();
   operators_.join();
   server_->Shutdown(std::chrono::system_clock::now() +
                     std::chrono::milliseconds(kReportTimeout));
-  LogInfo(kPart, "Drained.");
+  Log(unanswered > 0 ? log_level::kWarn : log_level::kInfo, kPart,
+      "Drained; " + std::to_string(ended) +
+          " requests answered at the limit, " + std::to_string(unanswered) +
+          " not answered.");
 }
 
 void entry_process::HandleClient(http_request request, http_responder respond) {
--- a/src/chervilkeeld/entry_process.h
+++ b/src/chervilkeeld/entry_process.h
@@ -22,7 +22,8 @@
   result<void> Start();
 
   // Drains: fails /healthz, serves on for the notice that the balancer needs,
-  // then refuses new requests and waits for those in flight.
+  // then refuses new requests and waits for those in flight. Those that outlast
+  // the drain limit are answered as far as they have come.
   void Stop();
 
   // Answers an operator's call; calls to the store or to owners run on a
--- a/src/chervilkeeld/entry_tables.h
+++ b/src/chervilkeeld/entry_tables.h
@@ -4,8 +4,10 @@
 #include <atomic>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
+#include <unordered_set>
 
 #include "chervilkeel/request_flight.h"
 #include "chervilkeel/upstream_table.h"
@@ -13,7 +15,10 @@
 
 namespace chervilkeel {
 
-// The tables of an entry. See process_core for the lock order.
+class request_session;
+
+// The tables of an entry. See process_core for the lock order. Requests are
+// ended with no lock held.
 struct entry_tables {
   explicit entry_tables(process_core& process)
       : core(process),
@@ -32,14 +37,15 @@
 
   process_core& core;
   std::atomic<std::uint64_t> sequence{0};   // Of requests.
-  std::atomic<std::uint64_t> in_flight{0};  // Requests not yet answered.
+  std::atomic<std::uint64_t> in_flight{0};  // Requests with work left.
   std::atomic<bool> leaving{false};         // /healthz says so.
   std::atomic<bool> draining{false};        // New requests are refused.
 
   std::mutex mutex;  // Guards what follows.
   upstream_table upstreams;
   retry_budget budget;
-  std::map<std::string, wire::cell_location> owners;  // By cell.
+  std::map<std::string, wire::cell_location> owners;          // By cell.
+  std::unordered_set<std::shared_ptr<request_session>> open;  // Not answered.
 };
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/main.cpp
+++ b/src/chervilkeeld/main.cpp
@@ -13,6 +13,7 @@
 
 #include "agent_process.h"
 #include "chervilkeel/event_log.h"
+#include "chervilkeel/http_drain.h"
 #include "chervilkeel/http_server.h"
 #include "chervilkeel/log.h"
 #include "chervilkeel/version.h"
@@ -57,6 +58,11 @@
     signal_context.run();
     role.Stop();
     operators->Stop();
+    const std::uint64_t unanswered = AwaitAnswers(*operators, kLastWriteTime);
+    if (unanswered > 0) {
+      LogWarn("process", std::to_string(unanswered) +
+                             " operators' calls were not answered.");
+    }
   } else {
     LogError("process", "Starting failed; " + ToString(started.error()) + ".");
   }
--- a/src/chervilkeeld/request_session.cpp
+++ b/src/chervilkeeld/request_session.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
@@ -15,6 +16,7 @@
 
 constexpr const char* kPart = "requests";
 constexpr const char* kRequestPath = "/v1/request/";
+constexpr const char* kEndReason = "this entry is leaving and waits no longer";
 constexpr millis kMaxDeadline = 600'000;
 constexpr millis kReplyGrace = 50;  // For a refusal at the deadline.
 constexpr millis kSettleTimeout = 2'000;
@@ -56,9 +58,15 @@
   --tables_.in_flight;
 }
 
+// A request is listed before it looks whether the entry refuses it, so that
+// EndOpenRequests() misses none that is not refused.
 void request_session::Start() {
+  {
+    const std::lock_guard lock(tables_.mutex);
+    tables_.open.insert(shared_from_this());
+  }
   boost::asio::post(strand_, [self = shared_from_this()] {
-    if (!self->ReadRequest()) {
+    if (self->responded_ || !self->ReadRequest()) {
       return;
     }
     if (self->key_.empty()) {
@@ -138,6 +146,9 @@
 }
 
 void request_session::Claim() {
+  if (responded_) {
+    return;
+  }
   claim_owner_ = OwnerOfKey();
   if (claim_owner_.empty()) {
     ClaimAgain("no owner is known for the idempotency key");
@@ -147,6 +158,7 @@
   request.set_key(key_);
   request.set_request_id(id_);
   request.set_service(service_.name);
+  claiming_ = true;
   const auto call = MakeCall<wire::claim_request, wire::claim_reply>(
       tables_.core.peers.At(claim_owner_), std::move(request),
       std::min(kClaimTimeout, deadline_ - MonotonicNow()));
@@ -161,6 +173,11 @@
 
 void request_session::OnClaim(const grpc::Status& status,
                               const wire::claim_reply& reply) {
+  claiming_ = false;
+  if (responded_) {
+    OnLateClaim(status, reply);
+    return;
+  }
   if (!status.ok()) {
     // The claim may have been recorded; nothing was sent to an executor.
     claimed_ = true;
@@ -202,6 +219,15 @@
       });
 }
 
+// Frees a key that was granted to a request that has been ended: it never runs.
+void request_session::OnLateClaim(const grpc::Status& status,
+                                  const wire::claim_reply& reply) {
+  if (status.ok() && reply.state() == wire::claim_granted) {
+    claimed_ = true;
+    Settle(wire::outcome_not_run, nullptr);
+  }
+}
+
 // Gives a repeated request the answer that the first one got.
 void request_session::Replay(const wire::settlement& settled) {
   if (settled.outcome() != wire::outcome_answered || !settled.body_kept()) {
@@ -382,6 +408,36 @@
       });
 }
 
+std::future<bool> request_session::End() {
+  auto ended = std::make_shared<std::promise<bool>>();
+  boost::asio::post(strand_, [self = shared_from_this(), ended] {
+    ended->set_value(self->EndNow());
+  });
+  return ended->get_future();
+}
+
+bool request_session::EndNow() {
+  if (responded_) {
+    return false;
+  }
+  if (flight_) {
+    flight_step step;
+    {
+      const std::lock_guard lock(tables_.mutex);
+      step = flight_->OnLeaving(kEndReason);
+    }
+    Do(step);
+  } else if (claiming_ || claimed_) {
+    // Whether the key is this request's is not known: settling it might free
+    // the key of another one.
+    claimed_ = false;
+    AnswerUnknown(kEndReason);
+  } else {
+    AnswerNotRun(kEndReason);
+  }
+  return true;
+}
+
 void request_session::Answer(const wire::execute_reply& reply) {
   Settle(wire::outcome_answered, &reply);
   http_response response;
@@ -451,6 +507,10 @@
   }
   responded_ = true;
   timer_.cancel();
+  {
+    const std::lock_guard lock(tables_.mutex);
+    tables_.open.erase(shared_from_this());
+  }
   response.headers.push_back({"X-Request-Id", id_});
   response.headers.push_back({"X-Outcome", outcome});
   tables_.core.metrics.CountRequest(
@@ -459,4 +519,22 @@
   respond_(std::move(response));
 }
 
+std::uint64_t EndOpenRequests(entry_tables& tables) {
+  std::vector<std::shared_ptr<request_session>> open;
+  {
+    const std::lock_guard lock(tables.mutex);
+    open.assign(tables.open.begin(), tables.open.end());
+  }
+  std::vector<std::future<bool>> ends;
+  ends.reserve(open.size());
+  for (const auto& session : open) {
+    ends.push_back(session->End());
+  }
+  std::uint64_t ended = 0;
+  for (std::future<bool>& end : ends) {
+    ended += end.get() ? 1 : 0;
+  }
+  return ended;
+}
+
 }  // namespace chervilkeel
--- a/src/chervilkeeld/request_session.h
+++ b/src/chervilkeeld/request_session.h
@@ -1,6 +1,7 @@
 // One client's request at an entry, from its arrival to its answer.
 #pragma once
 
+#include <future>
 #include <memory>
 #include <optional>
 #include <set>
@@ -39,6 +40,10 @@
   // Checks the request and sets it going.
   void Start();
 
+  // Answers the request as far as it has come, on its strand, unless it is
+  // answered; it is never tried again. Tells whether this gave the answer.
+  std::future<bool> End();
+
  private:
   using execute_call = rpc_call<wire::execute_request, wire::execute_reply>;
   using claim_call = rpc_call<wire::claim_request, wire::claim_reply>;
@@ -48,6 +53,8 @@
   void Claim();
   void OnClaim(const grpc::Status& status, const wire::claim_reply& reply);
   void ClaimAgain(const std::string& reason);
+  void OnLateClaim(const grpc::Status& status, const wire::claim_reply& reply);
+  bool EndNow();
   void Replay(const wire::settlement& settled);
   void Begin();
   void Do(const flight_step& step);
@@ -83,8 +90,14 @@
   std::set<std::string> tried_;
   wire::execute_reply last_reply_;
   std::string upstream_;
+  bool claiming_ = false;  // A claim has no reply yet.
   bool claimed_ = false;
   bool responded_ = false;
 };
 
+// Ends the requests of a leaving entry that have no answer yet, and returns how
+// many got their answer by it. Blocks until all have one. To be called after
+// tables.draining is set, from a thread that the requests don't run on.
+std::uint64_t EndOpenRequests(entry_tables& tables);
+
 }  // namespace chervilkeel
--- a/src/include/chervilkeel/request_flight.h
+++ b/src/include/chervilkeel/request_flight.h
@@ -79,6 +79,9 @@
   // due.
   flight_step OnTime(millis now);
 
+  // Ends the request before its deadline: the entry waits no longer.
+  flight_step OnLeaving(const std::string& reason);
+
   // Returns the time at which OnTime() should be called next.
   millis NextTime() const;
 
--- a/src/libkernel/request_flight.cpp
+++ b/src/libkernel/request_flight.cpp
@@ -100,6 +100,10 @@
   return {};
 }
 
+flight_step request_flight::OnLeaving(const std::string& reason) {
+  return ended_ ? flight_step{} : EndWithoutAnswer(reason);
+}
+
 millis request_flight::NextTime() const {
   if (options_.idempotent && options_.hedge_after > 0 && !hedged_) {
     return std::min(options_.deadline, begin_time_ + options_.hedge_after);
--- a/src/libkernel/requests_test.cpp
+++ b/src/libkernel/requests_test.cpp
@@ -322,6 +322,8 @@
         handle_step(flight.OnOutcome(attempt, wire::outcome_not_run, "", now));
       } else if (event == 3) {
         handle_step(flight.OnOutcome(attempt, wire::outcome_unknown, "", now));
+      } else if (event == 4) {
+        handle_step(flight.OnLeaving("leaving"));
       }
     }
     handle_step(flight.OnTime(options.deadline));
--- a/src/libshell/http_server_test.cpp
+++ b/src/libshell/http_server_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include "chervilkeel/http_drain.h"
 #include "chervilkeel/http_server.h"
 
 namespace chervilkeel {
@@ -131,6 +132,22 @@
   }
 }
 
+// Guards against a process that ends before the answer is written, and against
+// one that waits for ever for a client.
+BOOST_AUTO_TEST_CASE(stopped_server_is_awaited_until_its_answer_or_the_limit) {
+  Run();
+  tcp::socket socket = Connect();
+  Send(socket, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo");
+  while (server->InFlight() == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  server->Stop();
+  BOOST_TEST(AwaitAnswers(*server, 50) == 1U);
+  Send(socket, "dy");
+  BOOST_TEST(AwaitAnswers(*server, 5'000) == 0U);
+  BOOST_TEST(socket.available() > 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
