A reload does not end a manifest role

SIGHUP ended an entry or an agent of manifests at once, with its requests: RunRole did not handle it. It is now logged ('Reloaded, changed nothing.'), also while the process drains, by a thread that takes the signals.

Test: case reload. Before the change: 'the case failed; its errors: ... entry-0 has ended'. With it the case passes.

--- a/src/chervilkeeld/main.cpp
+++ b/src/chervilkeeld/main.cpp
@@ -1,6 +1,7 @@
 // chervilkeeld, the daemon. Its role stands in its INI settings.
 #include <csignal>
 #include <cstdio>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -29,6 +30,45 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitBadInput = 2;
 
+// Takes the signals of a process on a thread of its own, since a role's start
+// and stop block the main one.
+class signal_thread {
+ public:
+  signal_thread() {
+    stops_.async_wait(
+        [this](boost::system::error_code, int) { stopped_.set_value(); });
+    AwaitReload();
+    thread_ = std::thread([this] { context_.run(); });
+  }
+
+  ~signal_thread() {
+    context_.stop();
+    thread_.join();
+  }
+
+  signal_thread(const signal_thread&) = delete;
+  signal_thread& operator=(const signal_thread&) = delete;
+
+  // Waits for SIGTERM or SIGINT.
+  void AwaitStop() { stopped_.get_future().wait(); }
+
+ private:
+  void AwaitReload() {
+    reloads_.async_wait([this](boost::system::error_code failure, int) {
+      if (!failure) {
+        LogInfo("process", "Reloaded, changed nothing.");
+        AwaitReload();
+      }
+    });
+  }
+
+  boost::asio::io_context context_{1};
+  boost::asio::signal_set stops_{context_, SIGTERM, SIGINT};
+  boost::asio::signal_set reloads_{context_, SIGHUP};
+  std::promise<void> stopped_;
+  std::thread thread_;
+};
+
 // Runs one role until SIGTERM or SIGINT, then drains it.
 template <class role_type>
 int RunRole(process_core& core) {
@@ -52,10 +92,8 @@
   }
   if (started) {
     LogInfo("process", "Started.");
-    boost::asio::io_context signal_context;
-    boost::asio::signal_set signals(signal_context, SIGTERM, SIGINT);
-    signals.async_wait([](boost::system::error_code, int) {});
-    signal_context.run();
+    signal_thread signals;
+    signals.AwaitStop();
     role.Stop();
     operators->Stop();
     const std::uint64_t unanswered = AwaitAnswers(*operators, kLastWriteTime);
