A signal during the start does not end a process at once

Signals were registered after role.Start(), up to 10 s after an entry had begun to listen: SIGTERM or SIGHUP in that time killed the process without a drain or a line in the log, with the operators' calls that it had taken. They are now registered before anything listens, in RunRole and RunJobRole. A SIGTERM ends an entry's wait for its upstreams; the process then drains. The job roles run their signals' handlers when the start is over, which takes milliseconds.

Test: case early_signals.

--- a/src/chervilkeeld/entry_process.cpp
+++ b/src/chervilkeeld/entry_process.cpp
@@ -111,10 +111,11 @@
 }
 
 // Waits a while for a manifest and a usable upstream, so that the balancer
-// sends no client to an entry that can't serve one yet.
+// sends no client to an entry that can't serve one yet. A process that is to
+// end waits no longer.
 void entry_process::AwaitUpstreams() {
   const millis until = MonotonicNow() + kReadyLimit;
-  while (MonotonicNow() < until) {
+  while (MonotonicNow() < until && !core_.stopping) {
     {
       const std::lock_guard lock(tables_.mutex);
       const millis now = MonotonicNow();
--- a/src/chervilkeeld/main.cpp
+++ b/src/chervilkeeld/main.cpp
@@ -1,4 +1,5 @@
 // chervilkeeld, the daemon. Its role stands in its INI settings.
+#include <atomic>
 #include <csignal>
 #include <cstdio>
 #include <future>
@@ -31,12 +32,15 @@
 constexpr int kExitBadInput = 2;
 
 // Takes the signals of a process on a thread of its own, since a role's start
-// and stop block the main one.
+// and stop block the main one. To be made before anything listens: a signal
+// that nobody takes ends the process at once.
 class signal_thread {
  public:
-  signal_thread() {
-    stops_.async_wait(
-        [this](boost::system::error_code, int) { stopped_.set_value(); });
+  explicit signal_thread(std::atomic<bool>& stopping) {
+    stops_.async_wait([this, &stopping](boost::system::error_code, int) {
+      stopping = true;
+      stopped_.set_value();
+    });
     AwaitReload();
     thread_ = std::thread([this] { context_.run(); });
   }
@@ -74,6 +78,7 @@
 int RunRole(process_core& core) {
   boost::asio::io_context context;
   const auto guard = boost::asio::make_work_guard(context);
+  signal_thread signals(core.stopping);
   role_type role(core, context);
   http_server_options options;
   options.listen = {core.settings.address, core.settings.http_port};
@@ -92,7 +97,6 @@
   }
   if (started) {
     LogInfo("process", "Started.");
-    signal_thread signals;
     signals.AwaitStop();
     role.Stop();
     operators->Stop();
@@ -133,21 +137,7 @@
       [&](const http_request& request, const http_responder& respond) {
         role.HandleOperator(request, respond);
       });
-  auto started = operators->Start();
-  if (started) {
-    started = role.Start();
-  }
-  if (!started) {
-    LogEvent("process", "start_failed", {{"error", ToString(started.error())}},
-             true);
-    StopEventLog();
-    return kExitFailed;
-  }
-  LogEvent("process", "started",
-           {{"role", settings.role == process_role::kJobEntry ? "job_entry"
-                                                              : "job_agent"},
-            {"version", kVersion}},
-           true);
+  // Signals that come during the start wait until the context runs.
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait([&](boost::system::error_code, int) {
     LogEvent("process", "stopping", {}, true);
@@ -163,6 +153,21 @@
     });
   };
   wait_for_reload();
+  auto started = operators->Start();
+  if (started) {
+    started = role.Start();
+  }
+  if (!started) {
+    LogEvent("process", "start_failed", {{"error", ToString(started.error())}},
+             true);
+    StopEventLog();
+    return kExitFailed;
+  }
+  LogEvent("process", "started",
+           {{"role", settings.role == process_role::kJobEntry ? "job_entry"
+                                                              : "job_agent"},
+            {"version", kVersion}},
+           true);
   context.run();
   LogEvent("process", "stopped", {}, true);
   StopEventLog();
--- a/src/chervilkeeld/process_core.h
+++ b/src/chervilkeeld/process_core.h
@@ -1,6 +1,7 @@
 // What both roles share: settings, manifest, decisions, metrics, peers.
 #pragma once
 
+#include <atomic>
 #include <memory>
 #include <string>
 
@@ -36,7 +37,8 @@
   process_metrics metrics;
   rpc_peers peers;
   std::unique_ptr<key_value_store> store;
-  std::uint64_t incarnation = 0;  // Rises with each start of the process.
+  std::uint64_t incarnation = 0;      // Rises with each start of the process.
+  std::atomic<bool> stopping{false};  // A signal asks the process to end.
 };
 
 // Serves a peer's questions for the manifest and for decisions.
