An ending agent of jobs answers the announcements that it has taken

job_agent_process::Stop ended the process without regard to its announcements server: an executor whose announcement had been read got no answer, and a connection that closed.

--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include "chervilkeel/event_log.h"
+#include "chervilkeel/http_drain.h"
 #include "job_wire.h"
 
 namespace chervilkeel {
@@ -61,12 +62,23 @@
   announcements_->Drain();
   if (clock_known_ && BootNow() < granted_until_) {
     executor_->RenewLeases(Context(kHoldRetry), LeaseEnd(), recorded_end_, 0,
-                           [done = std::move(done)](const auto&) { done(); });
+                           [this, done = std::move(done)](const auto&) mutable {
+                             EndWhenAnswered(std::move(done));
+                           });
   } else {
-    done();
+    EndWhenAnswered(std::move(done));
   }
 }
 
+void job_agent_process::EndWhenAnswered(std::function<void()> done) {
+  announcements_->Stop();
+  AwaitAnswers(context_, announcements_, kLastWriteTime,
+               [done = std::move(done)](std::uint64_t unanswered) {
+                 LogEvent(kPart, "drained", {{"unanswered", unanswered}}, true);
+                 done();
+               });
+}
+
 void job_agent_process::TakeAnnouncement(const http_request& request,
                                          const http_responder& respond) {
   const auto said = adapter_->DecodeAnnouncement(request);
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -32,7 +32,8 @@
   result<void> Start();
 
   // Leaves gracefully: the runs stay alive as long as the grant allows, so
-  // that the next process of this VM finds them.
+  // that the next process of this VM finds them. The announcements that it has
+  // taken are answered.
   void Stop(std::function<void()> done);
 
   void HandleOperator(const http_request& request,
@@ -53,6 +54,7 @@
 
   using run_name = std::pair<task_name, std::uint64_t>;
 
+  void EndWhenAnswered(std::function<void()> done);
   void TakeBoot(const announcement& said);
   void NoteEndOfBoot();
 
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -1,9 +1,14 @@
 #include "job_agent_process.h"
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <optional>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include <grpcpp/grpcpp.h>
 #include <boost/test/unit_test.hpp>
 
@@ -31,6 +36,7 @@
   std::map<std::uint32_t, executor_verdict> start_verdicts;
   bool refuses_connections = false;  // Starts do not reach the executor.
   int unsent_starts = 0;
+  int announcements = 0;  // Read by the agent.
 };
 
 // An executor that carries out starts without answering them.
@@ -143,6 +149,7 @@
   result<announcement> DecodeAnnouncement(
       const http_request& request) const override {
     BOOST_TEST(request.body == kAnnouncementBody);
+    ++script_.announcements;
     announcement said;
     said.worker.boot = {"executor", script_.started_ms};
     said.worker.service = "cutting";
@@ -439,6 +446,40 @@
   RunUntil([this] { return crashes.count(1) != 0; });
   BOOST_REQUIRE_EQUAL(crashes.count(1), 1);
   BOOST_TEST(crashes.at(1)[0].runs.empty());
+
+  // Guards against an executor that sees its connection close: SIGTERM comes
+}
+
+// while an announcement that was read whole is being answered.
+BOOST_AUTO_TEST_CASE(announcement_is_answered_before_the_agent_ends) {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context client_context;
+  {
+    tcp::acceptor probe(client_context,
+                        {boost::asio::ip::address_v4::loopback(), 0});
+    settings.announcements = {"127.0.0.1", probe.local_endpoint().port()};
+  }
+  agent.emplace(context, settings,
+                std::make_unique<one_executor_adapter>(script));
+  BOOST_REQUIRE(agent->Start());
+  tcp::socket client(client_context);
+  client.connect(
+      {boost::asio::ip::address_v4::loopback(), settings.announcements.port});
+  boost::asio::write(
+      client, boost::asio::buffer(
+                  std::string("PUT /instances/executor HTTP/1.1\r\nHost: h\r\n"
+                              "Content-Length: 5\r\n\r\nready")));
+  while (script.announcements == 0) {
+    context.run_one();
+  }
+  bool ended = false;
+  agent->Stop([&] {
+    ended = true;
+    context.stop();
+  });
+  context.run_for(std::chrono::seconds(2));
+  BOOST_TEST(ended);
+  BOOST_TEST(client.available() > 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
