--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -4,6 +4,7 @@
 #include <boost/json.hpp>
 
 #include "chervilkeel/event_log.h"
+#include "chervilkeel/http_drain.h"
 
 namespace chervilkeel {
 
@@ -23,9 +24,8 @@
 constexpr millis kPeerFresh = 1'000;       // What a peer said of itself.
 constexpr millis kProbeTimeout = 400;
 constexpr millis kDrainCheckInterval = 10;
-constexpr millis kLastWriteTime = 200;  // To send the last answers.
-// Part of it: an owner that can't commit by then resigns all the same, so that
-// the store hears of it before the process ends.
+// Part of kLastWriteTime: an owner that can't commit by then resigns all the
+// same, so that the store hears of it before the process ends.
 constexpr millis kLastCommitTime = 100;
 constexpr std::uint64_t kFrontBodyLimit = 4U << 20U;
 
