--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -391,10 +391,26 @@
                  std::uint64_t run,
                  millis now);
   void RemoveAllRuns(scheduled_worker& worker, const char* reason, millis now);
+  // Returns whether the silence of a worker is its own. After a pause of this
+  // process, reports that arrived in the meantime have to be processed first.
+  bool MayJudgeSilence(millis now);
+  // Removes the runs of agents whose grants have expired, and stops waiting for
+  // former members whose leases have.
+  void ExpireSilentWorkers(millis now);
+  void EvacuateDrainingWorkers();
+  // Account for the resources that a task reserves on a worker.
+  void ReleaseResources(scheduled_worker& worker,
+                        const scheduled_job& job,
+                        const task_name& key);
+  void ReserveResources(scheduled_worker& worker,
+                        const scheduled_job& job,
+                        const task_name& key);
 
   // job_scheduler_crashes.cpp: executors that crash.
+  // See kProvingTime.
   static bool IsProven(const scheduled_worker& worker, const task_run& run);
-  std::vector<lost_run> RunsToLose(const scheduled_worker& worker);
+  // Returns the runs that end with the present boot of a worker's executor.
+  std::vector<lost_run> RunsOnWorker(const scheduled_worker& worker);
   // Finds the tasks that may have crashed a worker's executor, and gives up
   // those that surely or too often did.
   void OnExecutorCrashed(scheduled_worker& worker,
@@ -412,16 +428,33 @@
   void ClearSuspect(const task_name& key,
                     scheduled_task& task,
                     std::uint64_t proven_run);
+  bool HasUnprovenRuns(const scheduled_worker& worker);
+  // Counts a crash against the task of a run, and gives up the task's job if it
+  // is the cause. `is_only_suspect`: no other run of the executor was unproven.
   void BlameRun(const lost_run& lost,
                 const std::string& agent,
                 bool is_only_suspect);
-  bool HasUnprovenRuns(const scheduled_worker& worker);
+  // What trials may use of a service's workers.
+  struct trial_room {
+    std::size_t tasks = 1;  // That may be tried together.
+    bool may_reserve = false;
+    bool has_free_worker = false;  // Among those that are reserved.
+    scheduled_worker* reserved_for_task = nullptr;
+  };
+  trial_room FindTrialRoom(const std::string& service,
+                           const task_name& key,
+                           const scheduled_task& task,
+                           millis now);
   // Starts a suspect task where nothing else can be taken for the cause of a
   // crash, or reserves a worker for it. Returns false if there is none.
   bool StartTrial(scheduled_job& job,
                   const task_name& key,
                   scheduled_task& task,
                   millis now);
+  void BeginTrial(scheduled_worker& worker,
+                  const scheduled_task& task,
+                  millis now);
+  // Whether a worker takes only trials now.
   bool IsReserved(scheduled_worker& worker, millis now);
   // Whether a trial of that task may begin on a worker now.
   bool IsFreeForTrial(const scheduled_worker& worker,
@@ -429,22 +462,6 @@
                       std::size_t trial_size,
                       millis now);
 
-  // job_scheduler_workers.cpp, continued.
-  // Returns whether the silence of a worker is its own. After a pause of this
-  // process, reports that arrived in the meantime have to be processed first.
-  bool MayJudgeSilence(millis now);
-  // Removes the runs of agents whose grants have expired, and stops waiting for
-  // former members whose leases have.
-  void ExpireSilentWorkers(millis now);
-  void EvacuateDrainingWorkers();
-  // Account for the resources that a task reserves on a worker.
-  void ReleaseResources(scheduled_worker& worker,
-                        const scheduled_job& job,
-                        const task_name& key);
-  void ReserveResources(scheduled_worker& worker,
-                        const scheduled_job& job,
-                        const task_name& key);
-
   // job_scheduler_placement.cpp: choice of workers, and orders.
   std::vector<waiting_step> WaitingSteps();
   // Returns the estimated work left of an occurrence, in milli-processor ms.
@@ -586,7 +603,7 @@
 
   // A task is given up when it was the only possible cause of a crash and the
   // executor of an earlier run has crashed, too; or after kMaxCrashes, however
-  // many other tasks were there. Rules allow five.
+  // many other tasks were there.
   static constexpr std::size_t kCrashesOfCause = 2;
   static constexpr std::size_t kMaxCrashes = 4;
 
--- a/src/libkernel/job_scheduler_crashes.cpp
+++ b/src/libkernel/job_scheduler_crashes.cpp
@@ -2,7 +2,8 @@
 // tasks of an executor. Those that it had not yet shown to be running for
 // kProvingTime become suspect. A suspect task starts on a worker where all
 // other runs are proven, and nothing else starts there until it is proven, too:
-// if that executor crashes, the task is the cause.
+// if that executor crashes, the task is the cause. If many tasks are suspect,
+// some are tried together first.
 #include <algorithm>
 
 #include "chervilkeel/job_scheduler.h"
@@ -15,7 +16,7 @@
          worker.listed_at - run.active_since >= kProvingTime;
 }
 
-std::vector<lost_run> job_scheduler::RunsToLose(
+std::vector<lost_run> job_scheduler::RunsOnWorker(
     const scheduled_worker& worker) {
   std::vector<lost_run> runs;
   for (const task_name& key : worker.tasks) {
@@ -149,7 +150,7 @@
 
 void job_scheduler::RememberSilentRuns(scheduled_worker& worker, millis now) {
   ForgetSilentRuns(worker);
-  worker.silent_runs = RunsToLose(worker);
+  worker.silent_runs = RunsOnWorker(worker);
   worker.silent_since = now;
   for (const lost_run& run : worker.silent_runs) {
     scheduled_task* task = FindTask(run.task);
@@ -189,48 +190,69 @@
   return may_join || !HasUnprovenRuns(worker);
 }
 
-bool job_scheduler::StartTrial(scheduled_job& job,
-                               const task_name& key,
-                               scheduled_task& task,
-                               millis now) {
-  const std::string& service = job.policy.service;
-  if (services_without_trials_.count(service) != 0) {
-    return false;
-  }
-  if (task.doubtful_runs.size() >= kMaxDoubtfulRuns) {
-    return true;  // Others of the step may start.
-  }
-  std::size_t usable = 0;
-  for (const auto& [agent, worker] : workers_) {
-    usable += worker.runs_known && !worker.description.draining &&
-                      worker.description.service == service
-                  ? 1
-                  : 0;
-  }
+job_scheduler::trial_room job_scheduler::FindTrialRoom(
+    const std::string& service,
+    const task_name& key,
+    const scheduled_task& task,
+    millis now) {
+  const std::size_t usable = static_cast<std::size_t>(
+      std::count_if(workers_.begin(), workers_.end(), [&](const auto& entry) {
+        const executor_description& description = entry.second.description;
+        return entry.second.runs_known && !description.draining &&
+               description.service == service;
+      }));
   const std::size_t most_reserved =
       std::max<std::size_t>(1, usable / kWorkersPerReservation);
-  const std::size_t trial_size = std::clamp<std::size_t>(
+  trial_room room;
+  room.tasks = std::clamp<std::size_t>(
       waiting_suspects_[service] / (kFewTrials * most_reserved), 1,
       task.crashed_runs.size() < kCrashesOfCause ? kMaxTrialSize : 1);
   std::size_t reserved = 0;
-  bool has_free_one = false;
-  scheduled_worker* reserved_before = nullptr;
   for (auto& [agent, worker] : workers_) {
     if (worker.description.service != service || !IsReserved(worker, now)) {
       continue;
     }
     ++reserved;
-    const bool is_free = IsFreeForTrial(worker, task, trial_size, now);
-    has_free_one = has_free_one || is_free;
+    room.has_free_worker =
+        room.has_free_worker || IsFreeForTrial(worker, task, room.tasks, now);
     if (now < worker.reserved_until && worker.reserved_for == key) {
-      reserved_before = &worker;
-      if (!is_free) {
-        return true;  // Waits until that worker's runs are proven.
-      }
+      room.reserved_for_task = &worker;
     }
   }
-  const bool may_reserve = reserved < most_reserved;
-  if (!may_reserve && !has_free_one) {
+  room.may_reserve = reserved < most_reserved;
+  return room;
+}
+
+void job_scheduler::BeginTrial(scheduled_worker& worker,
+                               const scheduled_task& task,
+                               millis now) {
+  const bool joins = worker.trial_until != 0 && worker.trial_began == now;
+  const bool is_alone = task.crashed_runs.size() >= kCrashesOfCause;
+  worker.trial_size = is_alone ? kMaxTrialSize
+                      : joins  ? worker.trial_size + 1
+                               : 1;
+  worker.trial_began = now;
+  worker.trial_until = now + kMaxTrialTime;
+  worker.reserved_until = 0;  // The trial keeps the worker.
+}
+
+bool job_scheduler::StartTrial(scheduled_job& job,
+                               const task_name& key,
+                               scheduled_task& task,
+                               millis now) {
+  const std::string& service = job.policy.service;
+  if (services_without_trials_.count(service) != 0) {
+    return false;
+  }
+  if (task.doubtful_runs.size() >= kMaxDoubtfulRuns) {
+    return true;  // Others of the step may start.
+  }
+  const trial_room room = FindTrialRoom(service, key, task, now);
+  if (room.reserved_for_task != nullptr &&
+      !IsFreeForTrial(*room.reserved_for_task, task, room.tasks, now)) {
+    return true;  // Waits until that worker's runs are proven.
+  }
+  if (!room.may_reserve && !room.has_free_worker) {
     // One that has to be tried alone says nothing about those that may join.
     if (task.crashed_runs.size() < kCrashesOfCause) {
       services_without_trials_.insert(service);
@@ -244,11 +266,11 @@
     if (worker.crashed_at != 0 && now - worker.crashed_at < kCrashMemory) {
       entry.score -= kCrashPenalty;
     }
-    const bool is_free = IsFreeForTrial(worker, task, trial_size, now);
+    const bool is_free = IsFreeForTrial(worker, task, room.tasks, now);
     if (is_free) {
       entry.score += kReadyForTrialBonus;
     }
-    return IsReserved(worker, now) ? !is_free : !may_reserve;
+    return IsReserved(worker, now) ? !is_free : !room.may_reserve;
   });
   const candidate* best = BestCandidate(
       candidates, key, task, job.record.spec.steps[key.step].filler, now);
@@ -256,22 +278,15 @@
     return false;
   }
   scheduled_worker& worker = *best->worker;
-  if (reserved_before != nullptr) {
-    reserved_before->reserved_until = 0;
+  if (room.reserved_for_task != nullptr) {
+    room.reserved_for_task->reserved_until = 0;
   }
-  if (!IsFreeForTrial(worker, task, trial_size, now)) {
+  if (!IsFreeForTrial(worker, task, room.tasks, now)) {
     worker.reserved_until = now + kReservationTime;
     worker.reserved_for = key;
     return true;
   }
-  const bool joins = worker.trial_until != 0 && worker.trial_began == now;
-  worker.trial_size = joins ? worker.trial_size + 1 : 1;
-  if (task.crashed_runs.size() >= kCrashesOfCause) {
-    worker.trial_size = kMaxTrialSize;  // Nothing may join it.
-  }
-  worker.trial_began = now;
-  worker.trial_until = now + kMaxTrialTime;
-  worker.reserved_until = 0;  // The trial keeps the worker.
+  BeginTrial(worker, task, now);
   OrderStart(worker, job, key, task, NextRunNumber(task), now);
   return true;
 }
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -115,7 +115,7 @@
                                   millis now) {
   if (!worker.description.boot.id.empty()) {
     if (!worker.description.draining) {
-      crashed_executor crashed{worker.description.boot, RunsToLose(worker)};
+      crashed_executor crashed{worker.description.boot, RunsOnWorker(worker)};
       crashed.runs.insert(crashed.runs.end(), worker.silent_runs.begin(),
                           worker.silent_runs.end());
       OnExecutorCrashed(worker, crashed, now);
