Tell why batch jobs are late, and how they share workers with services

The owner tells once a second how services and batch tasks share the workers, in the log and in gauges.

--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -37,6 +37,8 @@
 constexpr millis kHoldTimePerAgent = 4;
 constexpr millis kMaxHoldTime = 600;
 
+constexpr millis kSharingReportInterval = 1'000;
+
 }  // namespace
 
 job_owner::job_owner(boost::asio::io_context& context,
@@ -119,6 +121,7 @@
         }
         Step();
         StorePressureModel();
+        ReportSharing();
         ScheduleTick();
       });
 }
@@ -134,6 +137,33 @@
   next_step_ = ended + kStepPauseFactor * (ended - began);
 }
 
+void job_owner::ReportSharing() {
+  const millis now = BootNow();
+  if (now < next_sharing_report_) {
+    return;
+  }
+  next_sharing_report_ = now + kSharingReportInterval;
+  const sharing_summary summary = scheduler_->SummarizeSharing();
+  LogEvent(kPart, "sharing",
+           {{"id", "all workers"},
+            {"workers", summary.workers},
+            {"without_services", summary.workers_without_services},
+            {"service_images", summary.service_images_per_worker},
+            {"service_milli", summary.service_milli_processors},
+            {"filler_runs", summary.best_effort_runs},
+            {"filler_milli", summary.best_effort_milli_processors},
+            {"pace_percent", summary.mean_pace_percent},
+            {"waiting_tasks", summary.waiting_tasks}},
+           true);
+  metrics_.SetValue("service_images_per_worker",
+                    summary.service_images_per_worker);
+  metrics_.SetValue("workers_without_services",
+                    static_cast<double>(summary.workers_without_services));
+  metrics_.SetValue("best_effort_pace_percent", summary.mean_pace_percent);
+  metrics_.SetValue("waiting_tasks",
+                    static_cast<double>(summary.waiting_tasks));
+}
+
 // Schedules one call of Step() for all events that arrive before it.
 void job_owner::ScheduleStep() {
   if (step_scheduled_) {
--- a/src/chervilkeeld/job_owner.h
+++ b/src/chervilkeeld/job_owner.h
@@ -110,6 +110,8 @@
   void OnPartOutcome(const result<transaction_outcome>& outcome);
   void OnPartCommitted();
   void StorePressureModel();
+  // Tells in the log and in metrics how services and batch work share workers.
+  void ReportSharing();
   std::vector<store_transaction> SplitChanges(
       const durable_changes& changes) const;
 
@@ -155,6 +157,7 @@
   millis next_pressure_write_ =
       0;  // When the interference model is next written.
   millis recovery_began_ = 0;
+  millis next_sharing_report_ = 0;
 };
 
 }  // namespace chervilkeel
--- a/src/include/chervilkeel/event_log.h
+++ b/src/include/chervilkeel/event_log.h
@@ -25,6 +25,8 @@
       : key(name), value(std::to_string(number)) {}
   event_field(std::string_view name, int number)
       : key(name), value(std::to_string(number)) {}
+  event_field(std::string_view name, double number)
+      : key(name), value(std::to_string(number)) {}
   event_field(std::string_view name, bool flag)
       : key(name), value(flag ? "true" : "false") {}
 };
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -158,6 +158,25 @@
   bool end_is_durable = false;
   std::uint64_t done_tasks = 0;
   std::uint64_t started_tasks = 0;
+  // Sums over all tasks, in ms: time in which they waited for a worker, and
+  // working time that their runs lost to paces below 100.
+  millis waited = 0;
+  millis throttled = 0;
+  std::uint64_t moves = 0;  // Runs stopped for a worker that allows more.
+};
+
+// How services and best-effort tasks share the workers at the moment.
+struct sharing_summary {
+  std::uint64_t workers = 0;  // That may get tasks.
+  std::uint64_t workers_without_services = 0;
+  // Mean number of images of services with a tail latency target, over the
+  // workers that run such services.
+  double service_images_per_worker = 0;
+  std::int64_t service_milli_processors = 0;  // Reserved.
+  std::uint64_t best_effort_runs = 0;
+  std::int64_t best_effort_milli_processors = 0;  // At full speed.
+  double mean_pace_percent = 100;  // Of the best-effort runs, by their cores.
+  std::uint64_t waiting_tasks = 0;
 };
 
 // An ended run of a best-effort task. It is remembered while the tail latencies
@@ -313,6 +332,8 @@
     return workers_;
   }
 
+  sharing_summary SummarizeSharing();
+
   // Returns the agents whose orders, membership or recorded end have changed
   // since the last call.
   std::set<std::string> TakeAgentsToNotify();
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -312,8 +312,12 @@
   StopAllRuns(job, NameOf(state));
   Emit("job_ended", job.record.id, "",
        std::string("state=") + NameOf(state) +
-           " done_tasks=" + std::to_string(job.done_tasks) +
-           " started_tasks=" + std::to_string(job.started_tasks));
+           " done_tasks=" + std::to_string(job.done_tasks) + " started_tasks=" +
+           std::to_string(job.started_tasks) + " objective_ms=" +
+           std::to_string(static_cast<millis>(ObjectiveOf(job))) +
+           " waited_ms=" + std::to_string(job.waited) +
+           " throttled_ms=" + std::to_string(job.throttled) +
+           " moves=" + std::to_string(job.moves));
 }
 
 void job_scheduler::StopAllRuns(scheduled_job& job, const char* reason) {
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -115,6 +115,7 @@
     worker.health.OnProbe(now);
   }
   ++job.started_tasks;
+  job.waited += now - task.ready_since;
   job.state = job_state::kRunning;
   SendStart(job, key, task, run);
   Emit("start_ordered", key.ToString(), worker.agent,
@@ -606,6 +607,7 @@
       if (new_worker != nullptr &&
           PaceAlongsideServices(*new_worker, step, now) > kUnthrottledPace) {
         OrderStop(key, run, "another worker allows a higher pace");
+        ++job.moves;
         if (++moves == kMaxMovesPerScan) {
           return;
         }
--- a/src/libkernel/job_scheduler_sharing.cpp
+++ b/src/libkernel/job_scheduler_sharing.cpp
@@ -118,6 +118,63 @@
   return *runs;
 }
 
+sharing_summary job_scheduler::SummarizeSharing() {
+  sharing_summary summary;
+  std::uint64_t shared_workers = 0;
+  std::size_t images = 0;
+  double paced_milli_processors = 0;
+  for (const auto& [agent, worker] : workers_) {
+    if (!worker.runs_known || worker.description.draining) {
+      continue;
+    }
+    ++summary.workers;
+    summary.service_milli_processors += worker.service_milli_processors;
+    if (worker.service_milli_processors == 0) {
+      ++summary.workers_without_services;
+    }
+    const worker_runs runs = RunsOf(worker);
+    std::set<std::string> service_images;
+    for (const service_run& service : runs.services) {
+      service_images.insert(service.step->image);
+    }
+    shared_workers += service_images.empty() ? 0 : 1;
+    images += service_images.size();
+    for (const best_effort_run& other : runs.best_effort) {
+      ++summary.best_effort_runs;
+      summary.best_effort_milli_processors += other.step->size.milli_processors;
+      paced_milli_processors +=
+          static_cast<double>(other.step->size.milli_processors) *
+          other.run->pace;
+    }
+  }
+  if (shared_workers > 0) {
+    summary.service_images_per_worker =
+        static_cast<double>(images) / static_cast<double>(shared_workers);
+  }
+  if (summary.best_effort_milli_processors > 0) {
+    summary.mean_pace_percent =
+        paced_milli_processors /
+        static_cast<double>(summary.best_effort_milli_processors);
+  }
+  for (const std::string& id : active_jobs_) {
+    const scheduled_job& job = jobs_.at(id);
+    if (!job.has_waiting_tasks) {
+      continue;
+    }
+    for (const auto& [number, occurrence] : job.occurrences) {
+      for (const scheduled_step& step : occurrence.steps) {
+        if (!step.ready) {
+          continue;
+        }
+        summary.waiting_tasks += static_cast<std::uint64_t>(std::count_if(
+            step.tasks.begin(), step.tasks.end(),
+            [](const auto& task) { return !task.done && task.runs.empty(); }));
+      }
+    }
+  }
+  return summary;
+}
+
 // Returns the name of the group of tasks that share a service's load.
 std::string job_scheduler::LoadGroup(const task_name& name) {
   return name.job + "." + std::to_string(name.step);
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -357,6 +357,9 @@
   const auto holder = workers_.find(agent);
   const auto dropped =
       std::find_if(task->runs.begin(), task->runs.end(), is_run);
+  if (dropped != task->runs.end()) {
+    job.throttled += dropped->throttling_loss;
+  }
   if (holder != workers_.end() && dropped != task->runs.end()) {
     RecordEndedBestEffortRun(holder->second, job.record.spec.steps[key.step],
                              *dropped, now);
