Compute the room beside a worker's services once a step, not once a task

Every waiting step was judged on each worker, and each time the headroom of each service there was computed anew, with the load of all its batch tasks. The cost of a decision grew with waiting steps x workers x services x batch tasks: most when there is most to do.

Headroom and load do not depend on the task to be placed, so a worker's are now computed once a step of the scheduler. Membership, two searches by name, is checked last.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -562,9 +562,14 @@
   struct worker_runs {
     std::vector<service_run> services;
     std::vector<best_effort_run> best_effort;
+    // By service: its InterferenceHeadroom(), and what the best-effort tasks
+    // would add to its utilization at full speed. Filled by RoomsOf().
+    std::vector<std::pair<double, double>> rooms;
   };
   worker_runs RunsOf(const scheduled_worker& worker);
-  const worker_runs& CachedRunsOf(const scheduled_worker& worker);
+  // The same with the rooms. They don't depend on the task to be placed, so
+  // they are computed once for all waiting steps.
+  const worker_runs& RoomsOf(const scheduled_worker& worker, millis now);
   static std::string LoadGroup(const task_name& name);
   static std::vector<colocated_work> InterferingWork(scheduled_worker& worker,
                                                      const worker_runs& runs,
@@ -704,7 +709,7 @@
   millis next_scan_ = 0;
   millis next_placement_ = 0;
   bool placement_requested_ = true;  // By a change since the last placement.
-  // Valid within one Tick(); see CachedRunsOf().
+  // Valid within one Tick(); see RoomsOf().
   std::map<const scheduled_worker*, std::shared_ptr<worker_runs>> runs_cache_;
   // Sum and number of the total works of a queue's jobs.
   struct work_mean {
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -400,8 +400,7 @@
   const job_step& step = job.record.spec.steps[key.step];
   if (!worker.runs_known || description.draining ||
       description.service != job.policy.service ||
-      now < worker.start_backoff_until || !IsMember(worker.agent) ||
-      !worker.health.MayStart(now)) {
+      now < worker.start_backoff_until || !worker.health.MayStart(now)) {
     return false;
   }
   if (!step.required_label.empty() &&
@@ -416,7 +415,8 @@
     }
     need.milli_processors = 0;
   }
-  if (!Fits(need, description.capacity - worker.used)) {
+  if (!Fits(need, description.capacity - worker.used) ||
+      !IsMember(worker.agent)) {
     return false;
   }
   if (step.most_per_worker > 0) {
--- a/src/libkernel/job_scheduler_sharing.cpp
+++ b/src/libkernel/job_scheduler_sharing.cpp
@@ -107,17 +107,6 @@
   return runs;
 }
 
-// Returns the runs of a worker, cached for the current Tick(); a start on the
-// worker invalidates its entry.
-const job_scheduler::worker_runs& job_scheduler::CachedRunsOf(
-    const scheduled_worker& worker) {
-  std::shared_ptr<worker_runs>& runs = runs_cache_[&worker];
-  if (runs == nullptr) {
-    runs = std::make_shared<worker_runs>(RunsOf(worker));
-  }
-  return *runs;
-}
-
 sharing_summary job_scheduler::SummarizeSharing() {
   sharing_summary summary;
   std::uint64_t shared_workers = 0;
@@ -305,28 +294,47 @@
          own_load - kUnexplainedWeight * std::max(unexplained, 0.0);
 }
 
+// Returns the runs of a worker, cached for the current Tick(); a start on the
+// worker invalidates its entry.
+const job_scheduler::worker_runs& job_scheduler::RoomsOf(
+    const scheduled_worker& worker,
+    millis now) {
+  std::shared_ptr<worker_runs>& runs = runs_cache_[&worker];
+  if (runs == nullptr) {
+    runs = std::make_shared<worker_runs>(RunsOf(worker));
+  }
+  if (runs->rooms.size() == runs->services.size()) {
+    return *runs;
+  }
+  for (const service_run& service : runs->services) {
+    double added = 0;
+    for (const best_effort_run& other : runs->best_effort) {
+      added += pressure_model_.Factor(service.step->image, other.step->image) *
+               ShareAt(worker, *other.step, 100);
+    }
+    runs->rooms.emplace_back(InterferenceHeadroom(worker, *runs, service, now),
+                             added);
+  }
+  return *runs;
+}
+
 // Returns the fraction of full speed at which a best-effort task may start on a
 // worker, given the services and best-effort tasks that run there.
 double job_scheduler::PaceAlongsideServices(const scheduled_worker& worker,
                                             const job_step& filler,
                                             millis now) {
-  const worker_runs& runs = CachedRunsOf(worker);
+  const worker_runs& runs = RoomsOf(worker, now);
+  const double share = ShareAt(worker, filler, 100);
   double pace = 1.0;
-  for (const auto& service : runs.services) {
-    const std::string& image = service.step->image;
-    const double added =
-        pressure_model_.UpperConfidenceFactor(image, filler.image) *
-        ShareAt(worker, filler, 100);
-    if (added < kNegligibleUtilization) {
-      continue;
-    }
-    double total_added = added;
-    for (const auto& other : runs.best_effort) {
-      total_added += pressure_model_.Factor(image, other.step->image) *
-                     ShareAt(worker, *other.step, 100);
+  for (std::size_t i = 0; i < runs.services.size(); ++i) {
+    const double added = pressure_model_.UpperConfidenceFactor(
+                             runs.services[i].step->image, filler.image) *
+                         share;
+    if (added >= kNegligibleUtilization) {
+      const auto& [headroom, added_by_others] = runs.rooms[i];
+      pace =
+          std::min(pace, std::max(headroom, 0.0) / (added + added_by_others));
     }
-    const double headroom = InterferenceHeadroom(worker, runs, service, now);
-    pace = std::min(pace, std::max(headroom, 0.0) / total_added);
   }
   return pace;
 }
