Batch tasks wait for room beside services instead of crowding workers

A batch task that found no worker where it would run at half of its speed started after 2.5 s on any worker.

Only the first task of a job without runs still starts after 2.5 s, so that each job makes progress; its other tasks wait up to 20 s.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -505,10 +505,16 @@
                                     const task_name& step_key,
                                     start_kind kind,
                                     millis now);
+  // Returns how long a best-effort task of a job waits for a worker that lets
+  // it run at kMinStartPace, in ms.
+  static millis MaxWaitForPace(const scheduled_job& job);
+  // Returns the best candidate for a task, or nothing. A task that has waited
+  // for less than `max_wait_for_pace` (ms) takes no worker that would slow it
+  // below kMinStartPace.
   static candidate* BestCandidate(std::vector<candidate>& candidates,
                                   const task_name& key,
                                   const scheduled_task& task,
-                                  bool is_best_effort,
+                                  millis max_wait_for_pace,
                                   millis now);
   scheduled_worker* ChooseWorker(const scheduled_job& job,
                                  const task_name& key,
--- a/src/libkernel/job_scheduler_crashes.cpp
+++ b/src/libkernel/job_scheduler_crashes.cpp
@@ -273,7 +273,8 @@
     return IsReserved(worker, now) ? !is_free : !room.may_reserve;
   });
   const candidate* best = BestCandidate(
-      candidates, key, task, job.record.spec.steps[key.step].filler, now);
+      candidates, key, task,
+      job.record.spec.steps[key.step].filler ? MaxWaitForPace(job) : 0, now);
   if (best == nullptr) {
     return false;
   }
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -37,9 +37,11 @@
 
 // A best-effort task starts on a worker where it can run at this fraction of
 // full speed or more. After waiting for kMaxWaitForPace (ms) it starts on any
-// worker.
+// worker; the first task of a job without runs already does so after
+// kMaxWaitOfIdleJob (ms), so that every job makes progress.
 constexpr double kMinStartPace = 0.5;
-constexpr millis kMaxWaitForPace = 2'500;
+constexpr millis kMaxWaitForPace = 20'000;
+constexpr millis kMaxWaitOfIdleJob = 2'500;
 
 // A best-effort task whose pace is at most kThrottledPercent and that has lost
 // more than kMaxTimeLost (ms) is moved if another worker lets it run above
@@ -320,7 +322,8 @@
     if (task.is_suspect) {
       continue;
     }
-    candidate* best = BestCandidate(candidates, key, task, is_best_effort, now);
+    candidate* best = BestCandidate(
+        candidates, key, task, is_best_effort ? MaxWaitForPace(job) : 0, now);
     if (best == nullptr) {
       return;
     }
@@ -484,16 +487,19 @@
   return found;
 }
 
+millis job_scheduler::MaxWaitForPace(const scheduled_job& job) {
+  return HasRuns(job) ? kMaxWaitForPace : kMaxWaitOfIdleJob;
+}
+
 job_scheduler::candidate* job_scheduler::BestCandidate(
     std::vector<candidate>& candidates,
     const task_name& key,
     const scheduled_task& task,
-    bool is_best_effort,
+    millis max_wait_for_pace,
     millis now) {
   candidate* best = nullptr;
   double best_score = 0;
-  const bool waits_for_pace =
-      is_best_effort && now - task.ready_since < kMaxWaitForPace;
+  const bool waits_for_pace = now - task.ready_since < max_wait_for_pace;
   for (candidate& entry : candidates) {
     if ((waits_for_pace && entry.pace < kMinStartPace) ||
         entry.worker->tasks.count(key) != 0) {
@@ -518,7 +524,8 @@
   std::vector<candidate> candidates =
       Candidates(job, key, start_kind::kNormal, now);
   const candidate* best = BestCandidate(
-      candidates, key, task, job.record.spec.steps[key.step].filler, now);
+      candidates, key, task,
+      job.record.spec.steps[key.step].filler ? MaxWaitForPace(job) : 0, now);
   return best == nullptr ? nullptr : best->worker;
 }
 
--- a/src/libkernel/job_scheduler_sharing_test.cpp
+++ b/src/libkernel/job_scheduler_sharing_test.cpp
@@ -1,5 +1,7 @@
 // How services and batch tasks share workers: the choice of workers for
 // services, and what the scheduler tells of it.
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 #include "job_scheduler_fixture.h"
@@ -8,8 +10,14 @@
 
 namespace {
 
+constexpr std::int64_t kTailNearTarget = 17;  // ms, of 20.
+constexpr millis kIdleJobWait = 3'000;        // A job's first run has begun.
+constexpr millis kRoomWait = 20'000;          // Other tasks wait so long.
+
 struct sharing_fixture : scheduler_fixture {
   std::vector<scheduler_event> events;
+  std::vector<run_status> runs;
+  std::uint32_t percent = 0;
 
   sharing_fixture() {
     scheduler.on_event = [this](const scheduler_event& event) {
@@ -30,11 +38,51 @@
   void StartOn(const std::string& agent) {
     for (const worker_order& order : TakeOrders(agent)) {
       if (order.kind == order_kind::kStart) {
+        runs.push_back({order.task, order.run, "", 0, 0});
         ReportStart(agent, order, start_outcome::kStarted);
       }
     }
   }
 
+  static job_record MakeBatch(const std::string& id, std::uint32_t tasks) {
+    job_record record = MakeJob(id, tasks);
+    record.spec.steps[0].filler = true;
+    record.spec.steps[0].image = "batch";
+    record.spec.steps[0].expected = 30'000;
+    return record;
+  }
+
+  // Lets time pass while the worker's service is close to its target, and all
+  // starts succeed.
+  void LetServicesRun(millis duration) {
+    for (const millis until = now + duration; now < until; now += 250) {
+      for (const worker_order& order : TakeOrders("a")) {
+        if (order.kind == order_kind::kStart) {
+          runs.push_back({order.task, order.run, "", 0, 0});
+        }
+      }
+      worker_report report = MakeReport("a");
+      report.has_runs = true;
+      report.runs = runs;
+      ++percent;
+      for (run_status& run : report.runs) {
+        const bool is_service = run.task.job == "service";
+        run.percent = is_service ? 100 : percent % 100;
+        run.load = is_service ? kTailNearTarget : 0;
+      }
+      scheduler.OnReport(report, now);
+      Tick();
+    }
+  }
+
+  std::size_t CountBatchStarts() const {
+    return static_cast<std::size_t>(
+        std::count_if(events.begin(), events.end(), [](const auto& entry) {
+          return entry.event == std::string("start_ordered") &&
+                 entry.subject.rfind("batch", 0) == 0;
+        }));
+  }
+
   std::string DetailOf(const std::string& event) const {
     for (const scheduler_event& entry : events) {
       if (entry.event == event) {
@@ -84,6 +132,31 @@
   BOOST_TEST(summary.best_effort_runs + summary.waiting_tasks == 9U);
 }
 
+// Guards against batch tasks that crowd workers whose services leave no room,
+// where they pause each other and all jobs end late.
+BOOST_AUTO_TEST_CASE(tasks_wait_while_services_leave_no_room) {
+  ReportIdleWorker("a");
+  scheduler.AddJob(MakeService("service", 1, "x"), now);
+  Tick();
+  StartOn("a");
+  scheduler.AddJob(MakeBatch("batch", 3), now);
+  LetServicesRun(kIdleJobWait);
+  BOOST_TEST(CountBatchStarts() == 1U);
+  LetServicesRun(kRoomWait - kIdleJobWait - 1'000);
+  BOOST_TEST(CountBatchStarts() == 1U);
+}
+
+// Guards against batch tasks that never start where room never comes.
+BOOST_AUTO_TEST_CASE(tasks_start_after_the_longest_wait_for_room) {
+  ReportIdleWorker("a");
+  scheduler.AddJob(MakeService("service", 1, "x"), now);
+  Tick();
+  StartOn("a");
+  scheduler.AddJob(MakeBatch("batch", 3), now);
+  LetServicesRun(kRoomWait + 1'000);
+  BOOST_TEST(CountBatchStarts() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
