Examine best-effort tasks at most every 50 ms while they find no worker

Each end of a run led to a pass over all waiting steps and all workers. While any best-effort task finds no worker, all of them are now examined again after 50 ms, in their order; other tasks are placed at once.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -494,7 +494,8 @@
   double WorkPerValue(const scheduled_job& job,
                       const scheduled_occurrence& occurrence) const;
   void PlaceWaiting(millis now);
-  void PlaceTasks(const waiting_step& waiting, millis now);
+  // Returns whether all tasks of the step have found a worker.
+  bool PlaceTasks(const waiting_step& waiting, millis now);
   void PlaceGang(const waiting_step& waiting, millis now);
   std::vector<candidate> Candidates(const scheduled_job& job,
                                     const task_name& step_key,
@@ -622,6 +623,11 @@
   // paces and back-offs change with time alone.
   static constexpr millis kPlacementInterval = 100;
 
+  // While best-effort tasks find no worker, all of them are examined again
+  // after this time only: each pass judges every waiting step on every worker,
+  // and other tasks and calls have to be served in between.
+  static constexpr millis kCrowdedPlacementInterval = 50;
+
   // How long a worker that refused a start for lack of capacity gets no other.
   static constexpr millis kStartBackoff = 250;
 
@@ -714,6 +720,7 @@
   millis next_pace_update_ = 0;
   millis next_scan_ = 0;
   millis next_placement_ = 0;
+  millis next_best_effort_placement_ = 0;
   bool placement_requested_ = true;  // By a change since the last placement.
   // Valid within one Tick(); see RoomsOf().
   std::map<const scheduled_worker*, std::shared_ptr<worker_runs>> runs_cache_;
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -292,18 +292,30 @@
   next_placement_ = now + kPlacementInterval;
   services_without_trials_.clear();
   waiting_suspects_.clear();
+  const bool places_best_effort = now >= next_best_effort_placement_;
+  bool is_crowded = false;
   for (const waiting_step& waiting : WaitingSteps()) {
-    if (waiting.job->record.spec.steps[waiting.step_index].gang) {
+    const job_step& step = waiting.job->record.spec.steps[waiting.step_index];
+    if (step.filler && !places_best_effort) {
+      continue;
+    }
+    if (step.gang) {
       PlaceGang(waiting, now);
-    } else {
-      PlaceTasks(waiting, now);
+    } else if (!PlaceTasks(waiting, now) && step.filler) {
+      is_crowded = true;
     }
   }
+  if (is_crowded) {
+    next_best_effort_placement_ = now + kCrowdedPlacementInterval;
+  }
+  if (next_best_effort_placement_ > now) {
+    next_placement_ = std::min(next_placement_, next_best_effort_placement_);
+  }
 }
 
 // All tasks of a step have the same requirements: when one finds no worker, the
 // others will not find one either.
-void job_scheduler::PlaceTasks(const waiting_step& waiting, millis now) {
+bool job_scheduler::PlaceTasks(const waiting_step& waiting, millis now) {
   scheduled_job& job = *waiting.job;
   const bool is_best_effort = job.record.spec.steps[waiting.step_index].filler;
   task_name key{job.record.id, waiting.occurrence, waiting.step_index, 0};
@@ -325,7 +337,7 @@
     candidate* best = BestCandidate(
         candidates, key, task, is_best_effort ? MaxWaitForPace(job) : 0, now);
     if (best == nullptr) {
-      return;
+      return false;
     }
     OrderStart(*best->worker, job, key, task, NextRunNumber(task), now);
     const auto reevaluated =
@@ -337,6 +349,7 @@
       candidates.pop_back();
     }
   }
+  return true;
 }
 
 // Starts either all members of a gang, with one run number, or none of them.
