Pass over announcements with numbers that no executor can have

Other operators saw processes that followed their executors no more after another writer had left one odd entry. Looked for here: entries that are deeply nested, that name a port out of range, or whose numbers fit no integer are refused when they are decoded, and the agent goes on. A number that is too large and still an integer was believed: one announcement with a boot in the far future, or with the largest sequence, made all later ones look outdated, and the agent left its executor for good; a capacity of 2^63-1 was told to the owner.

Such announcements are now answered 400, logged and counted. A boot may be at most 60 s ahead of the clock, since clocks jump; a false boot within that time is still believed.

announcement_with_numbers_out_of_range_is_passed_over failed before: the draining that the executor announced afterwards never reached the owner.

--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -23,6 +23,37 @@
 constexpr millis kListingFresh = 1'000;  // An older list is not reported.
 constexpr int kHoldFailuresToLost = 3;
 
+// What an announcement may say: no boot in the future, at most one announcement
+// a millisecond since the boot, and no amount beyond any machine's.
+constexpr millis kMaxClockError = 60'000;
+constexpr std::int64_t kMaxMilliProcessors = 10'000'000;
+constexpr std::int64_t kMaxMemoryMb = 1'000'000'000;
+constexpr std::int64_t kMaxAccelerators = 10'000;
+
+bool IsPlausible(std::int64_t value, std::int64_t most) {
+  return value >= 0 && value <= most;
+}
+
+// Returns what is wrong with the numbers of an announcement; empty if nothing
+// is. One that were believed could make all later ones look outdated.
+std::string FindImplausible(const announcement& said) {
+  const executor_description& worker = said.worker;
+  const millis latest = static_cast<millis>(WallNow()) + kMaxClockError;
+  if (!IsPlausible(worker.boot.started_ms, latest)) {
+    return "the time of the boot";
+  }
+  if (said.sequence >
+      static_cast<std::uint64_t>(latest - worker.boot.started_ms)) {
+    return "the sequence";
+  }
+  if (!IsPlausible(worker.capacity.milli_processors, kMaxMilliProcessors) ||
+      !IsPlausible(worker.capacity.memory_mb, kMaxMemoryMb) ||
+      !IsPlausible(worker.capacity.accelerators, kMaxAccelerators)) {
+    return "the capacity";
+  }
+  return "";
+}
+
 }  // namespace
 
 job_agent_process::job_agent_process(boost::asio::io_context& context,
@@ -103,6 +134,18 @@
     respond(accepted);
     return;
   }
+  const std::string implausible = FindImplausible(value);
+  if (!implausible.empty()) {
+    LogEvent(kPart, "announcement_implausible",
+             {{"executor", value.worker.boot.id},
+              {"field", implausible},
+              {"started_ms", value.worker.boot.started_ms},
+              {"sequence", value.sequence}},
+             true);
+    metrics_.CountEvent("announcements_implausible");
+    respond(ErrorResponse(400, implausible + " is out of range"));
+    return;
+  }
   if (value.address.ToString() != settings_.job_executor.ToString()) {
     LogEvent(kPart, "announcement_of_other_address",
              {{"executor", value.worker.boot.id},
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 
@@ -37,6 +39,8 @@
   bool refuses_connections = false;  // Starts do not reach the executor.
   int unsent_starts = 0;
   int announcements = 0;  // Read by the agent.
+  // Changes what the next announcements say.
+  std::function<void(announcement&)> distort;
 };
 
 // An executor that carries out starts without answering them.
@@ -156,6 +160,9 @@
     said.worker.capacity = {4'000, 8'000, 0};
     said.address = {"127.0.0.1", 1};
     said.sequence = 1;
+    if (script_.distort) {
+      script_.distort(said);
+    }
     return said;
   }
 
@@ -232,6 +239,7 @@
   int not_obeying = 0;  // Calls after the first of those that don't.
   executor_script script;
   std::optional<start_outcome> outcome;  // Of the task that was started.
+  worker_report last_report;             // That vouches for the executor.
   int lists_left_at_outcome = 0;
   // What calls have told of crashes, by the epoch of the call.
   std::map<std::uint64_t, std::vector<crashed_executor>> crashes;
@@ -241,6 +249,9 @@
       obeying += sync.obeys() ? 1 : 0;
       not_obeying += !sync.obeys() && obeying > 0 ? 1 : 0;
       const worker_report report = FromWire(sync);
+      if (sync.obeys()) {
+        last_report = report;
+      }
       for (const crashed_executor& crashed : report.crashes) {
         crashes[sync.epoch()].push_back(crashed);
       }
@@ -271,12 +282,13 @@
     AnnounceBoot();
   }
 
-  void AnnounceBoot() {
+  void AnnounceBoot(unsigned expected_status = 200) {
     http_request announced;
     announced.body = kAnnouncementBody;
-    agent->TakeAnnouncement(announced, [](const http_response& response) {
-      BOOST_TEST(response.status == 200);
-    });
+    agent->TakeAnnouncement(announced,
+                            [expected_status](const http_response& response) {
+                              BOOST_TEST(response.status == expected_status);
+                            });
   }
 
   // An agent that never comes to a condition is found out by its calls.
@@ -446,10 +458,46 @@
   RunUntil([this] { return crashes.count(1) != 0; });
   BOOST_REQUIRE_EQUAL(crashes.count(1), 1);
   BOOST_TEST(crashes.at(1)[0].runs.empty());
+}
 
-  // Guards against an executor that sees its connection close: SIGTERM comes
+// Guards against an agent that follows its executor no more: one announcement
+// by another writer, with a number too large, made all true ones look outdated.
+BOOST_AUTO_TEST_CASE(announcement_with_numbers_out_of_range_is_passed_over) {
+  constexpr auto kLargest = std::numeric_limits<std::int64_t>::max();
+  script.listings = 1'000'000;
+  Announce();
+  RunUntil([this] { return obeying > 0; });
+  const std::function<void(announcement&)> distortions[] = {
+      [](announcement& said) { said.worker.boot.started_ms = kLargest; },
+      [](announcement& said) {
+        said.sequence = std::numeric_limits<std::uint64_t>::max();
+      },
+      [](announcement& said) {
+        said.worker.capacity.milli_processors = kLargest;
+      },
+      [](announcement& said) { said.worker.capacity.memory_mb = -1; },
+  };
+  for (const auto& distort : distortions) {
+    script.distort = distort;
+    AnnounceBoot(400);
+  }
+  script.distort = [](announcement& said) {
+    said.sequence = 2;
+    said.worker.draining = true;
+  };
+  AnnounceBoot();
+  constexpr millis kLongestWait = 5'000;
+  const millis until = BootNow() + kLongestWait;
+  while (!last_report.worker.draining && BootNow() < until) {
+    context.run_one_for(std::chrono::milliseconds(50));
+  }
+  BOOST_TEST(last_report.worker.draining);
+  BOOST_TEST(last_report.worker.boot.started_ms == 5);
+  BOOST_TEST(last_report.worker.capacity.milli_processors == 4'000);
+  BOOST_TEST(last_report.worker.capacity.memory_mb == 8'000);
 }
 
+// Guards against an executor that sees its connection close: SIGTERM comes
 // while an announcement that was read whole is being answered.
 BOOST_AUTO_TEST_CASE(announcement_is_answered_before_the_agent_ends) {
   using boost::asio::ip::tcp;
