--- a/src/libkernel/job_scheduler_sharing_test.cpp
+++ b/src/libkernel/job_scheduler_sharing_test.cpp
@@ -75,11 +75,11 @@
     }
   }
 
-  std::size_t CountBatchStarts() const {
+  std::size_t CountStarts(const std::string& job) const {
     return static_cast<std::size_t>(
-        std::count_if(events.begin(), events.end(), [](const auto& entry) {
+        std::count_if(events.begin(), events.end(), [&job](const auto& entry) {
           return entry.event == std::string("start_ordered") &&
-                 entry.subject.rfind("batch", 0) == 0;
+                 entry.subject.rfind(job, 0) == 0;
         }));
   }
 
@@ -141,9 +141,9 @@
   StartOn("a");
   scheduler.AddJob(MakeBatch("batch", 3), now);
   LetServicesRun(kIdleJobWait);
-  BOOST_TEST(CountBatchStarts() == 1U);
+  BOOST_TEST(CountStarts("batch") == 1U);
   LetServicesRun(kRoomWait - kIdleJobWait - 1'000);
-  BOOST_TEST(CountBatchStarts() == 1U);
+  BOOST_TEST(CountStarts("batch") == 1U);
 }
 
 // Guards against batch tasks that never start where room never comes.
@@ -154,7 +154,28 @@
   StartOn("a");
   scheduler.AddJob(MakeBatch("batch", 3), now);
   LetServicesRun(kRoomWait + 1'000);
-  BOOST_TEST(CountBatchStarts() == 3U);
+  BOOST_TEST(CountStarts("batch") == 3U);
+}
+
+// Guards against urgent jobs that wait while the scheduler looks in vain for
+// workers for batch tasks after each event.
+BOOST_AUTO_TEST_CASE(urgent_task_starts_at_once_while_batch_tasks_are_crowded) {
+  ReportIdleWorker("a");
+  scheduler.AddJob(MakeService("service", 1, "x"), now);
+  Tick();
+  StartOn("a");
+  scheduler.AddJob(MakeBatch("batch", 3), now);
+  LetServicesRun(kIdleJobWait);
+  Tick();  // Finds no worker for the batch tasks that are left.
+  now += 10;
+  ReportIdleWorker("b");
+  scheduler.AddJob(MakeJob("urgent", 1), now);
+  Tick();
+  BOOST_TEST(CountStarts("urgent") == 1U);
+  BOOST_TEST(CountStarts("batch") == 1U);
+  now += 50;
+  Tick();
+  BOOST_TEST(CountStarts("batch") == 3U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
