--- a/src/libkernel/job_scheduler_sharing_test.cpp
+++ b/src/libkernel/job_scheduler_sharing_test.cpp
@@ -52,6 +52,15 @@
     return record;
   }
 
+  // Runs a service on worker "a" and adds a job of three batch tasks.
+  void AddBatchBesideService() {
+    ReportIdleWorker("a");
+    scheduler.AddJob(MakeService("service", 1, "x"), now);
+    Tick();
+    StartOn("a");
+    scheduler.AddJob(MakeBatch("batch", 3), now);
+  }
+
   // Lets time pass while the worker's service is close to its target, and all
   // starts succeed.
   void LetServicesRun(millis duration) {
@@ -135,11 +144,7 @@
 // Guards against batch tasks that crowd workers whose services leave no room,
 // where they pause each other and all jobs end late.
 BOOST_AUTO_TEST_CASE(tasks_wait_while_services_leave_no_room) {
-  ReportIdleWorker("a");
-  scheduler.AddJob(MakeService("service", 1, "x"), now);
-  Tick();
-  StartOn("a");
-  scheduler.AddJob(MakeBatch("batch", 3), now);
+  AddBatchBesideService();
   LetServicesRun(kIdleJobWait);
   BOOST_TEST(CountStarts("batch") == 1U);
   LetServicesRun(kRoomWait - kIdleJobWait - 1'000);
@@ -148,11 +153,7 @@
 
 // Guards against batch tasks that never start where room never comes.
 BOOST_AUTO_TEST_CASE(tasks_start_after_the_longest_wait_for_room) {
-  ReportIdleWorker("a");
-  scheduler.AddJob(MakeService("service", 1, "x"), now);
-  Tick();
-  StartOn("a");
-  scheduler.AddJob(MakeBatch("batch", 3), now);
+  AddBatchBesideService();
   LetServicesRun(kRoomWait + 1'000);
   BOOST_TEST(CountStarts("batch") == 3U);
 }
@@ -160,11 +161,7 @@
 // Guards against urgent jobs that wait while the scheduler looks in vain for
 // workers for batch tasks after each event.
 BOOST_AUTO_TEST_CASE(urgent_task_starts_at_once_while_batch_tasks_are_crowded) {
-  ReportIdleWorker("a");
-  scheduler.AddJob(MakeService("service", 1, "x"), now);
-  Tick();
-  StartOn("a");
-  scheduler.AddJob(MakeBatch("batch", 3), now);
+  AddBatchBesideService();
   LetServicesRun(kIdleJobWait);
   Tick();  // Finds no worker for the batch tasks that are left.
   now += 10;
