Tell of orders without an outcome, and why a job without runs waits

Once a second the owner now logs the oldest such order (event=orders_overdue) and the job that has waited longest, with the number of workers by obstacle (event=job_idle), and sets gauges of both.

No decision changes: IsEligible() names the obstacle instead of returning false.

--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -37,7 +37,7 @@
 constexpr millis kHoldTimePerAgent = 4;
 constexpr millis kMaxHoldTime = 600;
 
-constexpr millis kSharingReportInterval = 1'000;
+constexpr millis kReportInterval = 1'000;  // Of what operators are told.
 
 }  // namespace
 
@@ -121,7 +121,7 @@
         }
         Step();
         StorePressureModel();
-        ReportSharing();
+        ReportState();
         ScheduleTick();
       });
 }
@@ -137,12 +137,57 @@
   next_step_ = ended + kStepPauseFactor * (ended - began);
 }
 
-void job_owner::ReportSharing() {
+void job_owner::ReportState() {
   const millis now = BootNow();
-  if (now < next_sharing_report_) {
+  if (now < next_state_report_) {
+    return;
+  }
+  next_state_report_ = now + kReportInterval;
+  ReportSharing();
+  ReportOverdueOrders(now);
+  ReportIdleJob(now);
+}
+
+void job_owner::ReportOverdueOrders(millis now) {
+  const overdue_orders overdue = scheduler_->FindOverdueOrders(now);
+  metrics_.SetValue("overdue_starts", static_cast<double>(overdue.starts));
+  metrics_.SetValue("overdue_stops", static_cast<double>(overdue.stops));
+  if (overdue.starts + overdue.stops == 0) {
     return;
   }
-  next_sharing_report_ = now + kSharingReportInterval;
+  LogEvent(kPart, "orders_overdue",
+           {{"id", overdue.oldest.ToString()},
+            {"worker", overdue.worker},
+            {"age_ms", overdue.oldest_age},
+            {"starts", overdue.starts},
+            {"stops", overdue.stops},
+            {"epoch", ownership_.epoch}},
+           true);
+}
+
+void job_owner::ReportIdleJob(millis now) {
+  const auto idle = scheduler_->FindIdleJob(now);
+  metrics_.SetValue("idle_job_ms",
+                    idle ? static_cast<double>(idle->waited) : 0.0);
+  if (!idle) {
+    return;
+  }
+  std::string obstacles;
+  for (const auto& [obstacle, workers] : idle->obstacles) {
+    obstacles += (obstacles.empty() ? "" : ",") +
+                 std::string(NameOf(obstacle)) + ":" + std::to_string(workers);
+  }
+  LogEvent(kPart, "job_idle",
+           {{"id", idle->task.ToString()},
+            {"waited_ms", idle->waited},
+            {"suspect", idle->is_suspect},
+            {"awaits_former_workers", idle->awaits_former_workers},
+            {"startable_workers", idle->startable_workers},
+            {"obstacles", obstacles}},
+           true);
+}
+
+void job_owner::ReportSharing() {
   const sharing_summary summary = scheduler_->SummarizeSharing();
   LogEvent(kPart, "sharing",
            {{"id", "all workers"},
--- a/src/chervilkeeld/job_owner.h
+++ b/src/chervilkeeld/job_owner.h
@@ -110,8 +110,14 @@
   void OnPartOutcome(const result<transaction_outcome>& outcome);
   void OnPartCommitted();
   void StorePressureModel();
-  // Tells in the log and in metrics how services and batch work share workers.
+  // Tells in the log and in metrics, once in a while, what goes on.
+  void ReportState();
+  // How services and batch work share workers.
   void ReportSharing();
+  // Orders to agents without an outcome, with the oldest one.
+  void ReportOverdueOrders(millis now);
+  // The job that has been without runs for longest, and why it waits.
+  void ReportIdleJob(millis now);
   std::vector<store_transaction> SplitChanges(
       const durable_changes& changes) const;
 
@@ -157,7 +163,7 @@
   millis next_pressure_write_ =
       0;  // When the interference model is next written.
   millis recovery_began_ = 0;
-  millis next_sharing_report_ = 0;
+  millis next_state_report_ = 0;
 };
 
 }  // namespace chervilkeel
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -65,6 +65,8 @@
   executor_boot boot;
   std::uint64_t run = 0;
   run_phase phase = run_phase::kOrdered;
+  // The last tick before the first order to stop; 0 while there was none.
+  millis stop_ordered_at = 0;
   // When a list after the order to stop showed the run first, or when the stop
   // was ordered again; 0 while there was no such list.
   millis listed_since_stop = 0;
@@ -179,6 +181,64 @@
   std::uint64_t waiting_tasks = 0;
 };
 
+// Orders to agents whose outcome the scheduler has not heard for long: their
+// tasks neither run nor start elsewhere, and their workers stay reserved.
+struct overdue_orders {
+  std::uint64_t starts = 0;
+  std::uint64_t stops = 0;
+  task_name oldest;
+  std::string worker;  // Of the oldest.
+  millis oldest_age = 0;
+};
+
+// What keeps a worker from getting a task.
+enum class start_obstacle {
+  kNoRunList,     // Its runs are not known yet.
+  kDraining,      // Its executor is leaving.
+  kOtherService,  // It runs tasks of another service.
+  kBackOff,       // It has just refused a start for lack of capacity.
+  kUnhealthy,     // Most runs fail there, and its next probe is not due.
+  kLabel,         // It lacks the label that the step requires.
+  kCapacity,      // Its free capacity is too small.
+  kNoMember,      // Its membership is not stored yet.
+  kTaskLimit,     // It has as many tasks of the step as may run on one worker.
+  kReserved,      // It is kept for trials of suspect tasks.
+  kPace,          // Its services leave a best-effort task too little.
+};
+
+struct start_obstacle_name {
+  start_obstacle obstacle;
+  const char* name;
+};
+
+inline constexpr start_obstacle_name kStartObstacleNames[] = {
+    {start_obstacle::kNoRunList, "no_run_list"},
+    {start_obstacle::kDraining, "draining"},
+    {start_obstacle::kOtherService, "other_service"},
+    {start_obstacle::kBackOff, "back_off"},
+    {start_obstacle::kUnhealthy, "unhealthy"},
+    {start_obstacle::kLabel, "label"},
+    {start_obstacle::kCapacity, "capacity"},
+    {start_obstacle::kNoMember, "no_member"},
+    {start_obstacle::kTaskLimit, "task_limit"},
+    {start_obstacle::kReserved, "reserved"},
+    {start_obstacle::kPace, "pace"},
+};
+
+const char* NameOf(start_obstacle obstacle);
+
+// A job with a waiting task and no runs, and what keeps each worker from
+// getting that task.
+struct idle_job {
+  task_name task;
+  millis waited = 0;
+  bool is_suspect = false;  // The task starts only as a trial.
+  // The task waits until all workers of the former scheduler have reported.
+  bool awaits_former_workers = false;
+  std::uint64_t startable_workers = 0;
+  std::map<start_obstacle, std::uint64_t> obstacles;  // To numbers of workers.
+};
+
 // An ended run of a best-effort task. It is remembered while the tail latencies
 // of colocated services may still show its interference.
 struct ended_best_effort_run {
@@ -334,6 +394,13 @@
 
   sharing_summary SummarizeSharing();
 
+  // Returns the orders that have been without an outcome for kOverdueTime.
+  overdue_orders FindOverdueOrders(millis now);
+
+  // Returns the job that has waited longest of those without runs, if it has
+  // waited for kOverdueTime.
+  std::optional<idle_job> FindIdleJob(millis now);
+
   // Returns the agents whose orders, membership or recorded end have changed
   // since the last call.
   std::set<std::string> TakeAgentsToNotify();
@@ -524,11 +591,12 @@
   // Returns the cores (in thousandths) that best-effort tasks may use beyond
   // those they have.
   static std::int64_t BestEffortHeadroom(const scheduled_worker& worker);
-  // True when a worker may run a task of a step and has the capacity.
-  bool IsEligible(const scheduled_worker& worker,
-                  const scheduled_job& job,
-                  const task_name& key,
-                  millis now) const;
+  // Returns what keeps a worker from running a task of a step, if anything
+  // does. Reservations and paces are not looked at.
+  std::optional<start_obstacle> FindObstacle(const scheduled_worker& worker,
+                                             const scheduled_job& job,
+                                             const task_name& key,
+                                             millis now) const;
   std::uint64_t NextRunNumber(const scheduled_task& task) const;
   void OrderStart(scheduled_worker& worker,
                   scheduled_job& job,
@@ -610,6 +678,11 @@
                                const job_step& step,
                                millis now);
 
+  // job_scheduler_reports.cpp: what operators are told of stalled work.
+  // Returns the first task of a job that is ready and not done.
+  std::optional<task_name> FirstWaitingTask(const scheduled_job& job) const;
+  idle_job ExplainWait(scheduled_job& job, const task_name& key, millis now);
+
   void Emit(const char* event,
             const std::string& subject,
             const std::string& worker,
@@ -683,6 +756,13 @@
   // Tasks that a log line about a crash names.
   static constexpr std::uint64_t kMaxNamedRuns = 8;
 
+  // A best-effort task starts on a worker where it can run at this fraction of
+  // full speed or more.
+  static constexpr double kMinStartPace = 0.5;
+
+  // Orders without an outcome and jobs without runs are reported after it.
+  static constexpr millis kOverdueTime = 2'000;
+
   // Ticks further apart show that this process was paused or had too little
   // processor time.
   static constexpr millis kMaxTickGap = 1'000;
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -35,11 +35,9 @@
 // Fraction of its reserved cores that a service uses most of the time.
 constexpr double kServiceUtilization = 0.6;
 
-// A best-effort task starts on a worker where it can run at this fraction of
-// full speed or more. After waiting for kMaxWaitForPace (ms) it starts on any
-// worker; the first task of a job without runs already does so after
-// kMaxWaitOfIdleJob (ms), so that every job makes progress.
-constexpr double kMinStartPace = 0.5;
+// After waiting for kMaxWaitForPace (ms) a best-effort task starts on any
+// worker, whatever its pace there; the first task of a job without runs already
+// does so after kMaxWaitOfIdleJob (ms), so that every job makes progress.
 constexpr millis kMaxWaitForPace = 20'000;
 constexpr millis kMaxWaitOfIdleJob = 2'500;
 
@@ -166,6 +164,9 @@
     return;
   }
   run.phase = run_phase::kStopping;
+  if (run.stop_ordered_at == 0) {
+    run.stop_ordered_at = last_tick_;
+  }
   worker_order order;
   order.kind = order_kind::kStop;
   order.boot = run.boot;
@@ -408,32 +409,45 @@
          worker.best_effort_milli_processors;
 }
 
-bool job_scheduler::IsEligible(const scheduled_worker& worker,
-                               const scheduled_job& job,
-                               const task_name& key,
-                               millis now) const {
+std::optional<start_obstacle> job_scheduler::FindObstacle(
+    const scheduled_worker& worker,
+    const scheduled_job& job,
+    const task_name& key,
+    millis now) const {
   const executor_description& description = worker.description;
   const job_step& step = job.record.spec.steps[key.step];
-  if (!worker.runs_known || description.draining ||
-      description.service != job.policy.service ||
-      now < worker.start_backoff_until || !worker.health.MayStart(now)) {
-    return false;
+  if (!worker.runs_known) {
+    return start_obstacle::kNoRunList;
+  }
+  if (description.draining) {
+    return start_obstacle::kDraining;
+  }
+  if (description.service != job.policy.service) {
+    return start_obstacle::kOtherService;
+  }
+  if (now < worker.start_backoff_until) {
+    return start_obstacle::kBackOff;
+  }
+  if (!worker.health.MayStart(now)) {
+    return start_obstacle::kUnhealthy;
   }
   if (!step.required_label.empty() &&
       std::find(description.labels.begin(), description.labels.end(),
                 step.required_label) == description.labels.end()) {
-    return false;
+    return start_obstacle::kLabel;
   }
   amount need = step.size;
   if (step.filler) {
     if (BestEffortHeadroom(worker) < need.milli_processors) {
-      return false;
+      return start_obstacle::kCapacity;
     }
     need.milli_processors = 0;
   }
-  if (!Fits(need, description.capacity - worker.used) ||
-      !IsMember(worker.agent)) {
-    return false;
+  if (!Fits(need, description.capacity - worker.used)) {
+    return start_obstacle::kCapacity;
+  }
+  if (!IsMember(worker.agent)) {
+    return start_obstacle::kNoMember;
   }
   if (step.most_per_worker > 0) {
     const auto first = worker.tasks.lower_bound(
@@ -441,10 +455,10 @@
     const auto last = worker.tasks.upper_bound(
         task_name{key.job, key.occurrence, key.step, kMaxTasksPerStep});
     if (std::distance(first, last) >= step.most_per_worker) {
-      return false;
+      return start_obstacle::kTaskLimit;
     }
   }
-  return true;
+  return std::nullopt;
 }
 
 std::vector<job_scheduler::candidate> job_scheduler::Candidates(
@@ -471,7 +485,7 @@
     start_kind kind,
     millis now) {
   if ((kind == start_kind::kNormal && IsReserved(worker, now)) ||
-      !IsEligible(worker, job, step_key, now)) {
+      FindObstacle(worker, job, step_key, now)) {
     return std::nullopt;
   }
   const job_step& step = job.record.spec.steps[step_key.step];
