--- /dev/null
+++ b/src/libkernel/job_scheduler_orders_test.cpp
@@ -0,0 +1,90 @@
+// Orders whose outcome never reaches the scheduler: what they have reserved has
+// to become free, and their tasks have to start.
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+#include "job_scheduler_fixture.h"
+
+namespace chervilkeel {
+
+namespace {
+
+struct lost_outcome_fixture : scheduler_fixture {
+  // A job that takes the whole of a worker.
+  static job_record MakeWholeWorkerJob(const std::string& id) {
+    job_record record = MakeJob(id, 1);
+    record.spec.steps[0].size = {4'000, 100, 0};
+    return record;
+  }
+
+  void AddJob(const job_record& record) {
+    scheduler.AddJob(record, now);
+    Tick();
+  }
+
+  // Passes time in which an agent lists no runs. Returns the orders it gets.
+  std::vector<worker_order> PassTimeWithoutRuns(millis duration) {
+    std::vector<worker_order> orders;
+    for (const millis until = now + duration; now < until;) {
+      ReportIdleWorker("a");
+      PassTime(250);
+      for (const worker_order& order : TakeOrders("a")) {
+        orders.push_back(order);
+      }
+    }
+    return orders;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(orders_without_outcome, lost_outcome_fixture)
+
+// Guards against jobs that are never started although workers are free (LOST):
+// a job is cancelled while its start is on its way. The stop goes first, so the
+// executor never has the run, lists no end of it, and its worker stays
+// reserved.
+BOOST_AUTO_TEST_CASE(stopped_run_that_no_list_shows_frees_its_worker) {
+  ReportIdleWorker("a");
+  AddJob(MakeWholeWorkerJob("cancelled"));
+  BOOST_REQUIRE_EQUAL(TakeOrders("a").size(), 1);
+  scheduler.CancelJob("cancelled");
+  BOOST_REQUIRE_EQUAL(TakeOrders("a").size(), 1);
+  AddJob(MakeWholeWorkerJob("next"));
+  const auto orders = PassTimeWithoutRuns(3'000);
+  BOOST_TEST(std::count_if(orders.begin(), orders.end(), [](const auto& order) {
+               return order.task.job == "next";
+             }) == 1);
+}
+
+// The agent hears of the raised epoch while the executor's answer to a start is
+// under way, and forgets its orders of the former epoch.
+BOOST_AUTO_TEST_CASE(open_start_is_ordered_again_under_a_raised_epoch) {
+  ReportIdleWorker("a");
+  AddJob(MakeWholeWorkerJob("j"));
+  const auto before = TakeOrders("a");
+  BOOST_REQUIRE_EQUAL(before.size(), 1);
+  scheduler.RaiseEpoch(2);
+  const auto orders = PassTimeWithoutRuns(1'000);
+  BOOST_REQUIRE_EQUAL(orders.size(), 1);
+  BOOST_TEST(orders[0].run == before[0].run);
+}
+
+// A second order for the same run could be carried out after the first was
+// refused and the task was started elsewhere.
+BOOST_AUTO_TEST_CASE(start_that_was_not_taken_is_ordered_once) {
+  ReportIdleWorker("a");
+  AddJob(MakeWholeWorkerJob("j"));
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  report.incarnation = 1;
+  scheduler.OnReport(report, now);
+  report.incarnation = 2;
+  scheduler.OnReport(report, now);
+  BOOST_TEST(TakeOrders("a").size() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chervilkeel
