A refused start frees no run that its executor has listed

A start that is ordered again under its number is refused as outdated while the run is still stopping. The scheduler took that for the end of the run and started the task elsewhere, up to stop_ms too early. Lists and ends alone now tell what becomes of a run that is there.

run_that_is_listed_is_not_freed_by_a_refused_start failed before: one start elsewhere, and none after the end.

--- a/src/libkernel/job_scheduler_orders_test.cpp
+++ b/src/libkernel/job_scheduler_orders_test.cpp
@@ -85,6 +85,31 @@
   BOOST_TEST(TakeOrders("a").size() == 1);
 }
 
+// A start that was being taken back when the epoch rose is ordered again. The
+// executor refuses it as outdated while the run, which it had after all, still
+// stops: the task must not start elsewhere before its end is listed (TWICE).
+BOOST_AUTO_TEST_CASE(run_that_is_listed_is_not_freed_by_a_refused_start) {
+  ReportIdleWorker("a");
+  ReportIdleWorker("b");
+  AddJob(MakeWholeWorkerJob("j"));
+  const auto on_a = TakeOrders("a");
+  const std::string agent = on_a.empty() ? "b" : "a";
+  const worker_order start = on_a.empty() ? TakeOrders("b").at(0) : on_a[0];
+  worker_report report = MakeReport(agent);
+  report.has_runs = true;
+  run_status status;
+  status.task = start.task;
+  status.run = start.run;
+  report.runs.push_back(status);
+  scheduler.OnReport(report, now);
+  ReportStart(agent, start, start_outcome::kOutdated);
+  PassTime(200);
+  BOOST_TEST(TakeOrders("a").size() + TakeOrders("b").size() == 0);
+  ReportEnd(agent, start, run_end::kStopped);
+  const std::size_t restarts = TakeOrders("a").size() + TakeOrders("b").size();
+  BOOST_TEST(restarts == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -313,7 +313,9 @@
       task->runs.begin(), task->runs.end(), [&](const auto& entry) {
         return entry.agent == worker.agent && entry.run == result.run;
       });
-  if (run == task->runs.end()) {
+  // Once a run is there, only lists and ends tell what becomes of it: a start
+  // that is ordered again is refused as outdated while the run still stops.
+  if (run == task->runs.end() || run->phase == run_phase::kRunning) {
     return;
   }
   if (result.outcome == start_outcome::kStarted) {
