Order open starts again when the epoch of an owner rises

Cause: an owner whose lease has run out and that is elected again, with no other in between, goes on with its books under a higher epoch. Its agents forget all orders of the former epoch as they adopt the new one: starts without an answer, starts that are being taken back, and results that were not told. The run stays in the books, and the task neither runs nor starts elsewhere.

Change: at the first list of an agent under the raised epoch the scheduler orders the starts again that the list does not show, as it did for an agent with a new process. The number of the run is the same, so an executor that has it, or was told to stop it, starts nothing.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -251,6 +251,8 @@
 struct scheduled_worker {
   std::string agent;
   std::uint64_t incarnation = 0;  // Of the agent's process; 0: not known.
+  // Set if the agent has forgotten the orders that it has acknowledged.
+  bool has_forgotten_orders = false;
   executor_description description;
   // True when a report of the present boot has listed the worker's runs.
   bool runs_known = false;
@@ -323,8 +325,8 @@
                millis now);
 
   // Continues under a higher epoch, when no other scheduler was elected in
-  // between.
-  void RaiseEpoch(std::uint64_t epoch) { options_.epoch = epoch; }
+  // between. Agents forget their orders of the former epoch.
+  void RaiseEpoch(std::uint64_t epoch);
 
   void SetConfig(scheduling_config config);
 
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -56,6 +56,13 @@
   }
 }
 
+void job_scheduler::RaiseEpoch(std::uint64_t epoch) {
+  options_.epoch = epoch;
+  for (auto& [agent, worker] : workers_) {
+    worker.has_forgotten_orders = true;
+  }
+}
+
 void job_scheduler::RestoreProgress(scheduled_job& job,
                                     const job_progress& progress) {
   job.ended_ms = progress.ended_ms;
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -69,12 +69,10 @@
          "remaining_ms=" + std::to_string(report.worker.remaining));
   }
   ForgetSilentRuns(worker);
-  if (report.incarnation != worker.incarnation) {
-    if (worker.incarnation != 0) {
-      RepeatOpenStarts(worker);
-    }
-    worker.incarnation = report.incarnation;
-  }
+  const bool is_other_process =
+      worker.incarnation != 0 && report.incarnation != worker.incarnation;
+  worker.has_forgotten_orders = worker.has_forgotten_orders || is_other_process;
+  worker.incarnation = report.incarnation;
   worker.description = report.worker;
   worker.granted_until = now + options_.grant;
   for (const ended_run& ended : report.ends) {
@@ -88,6 +86,9 @@
   }
   if (report.has_runs) {
     ProcessRunList(worker, report, now);
+    if (std::exchange(worker.has_forgotten_orders, false)) {
+      RepeatOpenStarts(worker);
+    }
     placement_requested_ = placement_requested_ || !worker.runs_known;
     worker.runs_known = true;
     if (unreported_members_.erase(report.agent) != 0 &&
