Free the worker of a run that was stopped before it began

What callers saw: room that stayed reserved for cancelled jobs, so that others found less of it, to the end of the owner's term.

Cause: a job that is cancelled while its start is on its way is told to stop. If the stop overtakes the start, the executor refuses the start and lists no end. The scheduler waited for that end: only runs that were confirmed as running were dropped when a list lacked them.

Change: a run of a task that is not wanted any more is dropped when a list made 1.5 s after the order to stop lacks it. Stopped runs of other tasks still wait for their end, which tells whether the task is done.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -466,6 +466,8 @@
   void ProcessRunList(scheduled_worker& worker,
                       const worker_report& report,
                       millis now);
+  // Whether a run that a list lacks is gone.
+  bool HasVanished(const task_name& key, const task_run& run, millis listed_at);
   void ProcessRunEnd(scheduled_worker& worker,
                      const ended_run& ended,
                      millis now);
@@ -710,8 +712,9 @@
   // executor made the list that lacks it: messages may arrive out of order.
   static constexpr millis kRunListGrace = 500;
 
-  // A run that lists show for so long after the order to stop it is ordered to
-  // stop again: the order may have been lost with the agent's process.
+  // So long after the order to stop a run, a list that shows it means that the
+  // order was lost with the agent's process, and one that lacks it that the run
+  // is gone.
   static constexpr millis kStopRepeatInterval = 1'500;
 
   // A task is given up when it was the only possible cause of a crash and the
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -146,8 +146,6 @@
     UpdateOrAdoptRun(worker, status, now);
   }
   UpdatePressureModel(worker, worker.listed_at, now);
-  // A confirmed run that is missing from the list has ended, and the report of
-  // its end did not arrive.
   const std::set<task_name> tasks = worker.tasks;
   for (const task_name& key : tasks) {
     const scheduled_task* task = FindTask(key);
@@ -155,15 +153,39 @@
       continue;
     }
     for (const task_run& run : std::vector<task_run>(task->runs)) {
-      if (run.agent == worker.agent && run.phase == run_phase::kRunning &&
-          run.active_since < now - report.runs_age - kRunListGrace) {
-        Emit("run_vanished", key.ToString(), worker.agent, RunDetail(run.run));
+      if (run.agent == worker.agent &&
+          HasVanished(key, run, worker.listed_at)) {
+        Emit("run_vanished", key.ToString(), worker.agent,
+             RunDetail(run.run) + " stopping=" +
+                 (run.phase == run_phase::kStopping ? "true" : "false"));
         RemoveRun(key, worker.agent, run.run, now);
       }
     }
   }
 }
 
+// A confirmed run that is missing from a list has ended, and the report of its
+// end did not arrive. One that was told to stop may never have begun: the stop
+// has overtaken the start, and executors list no end of such a run. That only
+// happens to tasks that are not wanted any more; other ends are waited for, as
+// they tell whether the task is done.
+bool job_scheduler::HasVanished(const task_name& key,
+                                const task_run& run,
+                                millis listed_at) {
+  const bool is_wanted =
+      !FindTask(key)->done && !IsFinal(jobs_.at(key.job).state);
+  switch (run.phase) {
+    case run_phase::kOrdered:
+      return false;
+    case run_phase::kRunning:
+      return run.active_since < listed_at - kRunListGrace;
+    case run_phase::kStopping:
+      return !is_wanted &&
+             run.stop_ordered_at < listed_at - kStopRepeatInterval;
+  }
+  return false;
+}
+
 void job_scheduler::UpdateOrAdoptRun(scheduled_worker& worker,
                                      const run_status& status,
                                      millis now) {
