Order a start once when an agent's new process has not taken it yet

Cause: when an agent reports with a new process, the scheduler ordered all open starts again, also those that it still had to send, so that the new process got two orders for one run. If the executor refused the first and accepted the second, the task ran there while the refusal let it start elsewhere (TWICE).

Change: starts that the agent has not acknowledged are not ordered again.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -615,6 +615,10 @@
   // Orders the starts again whose outcome the agent's former process has not
   // told. An executor that has the run already takes it as the same one.
   void RepeatOpenStarts(const scheduled_worker& worker);
+  // Whether the agent has not acknowledged the order to start a run.
+  static bool IsOrderQueued(const scheduled_worker& worker,
+                            const task_name& key,
+                            std::uint64_t run);
   void OrderStop(const task_name& key, task_run& run, const char* reason);
   // Orders a stop again if lists still show the run long after the order.
   void RepeatLostStop(const scheduled_worker& worker,
--- a/src/libkernel/job_scheduler_orders_test.cpp
+++ b/src/libkernel/job_scheduler_orders_test.cpp
@@ -65,7 +65,9 @@
   AddJob(MakeWholeWorkerJob("j"));
   const auto before = TakeOrders("a");
   BOOST_REQUIRE_EQUAL(before.size(), 1);
+  PassTimeWithoutRuns(250);  // Acknowledges the order.
   scheduler.RaiseEpoch(2);
+  acked.clear();
   const auto orders = PassTimeWithoutRuns(1'000);
   BOOST_REQUIRE_EQUAL(orders.size(), 1);
   BOOST_TEST(orders[0].run == before[0].run);
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -141,6 +141,16 @@
   AddOrder(run.agent, std::move(order));
 }
 
+bool job_scheduler::IsOrderQueued(const scheduled_worker& worker,
+                                  const task_name& key,
+                                  std::uint64_t run) {
+  return std::any_of(
+      worker.orders.begin(), worker.orders.end(), [&](const auto& entry) {
+        return entry.second.kind == order_kind::kStart &&
+               entry.second.task == key && entry.second.run == run;
+      });
+}
+
 void job_scheduler::RepeatOpenStarts(const scheduled_worker& worker) {
   for (const task_name& key : worker.tasks) {
     const scheduled_task* task = FindTask(key);
@@ -148,7 +158,8 @@
       continue;
     }
     for (const task_run& run : task->runs) {
-      if (run.agent == worker.agent && run.phase == run_phase::kOrdered) {
+      if (run.agent == worker.agent && run.phase == run_phase::kOrdered &&
+          !IsOrderQueued(worker, key, run.run)) {
         SendStart(jobs_.at(key.job), key, *task, run);
         Emit("start_repeated", key.ToString(), worker.agent,
              "run=" + std::to_string(run.run));
