Acknowledge results of starts by number, not by how many a call carried

What callers saw: accepted jobs that could run and did not (LOST).

Cause: an agent has two calls to its owner open at a time, and each carries all results of starts that are not acknowledged. A reply removed as many results from the front of the list as its call had carried, so the reply to the second call removed results that had come later. If the call that carried those was lost, the owner never heard of a refusal: the run stayed in its books, and the task neither ran nor started elsewhere. A reply from an owner of a later epoch, which had passed the report over, did the same.

Change: results are numbered, and a reply acknowledges those up to the number that its call carried, if the owner has read them.

New: refusal_is_told_until_a_call_that_carried_it_is_answered failed before, the owner was not told in 300 calls.

--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -59,7 +59,7 @@
 }
 
 void job_agent_process::Report(const run_name& name, start_outcome outcome) {
-  starts_.push_back({name.first, name.second, outcome});
+  starts_.push_back({++last_start_, {name.first, name.second, outcome}});
   LogEvent(kPart, "start",
            {{"id", name.first.ToString()},
             {"run", name.second},
--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -380,8 +380,8 @@
       *sync.add_ends() = ToWire(ended);
       told_end_ = std::max(told_end_, ended.number);
     }
-    for (const start_result& started : starts_) {
-      *sync.add_starts() = ToWire(started);
+    for (const untold_start& started : starts_) {
+      *sync.add_starts() = ToWire(started.result);
     }
     if (told_crashes_ < history_.CrashCount()) {
       for (const crashed_executor& crashed : history_.Crashes(now)) {
@@ -389,17 +389,17 @@
       }
     }
   }
-  const std::size_t starts = obeys ? starts_.size() : 0;
+  const std::uint64_t last_start = obeys ? last_start_ : 0;
   const std::uint64_t crashes = obeys ? history_.CrashCount() : 0;
   CallOwnerService<wire::agent_sync, wire::agent_orders>(
       context_, peers_, address, kSyncMethod, std::move(sync), kSyncTimeout,
-      [this, address, now, starts, crashes, wait, epoch = epoch_,
+      [this, address, now, last_start, crashes, wait, epoch = epoch_,
        boot = worker_.boot](const result<wire::agent_orders>& reply) {
         (wait ? syncing_ : news_open_) = false;
         // An owner of another epoch has left the report aside.
         const bool was_read = reply && reply.value().epoch() == epoch;
-        OnReply(reply, address, boot, now, starts, was_read ? crashes : 0,
-                wait);
+        OnReply(reply, address, boot, now, was_read ? last_start : 0,
+                was_read ? crashes : 0, wait);
       });
 }
 
@@ -407,7 +407,7 @@
                                 const std::string& address,
                                 const executor_boot& boot,
                                 millis asked,
-                                std::size_t starts,
+                                std::uint64_t last_start,
                                 std::uint64_t crashes,
                                 bool wait) {
   millis pause = 0;
@@ -437,9 +437,9 @@
     } else if (orders.epoch() == epoch_) {
       NoteOwner(true, address, "");
       told_crashes_ = std::max(told_crashes_, crashes);
-      starts_.erase(starts_.begin(),
-                    starts_.begin() + static_cast<std::ptrdiff_t>(
-                                          std::min(starts, starts_.size())));
+      std::erase_if(starts_, [last_start](const untold_start& started) {
+        return started.number <= last_start;
+      });
       if (orders.grant_ms() > 0) {
         granted_until_ = std::max(granted_until_, asked + orders.grant_ms());
       }
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -52,6 +52,13 @@
     millis since = 0;
   };
 
+  // A result of a start that the owner has not acknowledged. Results are
+  // numbered, as calls that carry them overlap.
+  struct untold_start {
+    std::uint64_t number = 0;
+    start_result result;
+  };
+
   using run_name = std::pair<task_name, std::uint64_t>;
 
   void EndWhenAnswered(std::function<void()> done);
@@ -76,13 +83,14 @@
                const std::string& address,
                const executor_boot& boot,
                millis asked,
-               std::size_t starts,
+               std::uint64_t last_start,
                std::uint64_t crashes,
                bool wait);
   void NoteOwner(bool answers,
                  const std::string& address,
                  const std::string& cause);
-  // `boot` is the executor's boot when the owner was called.
+  // `boot` is the executor's boot when the owner was called, and `last_start`
+  // the highest number of a result that the call has told.
   void TakeOrders(const wire::agent_orders& reply, const executor_boot& boot);
   void AdoptEpoch(std::uint64_t epoch);
 
@@ -140,7 +148,8 @@
   executor_history history_;
   std::uint64_t told_crashes_ = 0;  // Of history_, to the owner of this epoch.
   std::uint64_t acked_order_ = 0;
-  std::vector<start_result> starts_;
+  std::vector<untold_start> starts_;
+  std::uint64_t last_start_ = 0;  // Highest number of a result.
   std::map<run_name, open_order> open_starts_;
   std::map<run_name, open_order> open_stops_;
   // Starts that were taken back, and when the executor accepted the stop. The
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -5,7 +5,9 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <mutex>
 #include <optional>
+#include <set>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -198,8 +200,15 @@
       order.run = 8;
       *reply->add_orders() = ToWire(2, order);
     }
-    boost::asio::post(context_, [this, sync = *request] { heard_(sync); });
     auto* reactor = context->DefaultReactor();
+    {
+      const std::lock_guard<std::mutex> lock(held_mutex_);
+      if (holds && holds(*request)) {
+        held_.push_back({*request, reply, reactor});
+        return reactor;
+      }
+    }
+    boost::asio::post(context_, [this, sync = *request] { heard_(sync); });
     if (holds_one_reply && request->obeys() && request->wait()) {
       holds_one_reply = false;
       held_reply = reply;
@@ -216,6 +225,39 @@
     held_reactor.load()->Finish(grpc::Status::OK);
   }
 
+  // Tells which calls are held until Answer() or Break(). It is called by
+  // gRPC's threads, one at a time.
+  std::function<bool(const wire::agent_sync& sync)> holds;
+
+  std::size_t HeldCalls() {
+    const std::lock_guard<std::mutex> lock(held_mutex_);
+    return held_.size();
+  }
+
+  bool IsWaiting(std::size_t index) { return Held(index).sync.wait(); }
+
+  void Answer(std::size_t index) {
+    const held_sync held = Held(index);
+    boost::asio::post(context_, [this, sync = held.sync] { heard_(sync); });
+    held.reactor->Finish(grpc::Status::OK);
+  }
+
+  // Answers with an order to start a second task.
+  void AnswerWithStart(std::size_t index) {
+    worker_order order;
+    order.boot = {"executor", 5};
+    order.task = {"job", 0, 0, 1};
+    order.run = 8;
+    *Held(index).reply->add_orders() = ToWire(2, order);
+    Answer(index);
+  }
+
+  // The call is lost on its way.
+  void Break(std::size_t index) {
+    Held(index).reactor->Finish(
+        grpc::Status(grpc::StatusCode::UNAVAILABLE, "connection reset"));
+  }
+
   std::atomic<bool> holds_one_reply = false;
   std::atomic<wire::agent_orders*> held_reply = nullptr;
   std::atomic<grpc::ServerUnaryReactor*> held_reactor = nullptr;
@@ -225,8 +267,21 @@
   std::atomic<std::uint64_t> epoch = 1;
 
  private:
+  struct held_sync {
+    wire::agent_sync sync;
+    wire::agent_orders* reply = nullptr;
+    grpc::ServerUnaryReactor* reactor = nullptr;
+  };
+
+  held_sync Held(std::size_t index) {
+    const std::lock_guard<std::mutex> lock(held_mutex_);
+    return held_.at(index);
+  }
+
   boost::asio::io_context& context_;
   heard_function heard_;
+  std::mutex held_mutex_;
+  std::vector<held_sync> held_;
 };
 
 struct agent_fixture {
@@ -241,6 +296,7 @@
   std::optional<start_outcome> outcome;  // Of the task that was started.
   worker_report last_report;             // That vouches for the executor.
   int lists_left_at_outcome = 0;
+  std::set<std::uint64_t> told_runs;  // Whose outcome has been told.
   // What calls have told of crashes, by the epoch of the call.
   std::map<std::uint64_t, std::vector<crashed_executor>> crashes;
 
@@ -255,6 +311,9 @@
       for (const crashed_executor& crashed : report.crashes) {
         crashes[sync.epoch()].push_back(crashed);
       }
+      for (const start_result& start : report.starts) {
+        told_runs.insert(start.run);
+      }
       if (!outcome && !report.starts.empty()) {
         outcome = report.starts[0].outcome;
         lists_left_at_outcome = script.lists_after_stop;
@@ -460,6 +519,47 @@
   BOOST_TEST(crashes.at(1)[0].runs.empty());
 }
 
+// Guards against tasks that never start (LOST): the agent has told a refusal
+// that its owner never heard. Two calls carry the same result, and the reply to
+// the second one took a later result for told.
+BOOST_AUTO_TEST_CASE(refusal_is_told_until_a_call_that_carried_it_is_answered) {
+  script.listings = 1'000'000;
+  script.start_verdicts[0] = executor_verdict::kNoCapacity;
+  script.start_verdicts[1] = executor_verdict::kUnhealthy;
+  owner->starts_task = true;
+  // The first call of each kind that carries the first refusal, and the first
+  // that carries the second one.
+  std::set<std::pair<bool, std::uint64_t>> held;
+  std::atomic<bool> holds_calls = true;
+  owner->holds = [&](const wire::agent_sync& sync) {
+    constexpr std::uint64_t kSecondRun = 8;
+    if (!holds_calls || sync.starts().empty()) {
+      return false;
+    }
+    const std::uint64_t last = sync.starts(sync.starts_size() - 1).run();
+    const bool is_wanted = last != kSecondRun || !sync.wait();
+    return is_wanted && held.emplace(sync.wait(), last).second;
+  };
+  Announce();
+  RunUntil([this] { return owner->HeldCalls() == 2; });
+  BOOST_REQUIRE_EQUAL(owner->HeldCalls(), 2);
+  const std::size_t news = owner->IsWaiting(0) ? 1 : 0;
+  owner->AnswerWithStart(news);
+  RunUntil([this] { return owner->HeldCalls() == 3; });
+  BOOST_REQUIRE_EQUAL(owner->HeldCalls(), 3);
+  const int obeying_before = obeying;
+  owner->Answer(1 - news);
+  RunUntil([&] { return obeying > obeying_before; });
+  owner->Break(2);
+  holds_calls = false;
+  constexpr int kManyCalls = 300;
+  RunUntil([&] {
+    return told_runs.count(8) != 0 || obeying > obeying_before + kManyCalls;
+  });
+  BOOST_TEST(told_runs.count(7) == 1);
+  BOOST_TEST(told_runs.count(8) == 1);
+}
+
 // Guards against an agent that follows its executor no more: one announcement
 // by another writer, with a number too large, made all true ones look outdated.
 BOOST_AUTO_TEST_CASE(announcement_with_numbers_out_of_range_is_passed_over) {
