An agent tries a start once at a time

Cause: an order to start a run that was still being tried, or whose result was not acknowledged, began a second try beside the first, with the count of tries at one. Its refusal was taken for certain and told, although the first try had no answer: the executor could carry that out while the task started elsewhere (TWICE). An owner orders a start again when the agent's process is new, or the epoch has risen.

Change: such an order is passed over and logged as start_already_ordered; the tries that go on, or the result that is told until it is acknowledged, settle it.

start_that_is_ordered_twice_is_taken_back_when_refused failed before: the agent told 'no room' instead of taking the start back. Found by reading.

--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -1,4 +1,5 @@
 // How the agent carries out orders, also when the executor gives no answer.
+#include <algorithm>
 #include <set>
 
 #include "chervilkeel/event_log.h"
@@ -45,6 +46,11 @@
   }
   switch (order.kind) {
     case order_kind::kStart:
+      if (IsStartUnsettled(name)) {
+        LogEvent(kPart, "start_already_ordered",
+                 {{"id", order.task.ToString()}, {"run", order.run}});
+        return;
+      }
       open_starts_[name] = {std::move(order), 0, false, BootNow()};
       SendStart(name);
       break;
@@ -58,6 +64,15 @@
   }
 }
 
+bool job_agent_process::IsStartUnsettled(const run_name& name) const {
+  return open_starts_.count(name) != 0 || withdrawn_.count(name) != 0 ||
+         std::any_of(starts_.begin(), starts_.end(),
+                     [&](const untold_start& started) {
+                       return started.result.task == name.first &&
+                              started.result.run == name.second;
+                     });
+}
+
 void job_agent_process::Report(const run_name& name, start_outcome outcome) {
   starts_.push_back({++last_start_, {name.first, name.second, outcome}});
   LogEvent(kPart, "start",
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -106,6 +106,10 @@
   void SettleOrders(const executor_run_list& listing, millis asked);
   void OnStopAnswer(const run_name& name,
                     const result<executor_answer>& answer);
+  // Whether a start was ordered before, and its outcome is not known or not
+  // acknowledged yet. It is not tried beside that: the refusal of one try says
+  // nothing of another without an answer.
+  bool IsStartUnsettled(const run_name& name) const;
   void Report(const run_name& name, start_outcome outcome);
   void Later(millis delay, std::function<void()> step);
   order_context Context(millis timeout) const;
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -40,6 +40,7 @@
   std::map<std::uint32_t, executor_verdict> start_verdicts;
   bool refuses_connections = false;  // Starts do not reach the executor.
   int unsent_starts = 0;
+  int starts = 0;         // Calls that the executor has read.
   int announcements = 0;  // Read by the agent.
   // Changes what the next announcements say.
   std::function<void(announcement&)> distort;
@@ -60,6 +61,7 @@
       callback(Fail(error_code::kUnavailable, "connection refused"));
       return;
     }
+    ++script_.starts;
     const auto verdict = script_.start_verdicts.find(order.task.index);
     if (verdict == script_.start_verdicts.end()) {
       run_.task = order.task;
@@ -208,6 +210,13 @@
         return reactor;
       }
     }
+    if (repeats_start && request->acked_order() == 1) {
+      worker_order order;
+      order.boot = {"executor", 5};
+      order.task = {"job", 0, 0, 0};
+      order.run = 7;
+      *reply->add_orders() = ToWire(2, order);
+    }
     boost::asio::post(context_, [this, sync = *request] { heard_(sync); });
     if (holds_one_reply && request->obeys() && request->wait()) {
       holds_one_reply = false;
@@ -264,6 +273,7 @@
 
   std::atomic<bool> starts_task = false;
   std::atomic<bool> starts_second_task = false;
+  std::atomic<bool> repeats_start = false;  // Of the first task.
   std::atomic<std::uint64_t> epoch = 1;
 
  private:
@@ -519,6 +529,22 @@
   BOOST_TEST(crashes.at(1)[0].runs.empty());
 }
 
+// Guards against a task that runs twice (TWICE): its start was tried without an
+// answer and is ordered once more. A refusal of that order says nothing of the
+// first try, which the executor may still carry out.
+BOOST_AUTO_TEST_CASE(start_that_is_ordered_twice_is_taken_back_when_refused) {
+  script.listings = 1'000'000;
+  script.lists_start = false;
+  owner->starts_task = true;
+  owner->repeats_start = true;
+  Announce();
+  RunUntil([this] { return script.starts > 0; });
+  script.start_verdicts[0] = executor_verdict::kNoCapacity;
+  RunUntil([this] { return outcome.has_value(); });
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kWithdrawn));
+}
+
 // Guards against tasks that never start (LOST): the agent has told a refusal
 // that its owner never heard. Two calls carry the same result, and the reply to
 // the second one took a later result for told.
