Clear a suspect worker by a probe that works, not only by one that is done

What callers saw: jobs that waited beside sound workers. The lines that showed it are those of event=job_idle, with obstacles=unhealthy:8,capacity:3.

Cause: a worker that had refused or not answered one start got a single probe, at intervals up to 4 s, until a run was done. Probes that were services are never done, and others take as long as they take.

Change: a worker that was unresponsive is sound again once a run that was started since makes progress. One on which runs fail is cleared by a run that is done, as before, or by a service that is at work.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -477,6 +477,10 @@
   void UpdateOrAdoptRun(scheduled_worker& worker,
                         const run_status& status,
                         millis now);
+  // Tells the worker's health what the progress of a run means for it.
+  void NoteProgress(scheduled_worker& worker,
+                    const run_status& status,
+                    const task_run& run);
   // Removes a run that has ended, and releases what it reserved.
   void RemoveRun(const task_name& key,
                  const std::string& agent,
--- a/src/include/chervilkeel/worker_health.h
+++ b/src/include/chervilkeel/worker_health.h
@@ -8,9 +8,9 @@
 
 namespace chervilkeel {
 
-// The latest run outcomes of one worker. A worker on which most runs fail is
-// suspect: it gets a single probe task at a time, at increasing intervals,
-// until a run succeeds.
+// The latest run outcomes of one worker. A worker on which most runs fail, or
+// that is unresponsive, is suspect: it gets a single probe task at a time, at
+// increasing intervals, until a run shows that it is sound again.
 class worker_health {
  public:
   void OnSuccess(millis now);
@@ -19,10 +19,18 @@
   // Records that the worker did not answer orders or its runs made no progress.
   void OnUnresponsive(millis now);
 
-  bool IsSuspect() const { return suspect_; }
+  // Records that a run that was started then makes progress. That clears a
+  // worker that was unresponsive; runs that fail do so after some progress.
+  void OnProgress(millis run_started);
+
+  // Records that a service that was started then is at work. It is never done,
+  // so being at work is its success.
+  void OnServiceAtWork(millis run_started);
+
+  bool IsSuspect() const { return suspicion_ != suspicion::kNone; }
 
   // Returns whether the worker may get a task now.
-  bool MayStart(millis now) const { return !suspect_ || now >= next_probe_; }
+  bool MayStart(millis now) const { return !IsSuspect() || now >= next_probe_; }
 
   // Records that a suspect worker got a task.
   void OnProbe(millis now);
@@ -31,8 +39,10 @@
   double FailureRatio() const;
 
  private:
+  enum class suspicion { kNone, kFailures, kUnresponsive };
+
   void RecordOutcome(bool failed, millis now);
-  void BecomeSuspect(millis now);
+  void BecomeSuspect(suspicion reason, millis now);
 
   static constexpr std::size_t kMaxOutcomes = 8;
   static constexpr std::size_t kMinFailuresForSuspect = 3;
@@ -40,7 +50,8 @@
   static constexpr millis kMaxProbeInterval = 4'000;
 
   std::deque<bool> recent_failures_;
-  bool suspect_ = false;
+  suspicion suspicion_ = suspicion::kNone;
+  millis suspect_since_ = 0;
   millis next_probe_ = 0;
   millis probe_interval_ = kFirstProbeDelay;
 };
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -186,6 +186,21 @@
   return false;
 }
 
+void job_scheduler::NoteProgress(scheduled_worker& worker,
+                                 const run_status& status,
+                                 const task_run& run) {
+  const job_step& step =
+      jobs_.at(status.task.job).record.spec.steps[status.task.step];
+  const bool was_suspect = worker.health.IsSuspect();
+  if (step.service && status.percent >= 100) {
+    worker.health.OnServiceAtWork(run.active_since);
+  } else if (status.percent > run.percent) {
+    worker.health.OnProgress(run.active_since);
+  }
+  placement_requested_ =
+      placement_requested_ || (was_suspect && !worker.health.IsSuspect());
+}
+
 void job_scheduler::UpdateOrAdoptRun(scheduled_worker& worker,
                                      const run_status& status,
                                      millis now) {
@@ -194,6 +209,7 @@
   if (task != nullptr) {
     for (task_run& run : task->runs) {
       if (run.agent == worker.agent && run.run == status.run) {
+        NoteProgress(worker, status, run);
         if (run.percent != status.percent || run.phase == run_phase::kOrdered) {
           run.percent = status.percent;
           run.percent_changed_at = now;
--- a/src/libkernel/worker_health.cpp
+++ b/src/libkernel/worker_health.cpp
@@ -11,21 +11,22 @@
   }
   const auto failures = static_cast<std::size_t>(
       std::count(recent_failures_.begin(), recent_failures_.end(), true));
-  if (!suspect_ && failures >= kMinFailuresForSuspect &&
+  if (!IsSuspect() && failures >= kMinFailuresForSuspect &&
       2 * failures > recent_failures_.size()) {
-    BecomeSuspect(now);
+    BecomeSuspect(suspicion::kFailures, now);
   }
 }
 
-void worker_health::BecomeSuspect(millis now) {
-  suspect_ = true;
+void worker_health::BecomeSuspect(suspicion reason, millis now) {
+  suspicion_ = reason;
+  suspect_since_ = now;
   probe_interval_ = kFirstProbeDelay;
   next_probe_ = now + probe_interval_;
 }
 
 void worker_health::OnSuccess(millis now) {
-  if (suspect_) {
-    suspect_ = false;
+  if (IsSuspect()) {
+    suspicion_ = suspicion::kNone;
     recent_failures_.clear();
   }
   RecordOutcome(false, now);
@@ -36,8 +37,21 @@
 }
 
 void worker_health::OnUnresponsive(millis now) {
-  if (!suspect_) {
-    BecomeSuspect(now);
+  if (!IsSuspect()) {
+    BecomeSuspect(suspicion::kUnresponsive, now);
+  }
+}
+
+void worker_health::OnProgress(millis run_started) {
+  if (suspicion_ == suspicion::kUnresponsive && run_started > suspect_since_) {
+    suspicion_ = suspicion::kNone;
+  }
+}
+
+void worker_health::OnServiceAtWork(millis run_started) {
+  if (IsSuspect() && run_started > suspect_since_) {
+    suspicion_ = suspicion::kNone;
+    recent_failures_.clear();
   }
 }
 
