Let trials go on while crashed executors are away, repeated suspects last

Cause: a suspect task starts only as a trial, and trials have a third of a service's workers. A worker whose executor has crashed in a trial stayed among them until it was back, some 3 s later, so that three crashing tasks stopped all trials; and tasks that had crashed two executors, which are likely to crash a third one, went before those that were beside one crash.

Change: reserved workers that have listed no runs for a second count apart, with half of the workers as the bound of both. Tasks to be tried alone go after all others of a pass.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -427,6 +427,9 @@
   // Trials may start on workers that are reserved for them.
   enum class start_kind { kNormal, kTrial };
 
+  // Whether a suspect task has crashed enough executors to be tried alone.
+  enum class suspect_kind { kFirst, kRepeat };
+
   // A worker that may run tasks of a step. All tasks of a step have the same
   // requirements, so they share their candidates.
   struct candidate {
@@ -541,6 +544,12 @@
                            const task_name& key,
                            const scheduled_task& task,
                            millis now);
+  static bool IsRepeatSuspect(const scheduled_task& task);
+  // Whether a worker's executor has listed its runs lately. One that has not
+  // may have crashed, which is known for sure only once it is back.
+  static bool IsAnswering(const scheduled_worker& worker, millis now);
+  // Starts trials of those tasks of a step, as far as there is room.
+  void StartTrials(const waiting_step& waiting, suspect_kind kind, millis now);
   // Starts a suspect task where nothing else can be taken for the cause of a
   // crash, or reserves a worker for it. Returns false if there is none.
   bool StartTrial(scheduled_job& job,
@@ -739,13 +748,15 @@
   // executor has been silent for longer than a grant.
   static constexpr millis kMaxTrialTime = 6'000;
 
-  // Starts ordered so long after the last list did not reach the executor
-  // before its crash.
+  // An executor whose last list is older may have crashed. Starts ordered so
+  // long after the last list did not reach it before its crash.
   static constexpr millis kMaxListGap = 1'000;
 
-  // Each service has at most this part of its workers reserved, and one at
-  // least.
+  // Each service has at most one in so many of its workers reserved, and one at
+  // least. Those that have fallen silent in a trial count apart: a crash keeps
+  // a worker away for seconds, in which other trials go on.
   static constexpr std::size_t kWorkersPerReservation = 3;
+  static constexpr std::size_t kWorkersPerTrialOrCrash = 2;
 
   // Suspects of one crash are tried together if many wait; those that have
   // crashed again are always tried alone.
--- a/src/libkernel/job_scheduler_crashes.cpp
+++ b/src/libkernel/job_scheduler_crashes.cpp
@@ -179,6 +179,14 @@
   return worker.trial_until != 0 || now < worker.reserved_until;
 }
 
+bool job_scheduler::IsAnswering(const scheduled_worker& worker, millis now) {
+  return now - worker.listed_at <= kMaxListGap;
+}
+
+bool job_scheduler::IsRepeatSuspect(const scheduled_task& task) {
+  return task.crashed_runs.size() >= kCrashesOfCause;
+}
+
 // Tasks that are tried together start at the same time.
 bool job_scheduler::IsFreeForTrial(const scheduled_worker& worker,
                                    const scheduled_task& task,
@@ -186,7 +194,7 @@
                                    millis now) {
   const bool may_join = worker.trial_until != 0 && worker.trial_began == now &&
                         worker.trial_size < trial_size &&
-                        task.crashed_runs.size() < kCrashesOfCause;
+                        !IsRepeatSuspect(task);
   return may_join || !HasUnprovenRuns(worker);
 }
 
@@ -206,20 +214,24 @@
   trial_room room;
   room.tasks = std::clamp<std::size_t>(
       waiting_suspects_[service] / (kFewTrials * most_reserved), 1,
-      task.crashed_runs.size() < kCrashesOfCause ? kMaxTrialSize : 1);
+      IsRepeatSuspect(task) ? 1 : kMaxTrialSize);
   std::size_t reserved = 0;
+  std::size_t answering = 0;
   for (auto& [agent, worker] : workers_) {
     if (worker.description.service != service || !IsReserved(worker, now)) {
       continue;
     }
     ++reserved;
+    answering += IsAnswering(worker, now) ? 1 : 0;
     room.has_free_worker =
         room.has_free_worker || IsFreeForTrial(worker, task, room.tasks, now);
     if (now < worker.reserved_until && worker.reserved_for == key) {
       room.reserved_for_task = &worker;
     }
   }
-  room.may_reserve = reserved < most_reserved;
+  room.may_reserve =
+      answering < most_reserved &&
+      reserved < std::max<std::size_t>(1, usable / kWorkersPerTrialOrCrash);
   return room;
 }
 
@@ -227,7 +239,7 @@
                                const scheduled_task& task,
                                millis now) {
   const bool joins = worker.trial_until != 0 && worker.trial_began == now;
-  const bool is_alone = task.crashed_runs.size() >= kCrashesOfCause;
+  const bool is_alone = IsRepeatSuspect(task);
   worker.trial_size = is_alone ? kMaxTrialSize
                       : joins  ? worker.trial_size + 1
                                : 1;
@@ -236,6 +248,24 @@
   worker.reserved_until = 0;  // The trial keeps the worker.
 }
 
+void job_scheduler::StartTrials(const waiting_step& waiting,
+                                suspect_kind kind,
+                                millis now) {
+  scheduled_job& job = *waiting.job;
+  task_name key{job.record.id, waiting.occurrence, waiting.step_index, 0};
+  auto& tasks = job.occurrences.at(key.occurrence).steps[key.step].tasks;
+  for (const std::uint32_t index : waiting.tasks) {
+    key.index = index;
+    scheduled_task& task = tasks[index];
+    const suspect_kind found =
+        IsRepeatSuspect(task) ? suspect_kind::kRepeat : suspect_kind::kFirst;
+    if (task.is_suspect && task.runs.empty() && found == kind &&
+        !StartTrial(job, key, task, now)) {
+      return;
+    }
+  }
+}
+
 bool job_scheduler::StartTrial(scheduled_job& job,
                                const task_name& key,
                                scheduled_task& task,
@@ -254,7 +284,7 @@
   }
   if (!room.may_reserve && !room.has_free_worker) {
     // One that has to be tried alone says nothing about those that may join.
-    if (task.crashed_runs.size() < kCrashesOfCause) {
+    if (!IsRepeatSuspect(task)) {
       services_without_trials_.insert(service);
     }
     return false;
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -306,17 +306,26 @@
   waiting_suspects_.clear();
   const bool places_best_effort = now >= next_best_effort_placement_;
   bool is_crowded = false;
-  for (const waiting_step& waiting : WaitingSteps()) {
+  std::vector<waiting_step> steps = WaitingSteps();
+  std::erase_if(steps, [&](const waiting_step& waiting) {
+    return !places_best_effort &&
+           waiting.job->record.spec.steps[waiting.step_index].filler;
+  });
+  for (const waiting_step& waiting : steps) {
     const job_step& step = waiting.job->record.spec.steps[waiting.step_index];
-    if (step.filler && !places_best_effort) {
-      continue;
-    }
     if (step.gang) {
       PlaceGang(waiting, now);
     } else if (!PlaceTasks(waiting, now) && step.filler) {
       is_crowded = true;
     }
   }
+  // Tasks that have crashed two executors are likely to crash a third one, and
+  // each crash takes a worker away for seconds: they are tried last.
+  for (const waiting_step& waiting : steps) {
+    if (!waiting.job->record.spec.steps[waiting.step_index].gang) {
+      StartTrials(waiting, suspect_kind::kRepeat, now);
+    }
+  }
   if (is_crowded) {
     next_best_effort_placement_ = now + kCrowdedPlacementInterval;
   }
@@ -332,12 +341,7 @@
   const bool is_best_effort = job.record.spec.steps[waiting.step_index].filler;
   task_name key{job.record.id, waiting.occurrence, waiting.step_index, 0};
   auto& tasks = job.occurrences.at(key.occurrence).steps[key.step].tasks;
-  for (const std::uint32_t index : waiting.tasks) {
-    key.index = index;
-    if (tasks[index].is_suspect && !StartTrial(job, key, tasks[index], now)) {
-      break;
-    }
-  }
+  StartTrials(waiting, suspect_kind::kFirst, now);
   std::vector<candidate> candidates =
       Candidates(job, key, start_kind::kNormal, now);
   for (const std::uint32_t index : waiting.tasks) {
