Judge each crash of an executor once

Cause: agents tell of the crashes of the last 30 s again with each new one, and the scheduler remembered the last one only. A crash that was judged again after its cause had been given up had no suspect left, so all tasks that had been unproven beside it were blamed: sound tasks became suspect, waited for trials, and took trials from others.

Change: a worker's last 16 crashes are remembered.

crash_that_is_told_again_blames_no_other_task failed before.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -277,8 +277,9 @@
   // Runs that were given up when the worker fell silent, and when.
   std::vector<lost_run> silent_runs;
   millis silent_since = 0;
-  // The last boot that was found to have crashed, and when it was found.
-  executor_boot crashed_boot;
+  // The latest boots that were found to have crashed, and when the last one
+  // was found. Agents tell of a crash more than once.
+  std::deque<executor_boot> crashed_boots;
   millis crashed_at = 0;
   // Until then only trials of suspect tasks start here, first that of the task
   // for which the worker was reserved.
@@ -777,6 +778,9 @@
   // With so many doubtful runs a task waits until one of them is settled.
   static constexpr std::size_t kMaxDoubtfulRuns = 2;
 
+  // Crashes of a worker that are remembered: more than agents tell of.
+  static constexpr std::size_t kMaxKnownCrashes = 16;
+
   // Tasks that a log line about a crash names.
   static constexpr std::uint64_t kMaxNamedRuns = 8;
 
--- a/src/libkernel/job_scheduler_crashes.cpp
+++ b/src/libkernel/job_scheduler_crashes.cpp
@@ -56,16 +56,22 @@
          task.late_crashed_runs.count(lost.run) != 0;
 }
 
-// Agents tell a crash to each owner, and again with the next one, so a crash
-// that a former owner has found is told once more. What counted then is stored
-// by run, so each run is judged by itself.
+// Agents tell a crash to each owner, and again with the next one. A crash is
+// judged once, by what is known then: later, its cause may have been given up,
+// and the tasks beside it would be blamed. One that a former owner has found is
+// judged again; what counted then is stored by run, so each run is judged by
+// itself.
 void job_scheduler::OnExecutorCrashed(scheduled_worker& worker,
                                       const crashed_executor& crashed,
                                       millis now) {
-  if (worker.crashed_boot == crashed.boot) {
+  std::deque<executor_boot>& known = worker.crashed_boots;
+  if (std::find(known.begin(), known.end(), crashed.boot) != known.end()) {
     return;
   }
-  worker.crashed_boot = crashed.boot;
+  known.push_back(crashed.boot);
+  if (known.size() > kMaxKnownCrashes) {
+    known.pop_front();
+  }
   worker.crashed_at = now;
   std::vector<lost_run> unproven;
   std::vector<lost_run> suspects;
--- a/src/libkernel/job_scheduler_trials_test.cpp
+++ b/src/libkernel/job_scheduler_trials_test.cpp
@@ -62,4 +62,33 @@
   BOOST_TEST(CountJobs("bad", job_state::kFailed) == 20);
 }
 
+// Guards against sound tasks that become suspect without a crash: an agent
+// tells of earlier crashes again with each new one, and once the cause of such
+// a crash was given up, the tasks beside it were blamed.
+BOOST_FIXTURE_TEST_CASE(crash_that_is_told_again_blames_no_other_task,
+                        scheduler_fixture) {
+  ReportIdleWorker("a");
+  scheduler.AddJob(MakeJob("bad", 1), now);
+  scheduler.AddJob(MakeJob("sound", 1), now);
+  const task_name bad{"bad", 0, 0, 0};
+  const task_name sound{"sound", 0, 0, 0};
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  const auto report_crash = [&](const std::vector<lost_run>& runs) {
+    report.crashes.push_back({report.worker.boot, runs});
+    ++report.worker.boot.started_ms;
+    scheduler.OnReport(report, now);
+  };
+  report_crash({{bad, 1, false}});
+  report_crash({{bad, 2, false}, {sound, 1, false}});
+  report_crash({{bad, 3, false}});
+  Commit();
+  BOOST_TEST(NameOf(*scheduler.StateOf("bad")) == "failed");
+  report_crash({});
+  const scheduled_task& task =
+      scheduler.Jobs().at("sound").occurrences.at(0).steps[0].tasks[0];
+  BOOST_TEST(task.crashed_runs.empty());
+  BOOST_TEST(!task.is_suspect);
+}
+
 }  // namespace chervilkeel
