Free an idempotency key only for the request that holds it

What callers saw: a non-idempotent request could run twice (manifest roles).

Cause: an entry whose claim got no answer may hold the key, so it settles the key as not run when its request ends at the deadline. The owner erased the claim of that key without looking whose it was. If the lost answer was that another request held the key, that request lost it, running or answered, and the next repetition ran beside or after it. One lost answer is enough when less than the pause between claims and the expected time is left; a longer deadline needs all answers lost. The next owner and a replay did the same.

Change: the owner proposes the release of a key only for the request that holds its claim, durable or being written. The record names the request, and replay passes over one that does not hold the key. The key begins with the name of the service, so the service needs no field of its own.

--- a/src/include/chervilkeel/cell_owner.h
+++ b/src/include/chervilkeel/cell_owner.h
@@ -146,7 +146,8 @@
                                          std::uint64_t wall_ms);
 
   // Proposes the outcome of a claimed request. An outcome of "not run" gives
-  // up the claim.
+  // up the claim. It is ignored if another request holds the key: a request
+  // whose claim got no answer settles the key without knowing whose it is.
   void Settle(const wire::settlement& settled);
 
   // Returns the next record to store; nullopt while a record is in flight or
@@ -241,6 +242,7 @@
                const running_counts& counts,
                wire::job_report& report) const;
   void ClearJobMarker(const std::string& name);
+  bool HoldsClaim(const std::string& key, const std::string& request_id) const;
   wire::cell_change& Propose();
 
   const std::string cell_;
@@ -262,8 +264,9 @@
   std::optional<wire::journal_record> in_flight_;
   // Tasks and jobs with a change that is not durable yet.
   std::set<task_key> pending_changes_;
-  // Idempotency keys with a claim that is not durable yet.
-  std::set<std::string> pending_claims_;
+  // Idempotency keys with a claim that is not durable yet, and the id of the
+  // request that claims each.
+  std::map<std::string, std::string> pending_claims_;
   // Outcomes of claimed requests that are not durable yet, by key. A repeated
   // request already gets the outcome, so that it never gets a different one.
   std::map<std::string, wire::settlement> pending_settlements_;
--- a/src/include/chervilkeel/cell_state.h
+++ b/src/include/chervilkeel/cell_state.h
@@ -111,6 +111,7 @@
   void Finish(const wire::task_finished& change);
   void Drop(const std::string& job);
   void Settle(const wire::settlement& settled);
+  void ReleaseClaim(const wire::claim_released& change);
   void EraseClaim(const std::string& key);
   void ExpireClaims(std::uint64_t before_ms);
   wire::task_record* FindAttempt(const wire::task_id& id);
--- a/src/libkernel/cell_owner.cpp
+++ b/src/libkernel/cell_owner.cpp
@@ -357,7 +357,7 @@
   claimed->set_request_id(request.request_id());
   claimed->set_service(request.service());
   claimed->set_at_ms(wall_ms);
-  pending_claims_.insert(request.key());
+  pending_claims_.emplace(request.key(), request.request_id());
   const auto retention_ms =
       static_cast<std::uint64_t>(options_.claim_retention);
   if (++claim_count_ % 256 == 0 && wall_ms > retention_ms) {
@@ -366,9 +366,25 @@
   return std::nullopt;
 }
 
+// Returns whether that request has the claim of the key, durable or not.
+bool cell_owner::HoldsClaim(const std::string& key,
+                            const std::string& request_id) const {
+  const auto pending = pending_claims_.find(key);
+  if (pending != pending_claims_.end()) {
+    return pending->second == request_id;
+  }
+  const auto known = state_.Claims().find(key);
+  return known != state_.Claims().end() &&
+         known->second.request_id() == request_id;
+}
+
 void cell_owner::Settle(const wire::settlement& settled) {
   if (settled.outcome() == wire::outcome_not_run) {
-    Propose().mutable_unclaimed()->set_key(settled.key());
+    if (HoldsClaim(settled.key(), settled.request_id())) {
+      auto* released = Propose().mutable_unclaimed();
+      released->set_key(settled.key());
+      released->set_request_id(settled.request_id());
+    }
     return;
   }
   wire::settlement stored = settled;
--- a/src/libkernel/cell_owner_test.cpp
+++ b/src/libkernel/cell_owner_test.cpp
@@ -104,6 +104,44 @@
     return task;
   }
 
+  std::optional<wire::claim_reply> Claim(const std::string& request_id) {
+    wire::claim_request request;
+    request.set_key("k");
+    request.set_request_id(request_id);
+    return owner->Claim(request, 1'000);
+  }
+
+  wire::claim_state StateOfClaim(const std::string& request_id) {
+    const auto reply = Claim(request_id);
+    return reply ? reply->state() : wire::claim_unavailable;
+  }
+
+  // Claims the key for a request and commits. Returns whether it may run.
+  bool MayRun(const std::string& request_id) {
+    (void)Claim(request_id);
+    Commit();
+    return StateOfClaim(request_id) == wire::claim_granted;
+  }
+
+  void Settle(const std::string& request_id, wire::request_outcome outcome) {
+    wire::settlement settled;
+    settled.set_key("k");
+    settled.set_request_id(request_id);
+    settled.set_outcome(outcome);
+    owner->Settle(settled);
+  }
+
+  // Applies a record, outside the owner, that releases the claim of the key.
+  static void ApplyRelease(cell_state& state, const std::string& request_id) {
+    wire::journal_record record;
+    record.set_sequence(state.Sequence() + 1);
+    record.set_epoch(state.Epoch());
+    auto* released = record.add_changes()->mutable_unclaimed();
+    released->set_key("k");
+    released->set_request_id(request_id);
+    BOOST_TEST_REQUIRE(state.Apply(record).has_value());
+  }
+
   millis now = 1'000;
   // The answer of every queried worker; nullopt if workers are unreachable.
   std::optional<std::vector<worker_task>> worker_answer;
@@ -528,6 +566,69 @@
   BOOST_TEST(!owner->Claim(request, 1'000).has_value());
 }
 
+// Guards against two requests that run under one key: the claim of "r2" was
+// refused, its answer was lost, and "r2" ended as not run at its deadline.
+BOOST_AUTO_TEST_CASE(key_is_not_freed_by_a_request_that_does_not_hold_it) {
+  BOOST_TEST_REQUIRE(MayRun("r1"));
+  BOOST_TEST(StateOfClaim("r2") == wire::claim_in_progress);
+  Settle("r2", wire::outcome_not_run);
+  Commit();
+  BOOST_TEST(!MayRun("r3"));
+}
+
+// Guards against the same when the claim of the key is not durable yet.
+BOOST_AUTO_TEST_CASE(key_being_claimed_is_not_freed_by_another_request) {
+  BOOST_TEST(!Claim("r1").has_value());
+  Settle("r2", wire::outcome_not_run);
+  Commit();
+  BOOST_TEST(StateOfClaim("r1") == wire::claim_granted);
+  BOOST_TEST(!MayRun("r3"));
+}
+
+// Guards against the same under the next owner, which has only the snapshot.
+BOOST_AUTO_TEST_CASE(key_is_not_freed_by_another_request_under_a_new_owner) {
+  BOOST_TEST_REQUIRE(MayRun("r1"));
+  TakeOver(cell_state::Restore(owner->State().Snapshot()), 2, "a0");
+  Settle("r2", wire::outcome_not_run);
+  Commit();
+  BOOST_TEST(!MayRun("r3"));
+}
+
+// Guards against an answered request that runs again.
+BOOST_AUTO_TEST_CASE(answer_is_kept_when_another_request_did_not_run) {
+  BOOST_TEST_REQUIRE(MayRun("r1"));
+  Settle("r1", wire::outcome_answered);
+  Settle("r2", wire::outcome_not_run);
+  Commit();
+  BOOST_TEST(StateOfClaim("r3") == wire::claim_answered);
+}
+
+BOOST_AUTO_TEST_CASE(key_given_up_before_its_claim_is_durable_is_free) {
+  BOOST_TEST(!Claim("r1").has_value());
+  Settle("r1", wire::outcome_not_run);
+  Commit();
+  BOOST_TEST(MayRun("r2"));
+}
+
+// Guards against two requests that run under one key after a replay.
+BOOST_AUTO_TEST_CASE(replayed_release_frees_only_the_claim_of_its_request) {
+  BOOST_TEST_REQUIRE(MayRun("r1"));
+  cell_state state = owner->State();
+  ApplyRelease(state, "r2");
+  BOOST_TEST(state.Claims().count("k") == 1U);
+  ApplyRelease(state, "r1");
+  BOOST_TEST(state.Claims().empty());
+}
+
+// Guards against a replay of earlier releases' records that comes to another
+// state than theirs, so that claims recorded after it are lost.
+BOOST_AUTO_TEST_CASE(replayed_release_without_a_request_frees_the_key) {
+  BOOST_TEST_REQUIRE(MayRun("r1"));
+  cell_state state = owner->State();
+  ApplyRelease(state, "");
+  BOOST_TEST(state.Claims().empty());
+}
+
 BOOST_AUTO_TEST_CASE(restored_snapshot_equals_the_original) {
   owner->OnManifest(OneJob(20), 1);
   Commit();
--- a/src/libkernel/cell_state.cpp
+++ b/src/libkernel/cell_state.cpp
@@ -180,7 +180,7 @@
       Settle(change.settled());
       break;
     case wire::cell_change::kUnclaimed:
-      EraseClaim(change.unclaimed().key());
+      ReleaseClaim(change.unclaimed());
       break;
     case wire::cell_change::kExpired:
       ExpireClaims(change.expired().before_ms());
@@ -310,6 +310,17 @@
   }
 }
 
+// A record of an earlier release names no request. It frees the key whoever
+// holds it, as it did then: later records rely on that.
+void cell_state::ReleaseClaim(const wire::claim_released& change) {
+  const auto claim = claims_.find(change.key());
+  if (claim != claims_.end() &&
+      (change.request_id().empty() ||
+       claim->second.request_id() == change.request_id())) {
+    EraseClaim(change.key());
+  }
+}
+
 void cell_state::EraseClaim(const std::string& key) {
   const auto claim = claims_.find(key);
   if (claim != claims_.end()) {
