Take how a request ended only from the request that holds the key

What callers saw: a repetition was told that another request ran under its key and that its answer is not kept, while the first one was still running or its answer was there.

Cause: outcomes that are not durable yet are kept by key alone. A request that was refused the key settles it as unknown when an earlier call of its claim got no answer, and that took the place of the holder's outcome. The durable state already compared the request; only what was pending did not.

Change: the owner passes over the outcome of a request that does not hold the claim of the key, durable or being written.

pending_answer_is_not_replaced_by_another_request failed before: StateOfClaim("r3") == claim_in_progress has failed [3 != 2]; Claim("r3")->settled().request_id() == "r1" has failed [r2 != r1]. Found by reading.

--- a/src/libkernel/cell_owner.cpp
+++ b/src/libkernel/cell_owner.cpp
@@ -379,12 +379,13 @@
 }
 
 void cell_owner::Settle(const wire::settlement& settled) {
+  if (!HoldsClaim(settled.key(), settled.request_id())) {
+    return;
+  }
   if (settled.outcome() == wire::outcome_not_run) {
-    if (HoldsClaim(settled.key(), settled.request_id())) {
-      auto* released = Propose().mutable_unclaimed();
-      released->set_key(settled.key());
-      released->set_request_id(settled.request_id());
-    }
+    auto* released = Propose().mutable_unclaimed();
+    released->set_key(settled.key());
+    released->set_request_id(settled.request_id());
     return;
   }
   wire::settlement stored = settled;
--- a/src/libkernel/cell_owner_test.cpp
+++ b/src/libkernel/cell_owner_test.cpp
@@ -629,6 +629,19 @@
   BOOST_TEST(state.Claims().empty());
 }
 
+// Guards against a repetition that is told of a request that never ran, in
+// place of the answer.
+BOOST_AUTO_TEST_CASE(pending_answer_is_not_replaced_by_another_request) {
+  BOOST_TEST_REQUIRE(MayRun("r1"));
+  Settle("r2", wire::outcome_unknown);
+  BOOST_TEST(StateOfClaim("r3") == wire::claim_in_progress);
+  Settle("r1", wire::outcome_answered);
+  Settle("r2", wire::outcome_unknown);
+  BOOST_TEST(Claim("r3")->settled().request_id() == "r1");
+  Commit();
+  BOOST_TEST(Claim("r3")->settled().request_id() == "r1");
+}
+
 BOOST_AUTO_TEST_CASE(restored_snapshot_equals_the_original) {
   owner->OnManifest(OneJob(20), 1);
   Commit();
