Let a request that claims its key again wait for its first claim

The entry repeats a claim that got no answer in time, and the owner told it that another request was claiming the key.

Change: the owner compares the request, and the repetition waits for the same record. It is granted with it, or ends as not run at the deadline.

repeated_claim_waits_for_the_record_of_the_first failed before: !Claim("r1").has_value() has failed (twice). Found by reading.

--- a/src/include/chervilkeel/cell_owner.h
+++ b/src/include/chervilkeel/cell_owner.h
@@ -140,8 +140,9 @@
                       std::optional<std::vector<worker_task>> tasks);
 
   // Claims an idempotency key. Returns the reply if it is already known.
-  // Otherwise proposes the claim and returns nullopt; the caller asks again
-  // once a record with the claim is durable.
+  // Otherwise proposes the claim, unless the same request has done so, and
+  // returns nullopt; the caller asks again once a record with the claim is
+  // durable.
   std::optional<wire::claim_reply> Claim(const wire::claim_request& request,
                                          std::uint64_t wall_ms);
 
--- a/src/libkernel/cell_owner.cpp
+++ b/src/libkernel/cell_owner.cpp
@@ -337,7 +337,11 @@
     }
     return reply;
   }
-  if (pending_claims_.count(request.key()) != 0) {
+  const auto claiming = pending_claims_.find(request.key());
+  if (claiming != pending_claims_.end()) {
+    if (claiming->second == request.request_id()) {
+      return std::nullopt;
+    }
     reply.set_state(wire::claim_in_progress);
     reply.set_reason("another request is claiming this idempotency key");
     return reply;
--- a/src/libkernel/cell_owner_test.cpp
+++ b/src/libkernel/cell_owner_test.cpp
@@ -642,6 +642,20 @@
   BOOST_TEST(Claim("r3")->settled().request_id() == "r1");
 }
 
+// Guards against "may have run" for a request whose first claim got no answer
+// in time, as while the store is slow: it was never sent.
+BOOST_AUTO_TEST_CASE(repeated_claim_waits_for_the_record_of_the_first) {
+  BOOST_TEST(!Claim("r1").has_value());
+  BOOST_TEST(!Claim("r1").has_value());
+  BOOST_TEST(StateOfClaim("r2") == wire::claim_in_progress);
+  BOOST_TEST_REQUIRE(owner->NextRecord().has_value());
+  BOOST_TEST(owner->InFlight().changes_size() == 1);
+  BOOST_TEST(!Claim("r1").has_value());
+  BOOST_TEST_REQUIRE(owner->OnCommitted(now).has_value());
+  BOOST_TEST(StateOfClaim("r1") == wire::claim_granted);
+  BOOST_TEST(!owner->NextRecord().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(restored_snapshot_equals_the_original) {
   owner->OnManifest(OneJob(20), 1);
   Commit();
