Pass over unreadable rows of lists and reports, and believe nothing of them

What was seen, by reading: one odd row of an executor's list of runs made the whole list unreadable; the executor counted as lost, and its runs lapsed. Of an agent's report, rows without a task were left out, but the list still counted as complete, and its ends as recorded; `how`, `outcome` and an order's kind were cast without a check.

Change: a row that can't be read is left out, counted and logged; the others hold. What such a row would have said stays open: - The agent marks such a list as incomplete: the owner updates and adopts the runs that it names, and takes no missing one as vanished. A start that was taken back is told only by a complete list. - Neither an unreadable end nor a later one is acknowledged, also not by a reply to a call of the time when it could not be read. Later ends are told meanwhile, so the owner now takes an end that comes after a later one, and stores it before it may be acknowledged. - A former scheduler's worker gets no grant until it has listed all its runs. A run that nobody can name would live on under the new owner's grants while its task starts elsewhere. - From an agent's report, the ends from an unreadable one on are left out.

--- a/src/chervilkeeld/executor_history.h
+++ b/src/chervilkeeld/executor_history.h
@@ -22,6 +22,11 @@
   // Records that a try to start had no effect: it was refused or not sent.
   void OnStartWithoutEffect(const task_name& task, std::uint64_t run);
 
+  // Records that the run has ended. A list of all runs tells that, too.
+  void OnEnded(const task_name& task, std::uint64_t run) {
+    runs_.erase({task, run});
+  }
+
   // Records that the executor has answered any call.
   void OnAnswer(millis now) { answered_at_ = now; }
 
--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -1,5 +1,6 @@
 // How the agent carries out orders, also when the executor gives no answer.
 #include <algorithm>
+#include <limits>
 #include <set>
 
 #include "chervilkeel/event_log.h"
@@ -229,7 +230,8 @@
     Report(name, start_outcome::kStarted);
   }
   for (auto entry = withdrawn_.begin(); entry != withdrawn_.end();) {
-    if (asked <= entry->second || running.count(entry->first) != 0) {
+    if (!runs_complete_ || asked <= entry->second ||
+        running.count(entry->first) != 0) {
       ++entry;
       continue;
     }
@@ -239,6 +241,37 @@
   }
 }
 
+void job_agent_process::NoteUnreadableRows(const executor_run_list& listing) {
+  const std::uint64_t first = listing.first_unreadable_end;
+  if (first != 0) {
+    unreadable_end_ =
+        has_unreadable_end_ ? std::min(unreadable_end_, first) : first;
+  }
+  if (first != 0 || has_unreadable_end_) {
+    unreadable_end_until_ = listed_;
+  }
+  has_unreadable_end_ = first != 0;
+  runs_complete_ = listing.IsComplete();
+  const std::size_t rows = listing.unreadable_runs + listing.unreadable_ends;
+  if (std::exchange(unreadable_rows_, rows) == rows || rows == 0) {
+    return;
+  }
+  metrics_.CountEvent("list_rows_unreadable", static_cast<double>(rows));
+  LogEvent(kPart, "list_rows_unreadable",
+           {{"executor", worker_.boot.id},
+            {"runs", listing.unreadable_runs},
+            {"ends", listing.unreadable_ends},
+            {"first_end", first}});
+}
+
+std::uint64_t job_agent_process::LastReadableEnd(millis asked) const {
+  const bool is_bounded =
+      unreadable_end_ != 0 &&
+      (has_unreadable_end_ || asked <= unreadable_end_until_);
+  return is_bounded ? unreadable_end_ - 1
+                    : std::numeric_limits<std::uint64_t>::max();
+}
+
 void job_agent_process::SendPace(const worker_order& order) {
   executor_->SetPace(
       Context(kOrderTimeout), order,
--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -181,6 +181,8 @@
     ends_.clear();
     told_end_ = 0;
     recorded_end_ = 0;
+    unreadable_end_ = 0;
+    has_unreadable_end_ = false;
     open_starts_.clear();
     open_stops_.clear();
     withdrawn_.clear();
@@ -309,7 +311,15 @@
   runs_ = listing.running;
   runs_listed_ = true;
   listed_ = BootNow();
-  history_.OnList(runs_, asked, listed_);
+  NoteUnreadableRows(listing);
+  if (runs_complete_) {
+    history_.OnList(runs_, asked, listed_);
+  } else {
+    history_.OnAnswer(listed_);
+    for (const ended_run& ended : listing.ended) {
+      history_.OnEnded(ended.task, ended.run);
+    }
+  }
   ends_.clear();
   std::uint64_t last = 0;
   for (const ended_run& ended : listing.ended) {
@@ -369,7 +379,7 @@
     sync.set_obeys(true);
     *sync.mutable_worker() = ToWire(worker_);
     if (now - runs_told_ >= kRunsInterval && now - listed_ < kListingFresh) {
-      sync.set_lists_runs(true);
+      sync.set_lists_runs(runs_complete_);
       sync.set_runs_age_ms(now - listed_);
       for (const run_status& status : runs_) {
         *sync.add_runs() = ToWire(status);
@@ -451,7 +461,7 @@
       }
       locator_.Learn(address,
                      {orders.entries().begin(), orders.entries().end()});
-      TakeOrders(orders, boot);
+      TakeOrders(orders, boot, asked);
     } else {
       pause = kSyncRetry;
     }
@@ -500,7 +510,8 @@
 }
 
 void job_agent_process::TakeOrders(const wire::agent_orders& reply,
-                                   const executor_boot& boot) {
+                                   const executor_boot& boot,
+                                   millis asked) {
   // Each boot numbers its ends from 1: a late reply for a former boot says
   // nothing about the ends of this one.
   if (boot == worker_.boot && reply.recorded_end() > recorded_end_ &&
@@ -509,7 +520,9 @@
     for (const ended_run& ended : ends_) {
       listed = std::max(listed, ended.number);
     }
-    recorded_end_ = std::min(reply.recorded_end(), listed);
+    recorded_end_ = std::max(
+        recorded_end_,
+        std::min({reply.recorded_end(), listed, LastReadableEnd(asked)}));
     std::erase_if(ends_, [this](const ended_run& ended) {
       return ended.number <= recorded_end_;
     });
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -74,6 +74,12 @@
   void TakeListing(const executor_run_list& listing,
                    std::uint64_t epoch,
                    millis asked);
+  // Counts and logs the rows of a list that could not be read.
+  void NoteUnreadableRows(const executor_run_list& listing);
+  // Returns the highest end that a reply to a call of `asked` may acknowledge:
+  // while an end can't be read, neither it nor a later one. Nor does a reply to
+  // a call of that time acknowledge it, which can't have told it.
+  std::uint64_t LastReadableEnd(millis asked) const;
   millis LeaseEnd() const;
   void NoteClock(millis clock);
 
@@ -83,15 +89,17 @@
                const std::string& address,
                const executor_boot& boot,
                millis asked,
+               // The highest number of a result that the call has told.
                std::uint64_t last_start,
                std::uint64_t crashes,
                bool wait);
   void NoteOwner(bool answers,
                  const std::string& address,
                  const std::string& cause);
-  // `boot` is the executor's boot when the owner was called, and `last_start`
-  // the highest number of a result that the call has told.
-  void TakeOrders(const wire::agent_orders& reply, const executor_boot& boot);
+  // `boot` is the executor's boot when the owner was called at `asked`.
+  void TakeOrders(const wire::agent_orders& reply,
+                  const executor_boot& boot,
+                  millis asked);
   void AdoptEpoch(std::uint64_t epoch);
 
   // Orders.
@@ -144,6 +152,11 @@
   bool leaving_ = false;
   std::vector<run_status> runs_;
   bool runs_listed_ = false;
+  bool runs_complete_ = true;         // No row of the last list was unreadable.
+  std::size_t unreadable_rows_ = 0;   // Of the last list.
+  std::uint64_t unreadable_end_ = 0;  // The lowest; 0: there was none.
+  millis unreadable_end_until_ = 0;   // Up to then, or now if it is ...
+  bool has_unreadable_end_ = false;   // ... in the last list.
   millis listed_ = 0;
   millis runs_told_ = 0;
   std::vector<ended_run> ends_;
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -35,12 +35,15 @@
   std::int64_t started_ms = 5;  // Of the present boot.
   std::vector<ended_run> ends;  // Listed until they are recorded.
   std::uint64_t highest_recorded = 0;  // That a call has named.
-  int lists = 0;                       // Made by the present boot.
+  std::size_t unreadable_runs = 0;     // In each list.
+  std::uint64_t first_unreadable_end = 0;
+  int lists = 0;  // Made by the present boot.
   // How starts are answered, by task index; the others are not.
   std::map<std::uint32_t, executor_verdict> start_verdicts;
   bool refuses_connections = false;  // Starts do not reach the executor.
   int unsent_starts = 0;
-  int starts = 0;         // Calls that the executor has read.
+  int starts = 0;  // Calls that the executor has read.
+  int stops = 0;
   int announcements = 0;  // Read by the agent.
   // Changes what the next announcements say.
   std::function<void(announcement&)> distort;
@@ -83,6 +86,7 @@
             const task_name& /*task*/,
             std::uint64_t /*run*/,
             executor_callback<executor_answer> callback) override {
+    ++script_.stops;
     stopped_ = true;
     callback(executor_answer());
   }
@@ -108,6 +112,9 @@
       listing.clock = 100'000 + BootNow();
       listing.started_ms = script_.started_ms;
       listing.ended = script_.ends;
+      listing.unreadable_runs = script_.unreadable_runs;
+      listing.first_unreadable_end = script_.first_unreadable_end;
+      listing.unreadable_ends = script_.first_unreadable_end != 0 ? 1 : 0;
       if (run_.run != 0 &&
           (stopped_ ? script_.lists_after_stop-- > 0 : script_.lists_start)) {
         listing.running.push_back(run_);
@@ -188,6 +195,7 @@
     reply->set_is_owner(true);
     reply->set_epoch(epoch);
     reply->set_grant_ms(request->obeys() ? 2'600 : 0);
+    reply->set_recorded_end(acknowledged_end);
     if (starts_task && request->obeys() && request->acked_order() == 0) {
       worker_order order;
       order.boot = {"executor", 5};
@@ -275,6 +283,7 @@
   std::atomic<bool> starts_second_task = false;
   std::atomic<bool> repeats_start = false;  // Of the first task.
   std::atomic<std::uint64_t> epoch = 1;
+  std::atomic<std::uint64_t> acknowledged_end = 0;
 
  private:
   struct held_sync {
@@ -305,6 +314,7 @@
   executor_script script;
   std::optional<start_outcome> outcome;  // Of the task that was started.
   worker_report last_report;             // That vouches for the executor.
+  int complete_lists = 0;
   int lists_left_at_outcome = 0;
   std::set<std::uint64_t> told_runs;  // Whose outcome has been told.
   // What calls have told of crashes, by the epoch of the call.
@@ -317,6 +327,7 @@
       const worker_report report = FromWire(sync);
       if (sync.obeys()) {
         last_report = report;
+        complete_lists += report.has_runs ? 1 : 0;
       }
       for (const crashed_executor& crashed : report.crashes) {
         crashes[sync.epoch()].push_back(crashed);
@@ -408,6 +419,54 @@
   BOOST_TEST(lists_left_at_outcome <= 0);
 }
 
+// Guards against a task that runs twice (TWICE): its run, which was told to
+// stop, may be the one whose row can't be read.
+BOOST_AUTO_TEST_CASE(withdrawn_start_is_not_told_by_an_incomplete_list) {
+  constexpr int kManyLists = 20;
+  script.listings = 1'000'000;
+  script.lists_start = false;
+  script.unreadable_runs = 1;
+  owner->starts_task = true;
+  Announce();
+  RunUntil([this] { return script.stops > 0; });
+  const int lists_before = script.lists;
+  RunUntil([&] { return script.lists > lists_before + kManyLists; });
+  BOOST_TEST(!outcome.has_value());
+  BOOST_TEST(complete_lists == 0);
+  script.unreadable_runs = 0;
+  RunUntil([this] { return outcome.has_value(); });
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kWithdrawn));
+}
+
+// Guards against an end that the executor forgets although nobody could read
+// it: the owner records a later one. The call that tells the end, once it can
+// be read, is the first whose reply may acknowledge it.
+BOOST_AUTO_TEST_CASE(end_that_cannot_be_read_is_not_acknowledged) {
+  constexpr int kManyLists = 20;
+  script.listings = 1'000'000;
+  for (const std::uint64_t number : {1, 3}) {
+    ended_run ended;
+    ended.number = number;
+    ended.task = {"job", 0, 0, 0};
+    ended.run = number;
+    script.ends.push_back(ended);
+  }
+  script.first_unreadable_end = 2;
+  owner->acknowledged_end = 3;
+  Announce();
+  RunUntil([this] { return last_report.ends.size() == 2; });
+  RunUntil([this] { return script.highest_recorded > 0; });
+  const int lists_before = script.lists;
+  RunUntil([&] { return script.lists > lists_before + kManyLists; });
+  BOOST_REQUIRE(!last_report.ends.empty());
+  BOOST_TEST(last_report.ends.back().number == 3);
+  BOOST_TEST(script.highest_recorded == 1);
+  script.first_unreadable_end = 0;
+  RunUntil([this] { return script.highest_recorded == 3; });
+  BOOST_TEST(script.highest_recorded == 3);
+}
+
 // The owner's reply to a call of the former boot arrives after the executor has
 // started anew, with the same id. Its ends are numbered from 1 again: none of
 // them is recorded, and an executor that forgets them loses finished work.
--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -248,7 +248,7 @@
   }
   // Without a report of the agent's runs the owner can't tell whether they are
   // still alive, so it issues no grant.
-  reply.set_grant_ms(waiting.obeys ? grant_ : 0);
+  reply.set_grant_ms(waiting.obeys && scheduler_->MayGrant(agent) ? grant_ : 0);
   reply.set_recorded_end(scheduler_->RecordedEnd(agent));
   for (const auto& [number, order] :
        scheduler_->OrdersFor(agent, waiting.acked)) {
@@ -296,7 +296,14 @@
   }
   const bool obeys = sync.obeys() && sync.epoch() == ownership_.epoch;
   if (obeys) {
-    scheduler_->OnReport(FromWire(sync), now);
+    const worker_report report = FromWire(sync);
+    if (report.unreadable_rows != 0) {
+      metrics_.CountEvent("report_rows_unreadable",
+                          static_cast<double>(report.unreadable_rows));
+      LogEvent(kPart, "report_rows_unreadable",
+               {{"worker", sync.agent()}, {"rows", report.unreadable_rows}});
+    }
+    scheduler_->OnReport(report, now);
   }
   const auto former = waiting_.find(sync.agent());
   if (former != waiting_.end() && sync.wait()) {
--- a/src/chervilkeeld/job_wire.cpp
+++ b/src/chervilkeeld/job_wire.cpp
@@ -2,6 +2,31 @@
 
 namespace chervilkeel {
 
+namespace {
+
+// Sets `out` to the value with this number; returns false if the table of names
+// does not contain it.
+template <class table_type, class value_type>
+bool ReadValue(const table_type& table, std::uint32_t number, value_type& out) {
+  for (const auto& [value, name] : table) {
+    if (static_cast<std::uint32_t>(value) == number) {
+      out = value;
+      return true;
+    }
+  }
+  return false;
+}
+
+bool ReadEnd(const wire::run_ending& ending, ended_run& out) {
+  out.number = ending.number();
+  out.run = ending.run();
+  out.checkpoint = ending.checkpoint();
+  return ParseTaskName(ending.task(), out.task) &&
+         ReadValue(kRunEndNames, ending.how(), out.end);
+}
+
+}  // namespace
+
 executor_boot FromWire(const wire::boot_id& boot) {
   return {boot.id(), boot.started_ms()};
 }
@@ -108,7 +133,6 @@
                             worker.accelerators()};
   report.worker.draining = worker.draining();
   report.worker.remaining = worker.remaining_ms();
-  report.has_runs = sync.lists_runs();
   report.runs_age = sync.runs_age_ms();
   for (const wire::run_state& run : sync.runs()) {
     run_status status;
@@ -118,24 +142,27 @@
       status.percent = run.percent();
       status.load = run.load();
       report.runs.push_back(std::move(status));
+    } else {
+      ++report.unreadable_rows;
     }
   }
   for (const wire::run_ending& ending : sync.ends()) {
     ended_run ended;
-    if (ParseTaskName(ending.task(), ended.task)) {
-      ended.number = ending.number();
-      ended.run = ending.run();
-      ended.end = static_cast<run_end>(ending.how());
-      ended.checkpoint = ending.checkpoint();
-      report.ends.push_back(std::move(ended));
+    if (!ReadEnd(ending, ended)) {
+      ++report.unreadable_rows;
+      break;
     }
+    report.ends.push_back(std::move(ended));
   }
+  report.has_runs = sync.lists_runs() && report.unreadable_rows == 0;
   for (const wire::start_state& start : sync.starts()) {
     start_result started;
-    if (ParseTaskName(start.task(), started.task)) {
+    if (ParseTaskName(start.task(), started.task) &&
+        ReadValue(kStartOutcomeNames, start.outcome(), started.outcome)) {
       started.run = start.run();
-      started.outcome = static_cast<start_outcome>(start.outcome());
       report.starts.push_back(std::move(started));
+    } else {
+      ++report.unreadable_rows;
     }
   }
   for (const wire::crashed_boot& crashed : sync.crashes()) {
@@ -150,7 +177,10 @@
     return Fail(error_code::kInvalid,
                 "order names no task: \"" + order.task() + "\"");
   }
-  out.kind = static_cast<order_kind>(order.kind());
+  if (!ReadValue(kOrderKindNames, order.kind(), out.kind)) {
+    return Fail(error_code::kInvalid,
+                "order of unknown kind " + std::to_string(order.kind()));
+  }
   out.boot = FromWire(order.boot());
   out.run = order.run();
   out.payload = order.payload();
--- a/src/chervilkeeld/job_wire.h
+++ b/src/chervilkeeld/job_wire.h
@@ -17,8 +17,13 @@
 wire::crashed_boot ToWire(const crashed_executor& crashed);
 crashed_executor FromWire(const wire::crashed_boot& crashed);
 
-// These leave out, and count, entries that name no task.
+// Leaves out rows that can't be read, and counts them. A list of runs is then
+// not taken for complete, since the run of a row may be anyone's. Of the ends
+// those after such a row are left out, too: to record them would acknowledge
+// it. A start without a readable outcome stays open; a list or an end settles
+// it.
 worker_report FromWire(const wire::agent_sync& sync);
+// Fails if the order names no task or its kind is unknown.
 result<worker_order> FromWire(const wire::order& order);
 
 }  // namespace chervilkeel
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -262,6 +262,9 @@
   // Highest number of a run's end that was received, and of one that is stored.
   std::uint64_t last_received_end = 0;
   std::uint64_t recorded_end = 0;
+  // Lower numbers whose ends have not been received. The agent may have failed
+  // to read them, and report them later.
+  std::set<std::uint64_t> missed_ends;
   // Reserved resources, without the cores of best-effort tasks.
   amount used;
   // The part of `used` that services reserve.
@@ -371,6 +374,11 @@
   // True when the agent's membership is stored, which a grant requires.
   bool IsMember(const std::string& agent) const;
 
+  // True if runs on the agent's executor may be kept alive. That requires
+  // membership, and of a former scheduler's worker a complete list of its runs:
+  // one that is not known would live on while its task starts elsewhere.
+  bool MayGrant(const std::string& agent) const;
+
   // Returns a job's state as callers may see it, or nothing for an unknown job.
   // An end other than by cancellation shows only once it is stored.
   std::optional<job_state> StateOf(const std::string& id) const;
@@ -462,7 +470,11 @@
   void OnBootChanged(scheduled_worker& worker,
                      const executor_description& description,
                      millis now);
-  // Updates, adopts or removes runs by a list of all runs on a worker.
+  // Notes that an end was received; returns whether that is new. An agent that
+  // can't read an end tells later ones meanwhile.
+  bool NoteReceivedEnd(scheduled_worker& worker, std::uint64_t number);
+  // Updates or adopts the runs that a worker lists, and removes those that are
+  // missing if the list is complete.
   void ProcessRunList(scheduled_worker& worker,
                       const worker_report& report,
                       millis now);
--- a/src/include/chervilkeel/task_executor.h
+++ b/src/include/chervilkeel/task_executor.h
@@ -51,12 +51,25 @@
 };
 
 // The running runs of an executor, and the ended ones that it still stores.
+// Rows that can't be read are left out and counted. Such a row may be of any
+// run, so a run that is missing from an incomplete list may be there, or have
+// ended.
 struct executor_run_list {
   executor_verdict verdict = executor_verdict::kAccepted;
   millis clock = 0;
   std::int64_t started_ms = 0;  // Start of the replying boot; 0: not reported.
   std::vector<run_status> running;
   std::vector<ended_run> ended;
+  std::size_t unreadable_runs = 0;
+  std::size_t unreadable_ends = 0;
+  // The lowest number that an end that can't be read may have; 0: there is
+  // none. Neither this end nor a later one may be acknowledged as recorded, or
+  // the executor would forget an end that nobody has read.
+  std::uint64_t first_unreadable_end = 0;
+
+  bool IsComplete() const {
+    return unreadable_runs == 0 && unreadable_ends == 0;
+  }
 };
 
 // The parameters common to all orders.
--- a/src/include/chervilkeel/worker_report.h
+++ b/src/include/chervilkeel/worker_report.h
@@ -117,7 +117,9 @@
   std::vector<lost_run> runs;
 };
 
-// A report of an agent. `runs` is complete if `has_runs` is set.
+// A report of an agent. `runs` is complete if `has_runs` is set. Otherwise it
+// may still name some runs, but a run that is missing may be there: a row of
+// the list could not be read, or the report has no list.
 struct worker_report {
   std::string agent;
   // Of the agent's process; another one knows nothing of former orders.
@@ -130,10 +132,22 @@
   std::vector<start_result> starts;
   // The latest crashes; an owner may be told of one more than once.
   std::vector<crashed_executor> crashes;
+  std::size_t unreadable_rows = 0;  // That were left out.
 };
 
 enum class order_kind { kStart, kStop, kPace };
 
+struct order_kind_name {
+  order_kind kind;
+  const char* name;
+};
+
+inline constexpr order_kind_name kOrderKindNames[] = {
+    {order_kind::kStart, "start"},
+    {order_kind::kStop, "stop"},
+    {order_kind::kPace, "pace"},
+};
+
 // An order to an agent.
 struct worker_order {
   order_kind kind = order_kind::kStart;
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -519,6 +519,10 @@
          wanted_members_.count(agent) != 0;
 }
 
+bool job_scheduler::MayGrant(const std::string& agent) const {
+  return IsMember(agent) && unreported_members_.count(agent) == 0;
+}
+
 std::optional<job_state> job_scheduler::StateOf(const std::string& id) const {
   const auto job = jobs_.find(id);
   if (job == jobs_.end()) {
--- a/src/libkernel/job_scheduler_test.cpp
+++ b/src/libkernel/job_scheduler_test.cpp
@@ -50,6 +50,55 @@
   BOOST_TEST(TakeOrders("a").empty());
 }
 
+// Guards against one odd row that hides the other rows of its list, or lets a
+// task run in two places (TWICE): the run that is missing may be the odd one.
+BOOST_AUTO_TEST_CASE(runs_in_an_incomplete_list_are_adopted_and_others_kept) {
+  ReportIdleWorker("a");
+  scheduler.AddJob(MakeJob("j", 1), now);
+  Tick();
+  ReportStart("a", TakeOrders("a").at(0), start_outcome::kStarted);
+  now += 1'500;
+  worker_report report = MakeReport("a");
+  run_status other;
+  other.task = {"unknown", 0, 0, 0};
+  other.run = 9;
+  report.runs.push_back(other);
+  scheduler.OnReport(report, now);
+  Tick();
+  const auto stops = TakeOrders("a");
+  BOOST_REQUIRE_EQUAL(stops.size(), 1);
+  BOOST_TEST(stops[0].task.job == "unknown");
+  BOOST_CHECK(stops[0].kind == order_kind::kStop);
+}
+
+// Guards against an end that is lost (TWICE): its agent could read it only
+// after it had told a later one.
+BOOST_AUTO_TEST_CASE(end_that_comes_after_a_later_one_is_processed_and_stored) {
+  ReportIdleWorker("a");
+  scheduler.AddJob(MakeJob("j", 2), now);
+  Tick();
+  const auto orders = TakeOrders("a");
+  BOOST_REQUIRE_EQUAL(orders.size(), 2);
+  const auto report_end = [&](std::uint64_t number, const worker_order& order) {
+    worker_report report = MakeReport("a");
+    report.ends.push_back({number, order.task, order.run, run_end::kDone, ""});
+    scheduler.OnReport(report, now);
+  };
+  report_end(2, orders[1]);
+  const auto changes = scheduler.TakeChanges(kWallMs);
+  BOOST_REQUIRE(changes);
+  report_end(1, orders[0]);
+  scheduler.Committed(changes->number);
+  BOOST_TEST(scheduler.RecordedEnd("a") == 0);
+  Commit();
+  BOOST_TEST(scheduler.RecordedEnd("a") == 2);
+  const scheduled_job& job = scheduler.Jobs().at("j");
+  BOOST_TEST(job.done_tasks == 2);
+  const auto started_tasks = job.started_tasks;
+  report_end(1, orders[0]);
+  BOOST_TEST(job.started_tasks == started_tasks);
+}
+
 BOOST_AUTO_TEST_CASE(run_missing_from_a_fresh_list_starts_under_a_higher_run) {
   ReportIdleWorker("a");
   scheduler.AddJob(MakeJob("j", 1), now);
@@ -413,6 +462,28 @@
   BOOST_TEST(TakeOrders("a").size() + TakeOrders("b").size() == 1);
 }
 
+// Guards against a task that runs twice (TWICE): its run under the former owner
+// stands in a row that can't be read, and would be granted its life while the
+// task starts elsewhere.
+BOOST_AUTO_TEST_CASE(
+    former_worker_gets_no_grant_until_it_has_listed_all_its_runs) {
+  scheduler.Restore({MakeJob("j", 1)}, {}, {}, {"a", "b"}, now);
+  ReportIdleWorker("b");
+  worker_report report = MakeReport("a");
+  run_status other;
+  other.task = {"unknown", 0, 0, 0};
+  other.run = 9;
+  report.runs.push_back(other);
+  scheduler.OnReport(report, now);
+  Commit();
+  Tick();
+  BOOST_TEST(scheduler.MayGrant("b"));
+  BOOST_TEST(!scheduler.MayGrant("a"));
+  BOOST_TEST(TakeOrders("b").empty());
+  ReportIdleWorker("a");
+  BOOST_TEST(scheduler.MayGrant("a"));
+}
+
 BOOST_AUTO_TEST_CASE(
     restored_task_starts_once_the_lease_of_a_silent_worker_has_expired) {
   scheduler.Restore({MakeJob("j", 1)}, {}, {}, {"a", "b"}, now);
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Executors list at most 500 ends that are not acknowledged.
+constexpr std::uint64_t kMaxMissedEnds = 500;
+
 std::string RunDetail(std::uint64_t run) {
   return "run=" + std::to_string(run);
 }
@@ -76,16 +79,17 @@
   worker.description = report.worker;
   worker.granted_until = now + options_.grant;
   for (const ended_run& ended : report.ends) {
-    if (ended.number > worker.last_received_end) {
+    if (NoteReceivedEnd(worker, ended.number)) {
       ProcessRunEnd(worker, ended, now);
-      worker.last_received_end = ended.number;
     }
   }
   for (const start_result& result : report.starts) {
     ProcessStartResult(worker, result, now);
   }
-  if (report.has_runs) {
+  if (report.has_runs || !report.runs.empty()) {
     ProcessRunList(worker, report, now);
+  }
+  if (report.has_runs) {
     if (std::exchange(worker.has_forgotten_orders, false)) {
       RepeatOpenStarts(worker);
     }
@@ -99,6 +103,30 @@
   }
 }
 
+bool job_scheduler::NoteReceivedEnd(scheduled_worker& worker,
+                                    std::uint64_t number) {
+  if (number > worker.last_received_end) {
+    const std::uint64_t first =
+        std::max(worker.last_received_end + 1,
+                 number - std::min(number - 1, kMaxMissedEnds));
+    for (std::uint64_t missed = first; missed < number; ++missed) {
+      worker.missed_ends.insert(worker.missed_ends.end(), missed);
+    }
+    while (worker.missed_ends.size() > kMaxMissedEnds) {
+      worker.missed_ends.erase(worker.missed_ends.begin());
+    }
+    worker.last_received_end = number;
+    return true;
+  }
+  if (worker.missed_ends.erase(number) == 0) {
+    return false;
+  }
+  // It is not stored yet, though later ones may be.
+  worker.recorded_end = std::min(worker.recorded_end, number - 1);
+  committing_ends_.erase(worker.agent);
+  return true;
+}
+
 void job_scheduler::OnExecutorLeft(const std::string& agent,
                                    const executor_boot& boot,
                                    millis now) {
@@ -131,6 +159,7 @@
   worker.runs_known = false;
   worker.last_received_end = 0;
   worker.recorded_end = 0;
+  worker.missed_ends.clear();
   worker.start_backoff_until = 0;
   worker.health = worker_health();
   worker.orders.clear();
@@ -146,6 +175,9 @@
     UpdateOrAdoptRun(worker, status, now);
   }
   UpdatePressureModel(worker, worker.listed_at, now);
+  if (!report.has_runs) {
+    return;  // A run that is missing may be there.
+  }
   const std::set<task_name> tasks = worker.tasks;
   for (const task_name& key : tasks) {
     const scheduled_task* task = FindTask(key);
