Follow another boot only when the executor says that it is this boot

What was seen, by reading: an announcement by another writer, with a boot at most 60 s ahead of the clock, displaced the boot that worked. Its runs counted as lost by a crash that never was, and the true announcements looked outdated until their times had passed it, which is never for a running boot.

Cause: the agent believed the higher time.

Change: an announced boot other than the one that the agent follows is first asked for its list, by a call that extends no lease and acknowledges no end. It is followed if the list names its time, even a lower one; a refusal, another time or no answer leaves things as they are, and the next announcement asks again. The same answer guards against delayed announcements of former boots. Without an epoch the executor can't be called and has no orders; there the higher time still decides, until an epoch is known. No crash is told of a boot that has never listed its runs. The owner hears only of boots that the executor's lists name, so it needs no change.

Failed before: boot_that_the_executor_denies_displaces_none: "check last_report.worker.draining has failed"; boot_that_the_executor_names_is_taken_with_a_lower_time: "check obeying > 5 has failed [0 <= 5]". delayed_announcement_of_a_former_boot_is_passed_over passed before and guards what held.

--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -14,11 +14,12 @@
 
 constexpr const char* kPart = "agent";
 constexpr millis kHoldWait = 250;  // The executor answers at an end, or then.
-constexpr millis kHoldTimeout = 1'200;   // Of the call; above the wait.
-constexpr millis kHoldRetry = 150;       // After a failed call.
-constexpr millis kUnrecordedPause = 40;  // While ends wait to be recorded.
-constexpr millis kRunsInterval = 250;    // Between two full lists to the owner.
-constexpr millis kSyncTimeout = 1'000;   // Above what the owner holds a call.
+constexpr millis kHoldTimeout = 1'200;     // Of the call; above the wait.
+constexpr millis kConfirmTimeout = 1'000;  // Of the question for a boot.
+constexpr millis kHoldRetry = 150;         // After a failed call.
+constexpr millis kUnrecordedPause = 40;    // While ends wait to be recorded.
+constexpr millis kRunsInterval = 250;   // Between two full lists to the owner.
+constexpr millis kSyncTimeout = 1'000;  // Above what the owner holds a call.
 constexpr millis kSyncRetry = 150;
 constexpr millis kListingFresh = 1'000;  // An older list is not reported.
 constexpr int kHoldFailuresToLost = 3;
@@ -159,12 +160,57 @@
 
 void job_agent_process::TakeBoot(const announcement& said) {
   const executor_boot& boot = said.worker.boot;
+  // Without an epoch nobody has orders for the executor, and it isn't called.
+  if (boot != worker_.boot && !worker_.boot.id.empty() && epoch_ != 0) {
+    ConfirmBoot(said);
+    return;
+  }
   if (boot.started_ms < worker_.boot.started_ms ||
       (boot == worker_.boot && said.sequence < sequence_)) {
     LogEvent(kPart, "announcement_outdated",
              {{"executor", boot.id}, {"sequence", said.sequence}});
     return;
   }
+  FollowBoot(said);
+}
+
+// The executor's answer tells a boot from one that never was and from a former
+// one, whose announcement may be delayed, whatever the time that they claim.
+// The call extends no lease and acknowledges no end.
+void job_agent_process::ConfirmBoot(const announcement& said) {
+  const executor_boot& boot = said.worker.boot;
+  if (boot == unconfirmed_) {
+    return;  // Its answer is awaited.
+  }
+  unconfirmed_ = boot;
+  executor_->RenewLeases(
+      {boot, epoch_, kConfirmTimeout}, 0, 0, 0,
+      [this, said](const result<executor_run_list>& listing) {
+        const executor_boot& asked = said.worker.boot;
+        if (asked != unconfirmed_) {
+          return;  // Another boot was announced later.
+        }
+        unconfirmed_ = executor_boot();
+        const bool accepted =
+            listing && listing.value().verdict == executor_verdict::kAccepted;
+        const std::int64_t named = accepted ? listing.value().started_ms : 0;
+        if (accepted &&
+            (named == asked.started_ms ||
+             (named == 0 && asked.started_ms > worker_.boot.started_ms))) {
+          FollowBoot(said);
+          return;
+        }
+        LogEvent(kPart, "announcement_unconfirmed",
+                 {{"executor", asked.id},
+                  {"started_ms", asked.started_ms},
+                  {"named_ms", named},
+                  {"followed_ms", worker_.boot.started_ms}});
+        metrics_.CountEvent("announcements_unconfirmed");
+      });
+}
+
+void job_agent_process::FollowBoot(const announcement& said) {
+  const executor_boot& boot = said.worker.boot;
   const bool new_boot = boot != worker_.boot;
   const bool drains = said.worker.draining && !worker_.draining;
   if (new_boot) {
@@ -202,9 +248,10 @@
   }
 }
 
-// An executor that has announced its end does not crash.
+// An executor that has announced its end does not crash, nor does a boot that
+// has never answered: it may be none, and nothing was started there.
 void job_agent_process::NoteEndOfBoot() {
-  if (worker_.boot.id.empty()) {
+  if (worker_.boot.id.empty() || !runs_listed_) {
     return;
   }
   if (worker_.draining || gone_ == worker_.boot) {
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -63,6 +63,9 @@
 
   void EndWhenAnswered(std::function<void()> done);
   void TakeBoot(const announcement& said);
+  // Follows an announced boot once the executor says that it is this boot.
+  void ConfirmBoot(const announcement& said);
+  void FollowBoot(const announcement& said);
   void NoteEndOfBoot();
 
   // Holding and listing.
@@ -135,6 +138,7 @@
   boost::asio::steady_timer sync_timer_;
 
   executor_description worker_;
+  executor_boot unconfirmed_;    // Announced, and its answer is awaited.
   std::uint64_t sequence_ = 0;   // Of the last announcement.
   std::uint64_t announced_ = 0;  // How many were taken.
   executor_boot gone_;           // An executor that has left, not yet told.
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -95,13 +95,21 @@
                executor_callback<executor_answer> callback) override {
     callback(Fail(error_code::kUnknown, "no answer"));
   }
-  void RenewLeases(const order_context& /*context*/,
+  void RenewLeases(const order_context& context,
                    millis /*lease_end*/,
                    std::uint64_t recorded_end,
                    millis /*wait*/,
                    executor_callback<executor_run_list> callback) override {
     script_.highest_recorded = std::max(script_.highest_recorded, recorded_end);
     ++script_.lists;
+    if (context.boot.id != "executor") {
+      executor_run_list refused;
+      refused.verdict = executor_verdict::kOtherBoot;
+      boost::asio::post(context_, [callback = std::move(callback), refused] {
+        callback(refused);
+      });
+      return;
+    }
     boost::asio::post(context_, [this, callback = std::move(callback)] {
       if (script_.listings == 0) {
         callback(Fail(error_code::kUnknown, "no answer"));
@@ -379,6 +387,16 @@
       context.run_one();
     }
   }
+
+  // Gives up after some time.
+  template <class condition_type>
+  void RunForUntil(condition_type condition) {
+    constexpr millis kLongestWait = 5'000;
+    const millis until = BootNow() + kLongestWait;
+    while (!condition() && BootNow() < until) {
+      context.run_one_for(std::chrono::milliseconds(50));
+    }
+  }
 };
 
 }  // namespace
@@ -682,6 +700,76 @@
   BOOST_TEST(last_report.worker.capacity.memory_mb == 8'000);
 }
 
+// Guards against an agent that follows its executor no more: another writer has
+// announced a boot that never was, a little ahead of the clock.
+BOOST_AUTO_TEST_CASE(boot_that_the_executor_denies_displaces_none) {
+  script.listings = 1'000'000;
+  Announce();
+  RunUntil([this] { return obeying > 0; });
+  const std::int64_t ahead = static_cast<std::int64_t>(WallNow()) + 30'000;
+  script.distort = [=](announcement& said) {
+    said.worker.boot.started_ms = ahead;
+  };
+  AnnounceBoot();
+  const int lists_before = script.lists;
+  RunForUntil([&] { return script.lists > lists_before + 5; });
+  script.distort = [=](announcement& said) {
+    said.worker.boot = {"impostor", ahead};
+  };
+  AnnounceBoot();
+  RunForUntil([&] { return script.lists > lists_before + 10; });
+  script.distort = [](announcement& said) {
+    said.sequence = 2;
+    said.worker.draining = true;
+  };
+  AnnounceBoot();
+  RunForUntil([this] { return last_report.worker.draining; });
+  BOOST_TEST(last_report.worker.draining);
+  BOOST_TEST(last_report.worker.boot.started_ms == 5);
+  BOOST_TEST(crashes.empty());
+}
+
+// Guards against an agent that never follows its executor: the announcement of
+// a boot that never was came first, with a later time.
+BOOST_AUTO_TEST_CASE(boot_that_the_executor_names_is_taken_with_a_lower_time) {
+  script.listings = 1'000'000;
+  script.distort = [](announcement& said) {
+    said.worker.boot.started_ms = static_cast<std::int64_t>(WallNow()) + 30'000;
+  };
+  Announce();
+  RunForUntil([this] { return script.lists > 2; });
+  BOOST_TEST(obeying == 0);
+  script.distort = nullptr;
+  AnnounceBoot();
+  RunForUntil([this] { return obeying > 5; });
+  BOOST_TEST(obeying > 5);
+  BOOST_TEST(last_report.worker.boot.started_ms == 5);
+  BOOST_TEST(crashes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(delayed_announcement_of_a_former_boot_is_passed_over) {
+  script.listings = 1'000'000;
+  Announce();
+  RunUntil([this] { return obeying > 0; });
+  script.started_ms = 6;
+  AnnounceBoot();
+  RunForUntil([this] { return last_report.worker.boot.started_ms == 6; });
+  script.distort = [](announcement& said) {
+    said.worker.boot.started_ms = 5;
+    said.sequence = 9;
+  };
+  AnnounceBoot();
+  const int obeying_before = obeying;
+  RunForUntil([&] { return obeying > obeying_before + 5; });
+  BOOST_TEST(last_report.worker.boot.started_ms == 6);
+  BOOST_TEST(crashes.size() == 1);
+  for (const auto& [epoch, told] : crashes) {
+    for (const crashed_executor& crashed : told) {
+      BOOST_TEST(crashed.boot.started_ms == 5);
+    }
+  }
+}
+
 // Guards against an executor that sees its connection close: SIGTERM comes
 // while an announcement that was read whole is being answered.
 BOOST_AUTO_TEST_CASE(announcement_is_answered_before_the_agent_ends) {
