Carry out no start whose refusal the owner has heard

Cause: a start that is ordered again at an agent's first list may still be queued, or in a reply under way, when the refusal of the first order is told and acknowledged. The run leaves the owner's books and the task starts elsewhere, but the second order was sent on, and the agent, which no longer knew the run, carried it out (TWICE). It takes one lost or overtaken reply.

Change: a run that leaves the books takes its queued start with it.

--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -13,8 +13,9 @@
 constexpr const char* kPart = "agent";
 constexpr millis kOrderTimeout = 400;  // A healthy executor takes a few ms.
 constexpr millis kOrderRetry = 100;
-constexpr int kStartTries = 3;       // Before the start is taken back.
-constexpr millis kLeastLease = 300;  // A start under less is not worth it.
+constexpr int kStartTries = 3;            // Before the start is taken back.
+constexpr millis kSettledMemory = 5'000;  // Above the time of a reply's way.
+constexpr millis kLeastLease = 300;       // A start under less is not worth it.
 
 start_outcome OutcomeOf(executor_verdict verdict) {
   switch (verdict) {
@@ -47,7 +48,7 @@
   }
   switch (order.kind) {
     case order_kind::kStart:
-      if (IsStartUnsettled(name)) {
+      if (WasStartOrdered(name)) {
         LogEvent(kPart, "start_already_ordered",
                  {{"id", order.task.ToString()}, {"run", order.run}});
         return;
@@ -65,8 +66,9 @@
   }
 }
 
-bool job_agent_process::IsStartUnsettled(const run_name& name) const {
+bool job_agent_process::WasStartOrdered(const run_name& name) const {
   return open_starts_.count(name) != 0 || withdrawn_.count(name) != 0 ||
+         settled_.count(name) != 0 ||
          std::any_of(starts_.begin(), starts_.end(),
                      [&](const untold_start& started) {
                        return started.result.task == name.first &&
@@ -75,6 +77,11 @@
 }
 
 void job_agent_process::Report(const run_name& name, start_outcome outcome) {
+  const millis now = BootNow();
+  std::erase_if(settled_, [now](const auto& entry) {
+    return now - entry.second > kSettledMemory;
+  });
+  settled_[name] = now;
   starts_.push_back({++last_start_, {name.first, name.second, outcome}});
   LogEvent(kPart, "start",
            {{"id", name.first.ToString()},
--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -232,6 +232,7 @@
     open_starts_.clear();
     open_stops_.clear();
     withdrawn_.clear();
+    settled_.clear();
     starts_.clear();
   }
   worker_ = said.worker;
@@ -552,6 +553,7 @@
   open_starts_.clear();
   open_stops_.clear();
   withdrawn_.clear();
+  settled_.clear();
   hold_timer_.cancel();
   HoldAfter(0);
 }
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -117,10 +117,12 @@
   void SettleOrders(const executor_run_list& listing, millis asked);
   void OnStopAnswer(const run_name& name,
                     const result<executor_answer>& answer);
-  // Whether a start was ordered before, and its outcome is not known or not
-  // acknowledged yet. It is not tried beside that: the refusal of one try says
-  // nothing of another without an answer.
-  bool IsStartUnsettled(const run_name& name) const;
+  // Whether a start was ordered before, and its outcome is not known, not
+  // acknowledged, or was acknowledged lately. It is not tried beside that: the
+  // refusal of one try says nothing of another without an answer. Nor is it
+  // tried after that: replies may overtake each other, and the task may run
+  // elsewhere since the owner has heard of the outcome.
+  bool WasStartOrdered(const run_name& name) const;
   void Report(const run_name& name, start_outcome outcome);
   void Later(millis delay, std::function<void()> step);
   order_context Context(millis timeout) const;
@@ -176,6 +178,8 @@
   // Starts that were taken back, and when the executor accepted the stop. The
   // run may work on until a later list shows it no more.
   std::map<run_name, millis> withdrawn_;
+  // Starts with an outcome, and when it was known.
+  std::map<run_name, millis> settled_;
   std::uint64_t incarnation_ = 0;
 };
 
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -663,6 +663,24 @@
   BOOST_TEST(told_runs.count(8) == 1);
 }
 
+// Guards against a task that runs twice (TWICE): the owner has heard of a
+// refusal and may have started the task elsewhere, when the reply to an earlier
+// call orders the same start again. Replies may overtake each other.
+BOOST_AUTO_TEST_CASE(start_that_was_refused_is_not_tried_for_a_late_order) {
+  script.listings = 1'000'000;
+  script.start_verdicts[0] = executor_verdict::kNoCapacity;
+  owner->starts_task = true;
+  Announce();
+  RunUntil([this] { return outcome.has_value(); });
+  const int obeying_before = obeying;
+  RunUntil([&] { return obeying > obeying_before + 10; });
+  BOOST_REQUIRE_EQUAL(script.starts, 1);
+  owner->repeats_start = true;
+  const int obeying_at_order = obeying;
+  RunUntil([&] { return obeying > obeying_at_order + 10; });
+  BOOST_TEST(script.starts == 1);
+}
+
 // Guards against an agent that follows its executor no more: one announcement
 // by another writer, with a number too large, made all true ones look outdated.
 BOOST_AUTO_TEST_CASE(announcement_with_numbers_out_of_range_is_passed_over) {
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -645,6 +645,10 @@
   static bool IsOrderQueued(const scheduled_worker& worker,
                             const task_name& key,
                             std::uint64_t run);
+  // Removes the order to start a run that is gone: its task may run elsewhere.
+  static void DropQueuedStart(scheduled_worker& worker,
+                              const task_name& key,
+                              std::uint64_t run);
   void OrderStop(const task_name& key, task_run& run, const char* reason);
   // Orders a stop again if lists still show the run long after the order.
   void RepeatLostStop(const scheduled_worker& worker,
--- a/src/libkernel/job_scheduler_orders_test.cpp
+++ b/src/libkernel/job_scheduler_orders_test.cpp
@@ -112,6 +112,24 @@
   BOOST_TEST(restarts == 1);
 }
 
+// A start is ordered again under a raised epoch, and its refusal is told before
+// that order is taken: the order must not be carried out, as the task may run
+// elsewhere by now (TWICE).
+BOOST_AUTO_TEST_CASE(repeated_start_is_dropped_when_its_run_is_refused) {
+  ReportIdleWorker("a");
+  AddJob(MakeWholeWorkerJob("j"));
+  const auto first = TakeOrders("a");
+  BOOST_REQUIRE_EQUAL(first.size(), 1);
+  PassTimeWithoutRuns(250);  // Acknowledges the order.
+  scheduler.RaiseEpoch(2);
+  ReportIdleWorker("a");
+  ReportStart("a", first[0], start_outcome::kNoCapacity);
+  const auto orders = TakeOrders("a");
+  BOOST_TEST(std::none_of(orders.begin(), orders.end(), [&](const auto& order) {
+    return order.run == first[0].run;
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -151,6 +151,15 @@
       });
 }
 
+void job_scheduler::DropQueuedStart(scheduled_worker& worker,
+                                    const task_name& key,
+                                    std::uint64_t run) {
+  std::erase_if(worker.orders, [&](const auto& entry) {
+    return entry.second.kind == order_kind::kStart &&
+           entry.second.task == key && entry.second.run == run;
+  });
+}
+
 void job_scheduler::RepeatOpenStarts(const scheduled_worker& worker) {
   for (const task_name& key : worker.tasks) {
     const scheduled_task* task = FindTask(key);
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -450,6 +450,9 @@
   if (!agent_has_other_run && worker != workers_.end()) {
     ReleaseResources(worker->second, job, key);
   }
+  if (worker != workers_.end()) {
+    DropQueuedStart(worker->second, key, run);
+  }
   if (!task->done && task->runs.empty()) {
     task->ready_since = now;
     job.has_waiting_tasks = true;
