A refused start frees no run that is being stopped

Cause: a refused start was passed over only while its run counted as running. A run that was listed and is then stopped, to move it, could still be freed by a start that was ordered again and refused as outdated. The task started elsewhere while the run still stopped (TWICE).

Change: a run remembers whether a list or a result has confirmed it; only lists and ends tell what becomes of such a run.

Evidence: run_that_stops_is_not_freed_by_a_refused_start failed before with one start too early.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -65,6 +65,8 @@
   executor_boot boot;
   std::uint64_t run = 0;
   run_phase phase = run_phase::kOrdered;
+  // Whether a list or the agent has told that the executor has the run.
+  bool is_confirmed = false;
   // The last tick before the first order to stop; 0 while there was none.
   millis stop_ordered_at = 0;
   // When a list after the order to stop showed the run first, or when the stop
--- a/src/libkernel/job_scheduler_orders_test.cpp
+++ b/src/libkernel/job_scheduler_orders_test.cpp
@@ -130,6 +130,33 @@
   }));
 }
 
+// A run that its executor has listed is stopped so that the task runs
+// elsewhere. A start that was ordered again is refused as outdated meanwhile,
+// which is no end of the run: it still stops (TWICE).
+BOOST_AUTO_TEST_CASE(run_that_stops_is_not_freed_by_a_refused_start) {
+  ReportIdleWorker("a");
+  ReportIdleWorker("b");
+  AddJob(MakeWholeWorkerJob("j"));
+  const auto on_a = TakeOrders("a");
+  const std::string agent = on_a.empty() ? "b" : "a";
+  const worker_order start = on_a.empty() ? TakeOrders("b").at(0) : on_a[0];
+  worker_report report = MakeReport(agent);
+  report.has_runs = true;
+  run_status status;
+  status.task = start.task;
+  status.run = start.run;
+  report.runs.push_back(status);
+  report.worker.draining = true;
+  scheduler.OnReport(report, now);
+  PassTime(200);
+  BOOST_REQUIRE_EQUAL(TakeOrders(agent).size(), 1);  // The stop.
+  ReportStart(agent, start, start_outcome::kOutdated);
+  PassTime(200);
+  BOOST_TEST(TakeOrders("a").size() + TakeOrders("b").size() == 0);
+  ReportEnd(agent, start, run_end::kStopped);
+  BOOST_TEST(TakeOrders("a").size() + TakeOrders("b").size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -250,6 +250,7 @@
         if (run.phase == run_phase::kOrdered) {
           run.phase = run_phase::kRunning;
         }
+        run.is_confirmed = true;
         if (!status.checkpoint.empty()) {
           run.checkpoint = status.checkpoint;
           task->checkpoint = status.checkpoint;
@@ -267,6 +268,7 @@
   adopted.boot = worker.description.boot;
   adopted.run = status.run;
   adopted.phase = run_phase::kRunning;
+  adopted.is_confirmed = true;
   adopted.active_since = now;
   adopted.estimated_start = now;
   adopted.percent = status.percent;
@@ -386,12 +388,13 @@
       });
   // Once a run is there, only lists and ends tell what becomes of it: a start
   // that is ordered again is refused as outdated while the run still stops.
-  if (run == task->runs.end() || run->phase == run_phase::kRunning) {
+  if (run == task->runs.end() || run->is_confirmed) {
     return;
   }
   if (result.outcome == start_outcome::kStarted) {
     if (run->phase == run_phase::kOrdered) {
       run->phase = run_phase::kRunning;
+      run->is_confirmed = true;
       run->active_since = now;
       run->percent_changed_at = now;
     }
