Keep a stopped run until its agent has taken the stop

Cause: a cancelled run was freed when a list made 1.5 s after the order to stop lacked it, also if the agent had not been reached in that time and had no such order. Its room went to others while the executor could still carry out the start (LIMIT).

Change: the 1.5 s count from the last list at which the stop was not taken.

Evidence: stopped_run_is_kept_until_its_agent_has_the_stop failed before: the start of the next job was sent together with the stop.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -69,6 +69,8 @@
   bool is_confirmed = false;
   // The last tick before the first order to stop; 0 while there was none.
   millis stop_ordered_at = 0;
+  // The last list at which the agent had not taken that order.
+  millis stop_untaken_at = 0;
   // When a list after the order to stop showed the run first, or when the stop
   // was ordered again; 0 while there was no such list.
   millis listed_since_stop = 0;
@@ -643,8 +645,9 @@
   // Orders the starts again whose outcome the agent's former process has not
   // told. An executor that has the run already takes it as the same one.
   void RepeatOpenStarts(const scheduled_worker& worker);
-  // Whether the agent has not acknowledged the order to start a run.
+  // Whether the agent has not acknowledged the order to start or stop a run.
   static bool IsOrderQueued(const scheduled_worker& worker,
+                            order_kind kind,
                             const task_name& key,
                             std::uint64_t run);
   // Removes the order to start a run that is gone: its task may run elsewhere.
@@ -750,7 +753,7 @@
 
   // So long after the order to stop a run, a list that shows it means that the
   // order was lost with the agent's process, and one that lacks it that the run
-  // is gone.
+  // is gone, if the agent has taken the order.
   static constexpr millis kStopRepeatInterval = 1'500;
 
   // A task is given up when it was the only possible cause of a crash and the
--- a/src/libkernel/job_scheduler_orders_test.cpp
+++ b/src/libkernel/job_scheduler_orders_test.cpp
@@ -157,6 +157,26 @@
   BOOST_TEST(TakeOrders("a").size() + TakeOrders("b").size() == 1);
 }
 
+// The agent's calls are lost while a cancelled run is to be stopped. A list
+// that lacks the run says nothing before the agent has the order to stop it:
+// the executor may still carry out the start, over its capacity (LIMIT).
+BOOST_AUTO_TEST_CASE(stopped_run_is_kept_until_its_agent_has_the_stop) {
+  ReportIdleWorker("a");
+  AddJob(MakeWholeWorkerJob("cancelled"));
+  BOOST_REQUIRE_EQUAL(TakeOrders("a").size(), 1);
+  scheduler.CancelJob("cancelled");
+  AddJob(MakeWholeWorkerJob("next"));
+  PassTime(2'000);
+  ReportIdleWorker("a");
+  const auto late = TakeOrders("a");
+  BOOST_REQUIRE_EQUAL(late.size(), 1);
+  BOOST_TEST((late[0].kind == order_kind::kStop));
+  PassTime(250);
+  ReportIdleWorker("a");
+  BOOST_TEST(TakeOrders("a").size() == 0);
+  BOOST_TEST(PassTimeWithoutRuns(3'000).size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -142,12 +142,13 @@
 }
 
 bool job_scheduler::IsOrderQueued(const scheduled_worker& worker,
+                                  order_kind kind,
                                   const task_name& key,
                                   std::uint64_t run) {
   return std::any_of(
       worker.orders.begin(), worker.orders.end(), [&](const auto& entry) {
-        return entry.second.kind == order_kind::kStart &&
-               entry.second.task == key && entry.second.run == run;
+        return entry.second.kind == kind && entry.second.task == key &&
+               entry.second.run == run;
       });
 }
 
@@ -168,7 +169,7 @@
     }
     for (const task_run& run : task->runs) {
       if (run.agent == worker.agent && run.phase == run_phase::kOrdered &&
-          !IsOrderQueued(worker, key, run.run)) {
+          !IsOrderQueued(worker, order_kind::kStart, key, run.run)) {
         SendStart(jobs_.at(key.job), key, *task, run);
         Emit("start_repeated", key.ToString(), worker.agent,
              "run=" + std::to_string(run.run));
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -180,10 +180,16 @@
   }
   const std::set<task_name> tasks = worker.tasks;
   for (const task_name& key : tasks) {
-    const scheduled_task* task = FindTask(key);
+    scheduled_task* task = FindTask(key);
     if (task == nullptr || listed.count(key) != 0) {
       continue;
     }
+    for (task_run& run : task->runs) {
+      if (run.agent == worker.agent &&
+          IsOrderQueued(worker, order_kind::kStop, key, run.run)) {
+        run.stop_untaken_at = now;
+      }
+    }
     for (const task_run& run : std::vector<task_run>(task->runs)) {
       if (run.agent == worker.agent &&
           HasVanished(key, run, worker.listed_at)) {
@@ -212,8 +218,8 @@
     case run_phase::kRunning:
       return run.active_since < listed_at - kRunListGrace;
     case run_phase::kStopping:
-      return !is_wanted &&
-             run.stop_ordered_at < listed_at - kStopRepeatInterval;
+      return !is_wanted && std::max(run.stop_ordered_at, run.stop_untaken_at) <
+                               listed_at - kStopRepeatInterval;
   }
   return false;
 }
