Take no orders before the executor is known

Cause: a new process of an agent is given the orders that the former one has not acknowledged with its first reply. Before it had heard of its executor it took them for orders to another boot, dropped and acknowledged them. If the next call that reached the owner carried the first list as well, the owner held the order for not taken yet, and did not repeat it (LOST).

Change: such an agent leaves the orders where they are.

Evidence: order_is_not_taken_before_the_executor_is_known failed before: no outcome in 300 calls.

--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -576,6 +576,11 @@
       return ended.number <= recorded_end_;
     });
   }
+  // Orders name the executor's boot. Those that came before it is known would
+  // be acknowledged and dropped.
+  if (worker_.boot.id.empty()) {
+    return;
+  }
   for (const wire::order& entry : reply.orders()) {
     if (entry.number() <= acked_order_) {
       continue;
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -204,7 +204,9 @@
     reply->set_epoch(epoch);
     reply->set_grant_ms(request->obeys() ? 2'600 : 0);
     reply->set_recorded_end(acknowledged_end);
-    if (starts_task && request->obeys() && request->acked_order() == 0) {
+    const bool starts_now =
+        starts_task_early || (starts_task && request->obeys());
+    if (starts_now && request->acked_order() == 0) {
       worker_order order;
       order.boot = {"executor", 5};
       order.task = {"job", 0, 0, 0};
@@ -289,7 +291,8 @@
 
   std::atomic<bool> starts_task = false;
   std::atomic<bool> starts_second_task = false;
-  std::atomic<bool> repeats_start = false;  // Of the first task.
+  std::atomic<bool> starts_task_early = false;  // Before the first report.
+  std::atomic<bool> repeats_start = false;      // Of the first task.
   std::atomic<std::uint64_t> epoch = 1;
   std::atomic<std::uint64_t> acknowledged_end = 0;
 
@@ -317,6 +320,7 @@
   std::optional<granting_owner> owner;
   std::unique_ptr<grpc::Server> server;
   std::optional<job_agent_process> agent;
+  int calls = 0;
   int obeying = 0;      // Calls that vouch for the executor.
   int not_obeying = 0;  // Calls after the first of those that don't.
   executor_script script;
@@ -330,6 +334,7 @@
 
   agent_fixture() {
     owner.emplace(context, [this](const wire::agent_sync& sync) {
+      ++calls;
       obeying += sync.obeys() ? 1 : 0;
       not_obeying += !sync.obeys() && obeying > 0 ? 1 : 0;
       const worker_report report = FromWire(sync);
@@ -681,6 +686,22 @@
   BOOST_TEST(script.starts == 1);
 }
 
+// Guards against tasks that never start (LOST): a new process of the agent that
+// has not heard of its executor yet was given the order, and dropped it as one
+// for another boot.
+BOOST_AUTO_TEST_CASE(order_is_not_taken_before_the_executor_is_known) {
+  script.listings = 1'000'000;
+  script.start_verdicts[0] = executor_verdict::kAccepted;
+  owner->starts_task_early = true;
+  BOOST_REQUIRE(agent->Start());
+  constexpr int kSomeCalls = 5;
+  RunUntil([this] { return calls > kSomeCalls; });
+  AnnounceBoot();
+  constexpr int kManyCalls = 300;
+  RunUntil([this] { return outcome || obeying > kManyCalls; });
+  BOOST_TEST(outcome.has_value());
+}
+
 // Guards against an agent that follows its executor no more: one announcement
 // by another writer, with a number too large, made all true ones look outdated.
 BOOST_AUTO_TEST_CASE(announcement_with_numbers_out_of_range_is_passed_over) {
