Keep cancellations of jobs that the owner has not heard of yet

Cause: the keys of cancellations sort before those of jobs. An owner that is elected again reads the inbox in that order and passed over the cancellation of a job that it had not heard of, then added the job. A job that was stored and cancelled between two terms ran although its caller had the answer (UNASKED).

Change: such cancellations are kept and applied when the job is added. The store of the tests lists its items; it returned an empty page.

Evidence: job_cancelled_between_two_terms_of_its_owner_is_ended failed before.

--- a/src/chervilkeeld/job_entry_ownership_test.cpp
+++ b/src/chervilkeeld/job_entry_ownership_test.cpp
@@ -447,6 +447,27 @@
   BOOST_TEST(Epoch() == "5");
 }
 
+// Guards against a cancelled job that runs (UNASKED): it was stored and
+// cancelled while its owner was not the owner for a moment. The store lists
+// cancellations before jobs, and the owner passed over the cancellation of an
+// unknown job.
+BOOST_AUTO_TEST_CASE(job_cancelled_between_two_terms_of_its_owner_is_ended) {
+  StartOwner();
+  memory.items.erase(kOwnerKey);
+  ReportHigherEpoch();
+  job_record record;
+  record.id = "0123456789abcdef";
+  record.queue.name = "paths";
+  record.epoch = 1;
+  record.spec.steps.emplace_back();
+  record.spec.steps[0].tasks = 1;
+  memory.Put(kJobPrefix + record.id, EncodeJobRecord(record));
+  memory.Put(kCancelPrefix + record.id, "cancelled");
+  RunFor(kElectedWithin);
+  BOOST_REQUIRE_EQUAL(Epoch(), "2");
+  BOOST_TEST(IsEndStored(record.id));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -71,6 +71,7 @@
     return;
   }
   scheduler_.reset();
+  early_cancellations_.clear();
   recovered_ = recovered_state();
   recovery_began_ = BootNow();
   RecoverInbox("");
@@ -341,7 +342,7 @@
     case wire::job_question::added: {
       const auto record = DecodeJobRecord(question.record());
       if (record) {
-        scheduler_->AddJob(record.value(), now);
+        AddJob(record.value(), now);
         reply.set_is_known(true);
         ScheduleStep();
       } else {
@@ -351,7 +352,7 @@
       break;
     }
     case wire::job_question::cancelled:
-      reply.set_is_known(scheduler_->CancelJob(question.id()));
+      reply.set_is_known(CancelJob(question.id()));
       ScheduleStep();
       break;
     case wire::job_question::pending:
--- a/src/chervilkeeld/job_owner.h
+++ b/src/chervilkeeld/job_owner.h
@@ -98,6 +98,10 @@
   void ResumeOwnership();
   void Retry(std::function<void()> step);
   void ApplyInboxItem(const stored_item& item);
+  void AddJob(const job_record& record, millis now);
+  // Cancels a job, also one that is heard of later. Returns whether the job is
+  // known.
+  bool CancelJob(const std::string& id);
   void WatchInbox();
   void RereadInbox(const std::string& after);
 
@@ -143,6 +147,9 @@
   scheduling_config config_;
   ownership ownership_;
   recovered_state recovered_;
+  // Stored cancellations of jobs that this process has not heard of yet: lists
+  // of the inbox name them before the jobs, and calls overtake each other.
+  std::set<std::string> early_cancellations_;
   // Incremented by Begin() and End(); callbacks of an older term are ignored.
   std::uint64_t term_ = 0;
   bool active_ = false;
--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -56,6 +56,22 @@
   });
 }
 
+void job_owner::AddJob(const job_record& record, millis now) {
+  scheduler_->AddJob(record, now);
+  if (early_cancellations_.count(record.id) != 0 &&
+      scheduler_->CancelJob(record.id)) {
+    early_cancellations_.erase(record.id);
+  }
+}
+
+bool job_owner::CancelJob(const std::string& id) {
+  const bool is_known = scheduler_->CancelJob(id);
+  if (!is_known) {
+    early_cancellations_.insert(id);
+  }
+  return is_known;
+}
+
 void job_owner::ApplyInboxItem(const stored_item& item) {
   const std::string cancel_prefix = kCancelPrefix;
   const std::string job_prefix = kJobPrefix;
@@ -66,7 +82,7 @@
   if (item.key.rfind(cancel_prefix, 0) == 0) {
     const std::string id = item.key.substr(cancel_prefix.size());
     if (scheduler_ != nullptr) {
-      scheduler_->CancelJob(id);
+      CancelJob(id);
     } else {
       recovered_.cancelled.insert(id);
     }
@@ -80,7 +96,7 @@
     LogEvent(kPart, "job_unreadable",
              {{"key", item.key}, {"error", ToString(record.error())}}, true);
   } else if (scheduler_ != nullptr) {
-    scheduler_->AddJob(record.value(), now);
+    AddJob(record.value(), now);
   } else {
     recovered_.records.push_back(std::move(record.value()));
   }
--- a/src/chervilkeeld/store_in_memory.h
+++ b/src/chervilkeeld/store_in_memory.h
@@ -35,12 +35,19 @@
         found == items.end() ? std::nullopt : std::optional(found->second));
   }
 
-  void List(const std::string& /*prefix*/,
-            const std::string& /*after*/,
+  void List(const std::string& prefix,
+            const std::string& after,
             bool /*stale_allowed*/,
             millis /*timeout*/,
             store_callback<item_page> callback) override {
-    Answer<item_page>(std::move(callback), item_page());
+    item_page page;
+    page.revision = revision_;
+    for (const auto& [key, item] : items) {
+      if (key.rfind(prefix, 0) == 0 && key > after) {
+        page.items.push_back(item);
+      }
+    }
+    Answer<item_page>(std::move(callback), page);
   }
 
   // A watch that waits is never answered, as nothing changes while it is open;
