Take back a refused start that a former process may have tried

Cause: a new process of an agent is ordered the open starts again. It took a refusal of its first try for the end of the run, although a try of the former process, under the same epoch, could still be carried out while the task started elsewhere (TWICE). A raised epoch is safe: executors refuse orders of a lower one.

Change: starts carry whether another process may have tried them, and a refusal of such a start is followed by a stop, as after a try without an answer. The owner looks at the process before it replies, as the first reply has orders.

--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -102,6 +102,10 @@
   if (open->second.tries == 0 &&
       (!clock_known_ || granted_until_ - BootNow() < kLeastLease ||
        worker_.draining)) {
+    if (open->second.order.was_tried) {
+      TakeBack(name);
+      return;
+    }
     open_starts_.erase(open);
     Report(name, start_outcome::kRefused);
     return;
@@ -146,13 +150,14 @@
   if (answer) {
     NoteClock(answer.value().clock);
     start_outcome outcome = OutcomeOf(answer.value().verdict);
+    const bool is_only_try =
+        open->second.tries == 1 && !open->second.order.was_tried;
     // Refused as outdated after a try without an answer: that try ran, and the
     // list of ends says how it went.
-    if (outcome == start_outcome::kOutdated && open->second.tries > 1) {
+    if (outcome == start_outcome::kOutdated && !is_only_try) {
       outcome = start_outcome::kStarted;
     }
-    const bool certain =
-        open->second.tries == 1 || outcome == start_outcome::kStarted;
+    const bool certain = is_only_try || outcome == start_outcome::kStarted;
     if (outcome == start_outcome::kStarted) {
       history_.OnStarted(name.first, name.second);
     }
@@ -168,6 +173,11 @@
     Later(kOrderRetry, [this, name] { SendStart(name); });
     return;
   }
+  TakeBack(name);
+}
+
+void job_agent_process::TakeBack(const run_name& name) {
+  const auto open = open_starts_.find(name);
   LogEvent(kPart, "start_unanswered",
            {{"id", name.first.ToString()},
             {"run", name.second},
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -108,6 +108,9 @@
   // Orders.
   void Carry(worker_order order);
   void SendStart(const run_name& name);
+  // Stops a run whose start may still be carried out, and tells it as withdrawn
+  // when it is gone.
+  void TakeBack(const run_name& name);
   void SendStop(const run_name& name);
   void SendPace(const worker_order& order);
   void NoteStartAnswer(const run_name& name,
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -211,6 +211,7 @@
       order.boot = {"executor", 5};
       order.task = {"job", 0, 0, 0};
       order.run = 7;
+      order.was_tried = says_tried;
       *reply->add_orders() = ToWire(1, order);
     }
     if (starts_second_task && request->acked_order() <= 1) {
@@ -292,6 +293,7 @@
   std::atomic<bool> starts_task = false;
   std::atomic<bool> starts_second_task = false;
   std::atomic<bool> starts_task_early = false;  // Before the first report.
+  std::atomic<bool> says_tried = false;         // Of the first task.
   std::atomic<bool> repeats_start = false;      // Of the first task.
   std::atomic<std::uint64_t> epoch = 1;
   std::atomic<std::uint64_t> acknowledged_end = 0;
@@ -702,6 +704,8 @@
   BOOST_TEST(outcome.has_value());
 }
 
+std::atomic<bool> says_tried = false;     // Of the first task.
+std::atomic<bool> repeats_start = false;  // Of the first task.
 // Guards against an agent that follows its executor no more: one announcement
 // by another writer, with a number too large, made all true ones look outdated.
 BOOST_AUTO_TEST_CASE(announcement_with_numbers_out_of_range_is_passed_over) {
--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -292,6 +292,7 @@
   }
   metrics_.CountEvent("agent_reports");
   const millis now = BootNow();
+  scheduler_->OnAgentProcess(sync.agent(), sync.incarnation());
   if (sync.has_gone()) {
     scheduler_->OnExecutorLeft(sync.agent(), FromWire(sync.gone()), now);
   }
--- a/src/chervilkeeld/job_wire.cpp
+++ b/src/chervilkeeld/job_wire.cpp
@@ -93,6 +93,7 @@
   out.set_checkpoint(order.checkpoint);
   out.set_reason(order.reason);
   out.set_percent(order.percent);
+  out.set_was_tried(order.was_tried);
   return out;
 }
 
@@ -187,6 +188,7 @@
   out.checkpoint = order.checkpoint();
   out.reason = order.reason();
   out.percent = order.percent();
+  out.was_tried = order.was_tried();
   return out;
 }
 
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -67,6 +67,8 @@
   run_phase phase = run_phase::kOrdered;
   // Whether a list or the agent has told that the executor has the run.
   bool is_confirmed = false;
+  // Whether a former process of the agent may have tried the start.
+  bool was_tried = false;
   // The last tick before the first order to stop; 0 while there was none.
   millis stop_ordered_at = 0;
   // The last list at which the agent had not taken that order.
@@ -348,6 +350,10 @@
   // Processes an agent's report and extends its grant.
   void OnReport(const worker_report& report, millis now);
 
+  // Takes note of the process that speaks for an agent. It is told before the
+  // process gets orders, which another one may have tried.
+  void OnAgentProcess(const std::string& agent, std::uint64_t incarnation);
+
   // Called when an agent reports that its worker's executor has left for good.
   void OnExecutorLeft(const std::string& agent,
                       const executor_boot& boot,
--- a/src/include/chervilkeel/worker_report.h
+++ b/src/include/chervilkeel/worker_report.h
@@ -158,6 +158,9 @@
   std::string checkpoint;       // kStart only; empty: from the beginning.
   std::string reason;           // For the logs.
   std::uint32_t percent = 100;  // kPace only: speed limit.
+  // kStart only: another process of the agent may have tried it, and that try
+  // may still be carried out.
+  bool was_tried = false;
 };
 
 }  // namespace chervilkeel
--- a/src/libkernel/job_scheduler_orders_test.cpp
+++ b/src/libkernel/job_scheduler_orders_test.cpp
@@ -177,6 +177,29 @@
   BOOST_TEST(PassTimeWithoutRuns(3'000).size() == 1);
 }
 
+// A new process of the agent gets the starts that the former one may have
+// tried, and has to know it: a refusal of its own try is not the end of the run
+// (TWICE).
+BOOST_AUTO_TEST_CASE(start_is_marked_as_tried_for_a_new_process) {
+  ReportIdleWorker("a");
+  AddJob(MakeWholeWorkerJob("j"));
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  report.incarnation = 1;
+  scheduler.OnReport(report, now);
+  BOOST_TEST(!scheduler.OrdersFor("a", 0).at(0).second.was_tried);
+  scheduler.OnAgentProcess("a", 2);
+  const auto queued = TakeOrders("a");
+  BOOST_REQUIRE_EQUAL(queued.size(), 1);
+  BOOST_TEST(queued[0].was_tried);
+  BOOST_TEST(TakeOrders("a").empty());  // Acknowledges the order.
+  report.incarnation = 2;
+  scheduler.OnReport(report, now);
+  const auto repeated = TakeOrders("a");
+  BOOST_REQUIRE_EQUAL(repeated.size(), 1);
+  BOOST_TEST(repeated[0].was_tried);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -138,6 +138,7 @@
   order.run = run.run;
   order.payload = job.record.spec.payload;
   order.checkpoint = task.checkpoint;
+  order.was_tried = run.was_tried;
   AddOrder(run.agent, std::move(order));
 }
 
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -72,10 +72,7 @@
          "remaining_ms=" + std::to_string(report.worker.remaining));
   }
   ForgetSilentRuns(worker);
-  const bool is_other_process =
-      worker.incarnation != 0 && report.incarnation != worker.incarnation;
-  worker.has_forgotten_orders = worker.has_forgotten_orders || is_other_process;
-  worker.incarnation = report.incarnation;
+  OnAgentProcess(report.agent, report.incarnation);
   worker.description = report.worker;
   worker.granted_until = now + options_.grant;
   for (const ended_run& ended : report.ends) {
@@ -127,6 +124,32 @@
   return true;
 }
 
+void job_scheduler::OnAgentProcess(const std::string& agent,
+                                   std::uint64_t incarnation) {
+  const auto found = workers_.find(agent);
+  if (found == workers_.end()) {
+    return;
+  }
+  scheduled_worker& worker = found->second;
+  const std::uint64_t former = std::exchange(worker.incarnation, incarnation);
+  if (former == 0 || former == incarnation) {
+    return;
+  }
+  worker.has_forgotten_orders = true;
+  for (auto& [number, order] : worker.orders) {
+    order.was_tried = order.was_tried || order.kind == order_kind::kStart;
+  }
+  for (const task_name& key : worker.tasks) {
+    scheduled_task* task = FindTask(key);
+    if (task == nullptr) {
+      continue;
+    }
+    for (task_run& run : task->runs) {
+      run.was_tried = run.was_tried || run.agent == agent;
+    }
+  }
+}
+
 void job_scheduler::OnExecutorLeft(const std::string& agent,
                                    const executor_boot& boot,
                                    millis now) {
