Keep what the callbacks of a test's calls use until the program ends

request_session_test ended with SIGABRT, SIGSEGV or SIGILL now and then: in 3 of 25 and 5 of 25 runs beside load, once in a whole run of the tests. The fixture stopped its context and was destroyed while gRPC's threads were still in callbacks of calls that had been cancelled with the server; they post to the context.

Valgrind found nothing in one run of the test as it was, so the cause is by reading and by these counts.

--- a/src/chervilkeeld/request_session_test.cpp
+++ b/src/chervilkeeld/request_session_test.cpp
@@ -5,8 +5,10 @@
 #include <chrono>
 #include <functional>
 #include <future>
+#include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <grpcpp/grpcpp.h>
@@ -90,6 +92,15 @@
   held_calls requests;
 };
 
+// What the callbacks of an entry's calls use.
+struct entry_parts {
+  explicit entry_parts(process_settings settings) : core(std::move(settings)) {}
+
+  process_core core;
+  entry_tables tables{core};
+  boost::asio::io_context context;
+};
+
 // An entry's requests on two threads, with an owner and an upstream that can be
 // made known to it.
 struct ending_entry_fixture {
@@ -126,10 +137,14 @@
     }
   }
 
-  static process_settings Settings() {
+  // Keeps the parts to the end of the program: gRPC may still be in a callback
+  // when a test ends.
+  static entry_parts& MakeParts() {
+    static std::vector<std::unique_ptr<entry_parts>> all;
     process_settings settings;
     settings.name = "entry";
-    return settings;
+    all.push_back(std::make_unique<entry_parts>(std::move(settings)));
+    return *all.back();
   }
 
   std::string Address() const { return "127.0.0.1:" + std::to_string(port); }
@@ -199,9 +214,10 @@
   holding_agent agent;
   int port = 0;
   std::unique_ptr<grpc::Server> server;
-  process_core core{Settings()};
-  entry_tables tables{core};
-  boost::asio::io_context context;
+  entry_parts& parts = MakeParts();
+  process_core& core = parts.core;
+  entry_tables& tables = parts.tables;
+  boost::asio::io_context& context = parts.context;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       guard{context.get_executor()};
   std::vector<std::thread> pool;
