--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -111,6 +111,15 @@
     return;
   }
   ++open->second.tries;
+  LogEvent(kPart, "start_sent",
+           {{"id", name.first.ToString()},
+            {"run", name.second},
+            {"try", open->second.tries},
+            {"executor", worker_.boot.id},
+            {"started_ms", worker_.boot.started_ms},
+            {"epoch", epoch_},
+            {"order_age_ms", BootNow() - open->second.since},
+            {"lease_ms", granted_until_ - BootNow()}});
   history_.OnStartSent(name.first, name.second, BootNow());
   executor_->Start(
       Context(kOrderTimeout), open->second.order, LeaseEnd(),
