Send an executor's orders to the boot that they are meant for

Callers saw: a task ran twice at the same time, or beyond the limit of its step on one executor, after an executor had crashed behind a cut and started again under its former id.

Cause: calls named the executor by its id alone, which survives a restart. Its agent went on trying starts, and extending leases, until the new boot was announced. The new boot took them, with a lease by the former boot's clock, which for it lies in the far future: up to 6 s where the owner counted 2.6 s. The owner gave up the silent worker and started the task elsewhere; the run was in nobody's books.

Change: a connection leads to one boot for as long as it is open, so each is asked for its boot (a question without effect) before the first order is sent on it. A connection to another boot carries no order, and the call certainly was not sent.

--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -184,7 +184,7 @@
   }
   unconfirmed_ = boot;
   executor_->RenewLeases(
-      {boot, epoch_, kConfirmTimeout}, 0, 0, 0,
+      {{boot.id, 0}, epoch_, kConfirmTimeout}, 0, 0, 0,
       [this, said](const result<executor_run_list>& listing) {
         const executor_boot& asked = said.worker.boot;
         if (asked != unconfirmed_) {
@@ -336,8 +336,7 @@
     LogEvent(kPart, "executor_regained", {{"executor", worker_.boot.id}}, true);
   }
   hold_failures_ = 0;
-  if (listing.value().started_ms != 0 &&
-      listing.value().started_ms != worker_.boot.started_ms) {
+  if (!IsMadeBy(listing.value(), worker_.boot)) {
     // Another boot under the same id; its announcement will follow.
     obeyed_epoch_ = 0;
     HoldAfter(kHoldRetry);
--- a/src/include/chervilkeel/http_client.h
+++ b/src/include/chervilkeel/http_client.h
@@ -55,6 +55,18 @@
 // Takes the answer, or the error with the same codes as http_client::Call().
 using http_callback = std::function<void(result<http_response>)>;
 
+// Tells apart the servers that listen at one address one after the other, such
+// as the boots of an executor. A connection leads to one server for as long as
+// it is open, so each is asked once, before the first call is sent on it.
+struct http_peer_check {
+  std::string peer;  // Names the server that the calls are meant for.
+  // Has no effect on any server. Where it is refused, the call would be, too:
+  // an answer other than 200 is that to the call.
+  http_call question;
+  // Whether an answer of 200 is that of the named server.
+  std::function<bool(const http_response& answer)> is_peer;
+};
+
 // Connections to one endpoint, opened when needed and kept for reuse.
 class http_pool : public std::enable_shared_from_this<http_pool> {
  public:
@@ -63,22 +75,33 @@
             endpoint peer,
             std::size_t idle_limit);
 
-  // Sends a call; `callback` runs on the pool's io_context.
+  // Sends a call; `callback` runs on the pool's io_context. With a check, no
+  // other server than the named one gets the call: kUnavailable if another one
+  // answers, or none does.
   void Call(const http_call& call,
             millis timeout,
             std::uint64_t body_limit,
-            http_callback callback);
+            http_callback callback,
+            std::shared_ptr<const http_peer_check> check = nullptr);
 
  private:
   friend class http_exchange;
-  std::unique_ptr<boost::beast::tcp_stream> TakeIdle();
-  void GiveIdle(std::unique_ptr<boost::beast::tcp_stream> stream);
+
+  struct idle_connection {
+    std::string peer;  // Empty: no check was asked for.
+    std::unique_ptr<boost::beast::tcp_stream> stream;
+  };
+
+  // Returns an open connection that was checked for `peer`, if there is one.
+  std::unique_ptr<boost::beast::tcp_stream> TakeIdle(const std::string& peer);
+  void GiveIdle(const std::string& peer,
+                std::unique_ptr<boost::beast::tcp_stream> stream);
 
   boost::asio::io_context& context_;
   const endpoint peer_;
   const std::size_t idle_limit_;
   std::mutex mutex_;
-  std::vector<std::unique_ptr<boost::beast::tcp_stream>> idle_;
+  std::vector<idle_connection> idle_;  // The longest idle one first.
 };
 
 }  // namespace chervilkeel
--- a/src/include/chervilkeel/task_executor.h
+++ b/src/include/chervilkeel/task_executor.h
@@ -72,8 +72,18 @@
   }
 };
 
+// Whether a list was made by that boot. Executors that don't report their start
+// are told apart by their ids alone.
+inline bool IsMadeBy(const executor_run_list& listing,
+                     const executor_boot& boot) {
+  return listing.started_ms == 0 || listing.started_ms == boot.started_ms;
+}
+
 // The parameters common to all orders.
 struct order_context {
+  // No other boot carries out the order, nor takes a lease from it: an executor
+  // that starts again may keep its id, but not its clock, runs and fencing
+  // token. With a start time of 0, any boot under that id does.
   executor_boot boot;
   std::uint64_t epoch = 0;
   millis timeout = 0;
@@ -84,7 +94,8 @@
 
 // The interface that executor plug-ins implement. Each call invokes its
 // callback exactly once. Errors: kUnavailable if the order certainly was not
-// sent, kUnknown if it may have been carried out or may still be.
+// sent, or another boot answers; kUnknown if it may have been carried out or
+// may still be.
 class task_executor {
  public:
   virtual ~task_executor() = default;
--- a/src/libshell/http_client.cpp
+++ b/src/libshell/http_client.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::uint64_t kClientBodyLimit = 64ULL << 20U;
+constexpr unsigned kOk = 200;
 
 http::request<http::string_body> MakeRequest(const http_call& call,
                                              const endpoint& peer) {
@@ -130,18 +131,19 @@
                 const http_call& call,
                 millis timeout,
                 std::uint64_t body_limit,
-                http_callback callback)
+                http_callback callback,
+                std::shared_ptr<const http_peer_check> check)
       : pool_(std::move(pool)),
         request_(MakeRequest(call, pool_->peer_)),
         timeout_(timeout),
-        callback_(std::move(callback)) {
-    parser_.body_limit(body_limit);
-  }
+        body_limit_(body_limit),
+        callback_(std::move(callback)),
+        check_(std::move(check)) {}
 
   void Run() {
-    stream_ = pool_->TakeIdle();
+    stream_ = pool_->TakeIdle(PeerName());
     if (stream_) {
-      Write();
+      Send();
       return;
     }
     stream_ =
@@ -156,44 +158,87 @@
       }
       beast::error_code ignored;
       self->stream_->socket().set_option(tcp::no_delay(true), ignored);
-      self->Write();
+      if (self->check_) {
+        self->CheckPeer();
+      } else {
+        self->Send();
+      }
     });
   }
 
  private:
-  void Write() {
+  using message = http::request<http::string_body>;
+
+  std::string PeerName() const { return check_ ? check_->peer : ""; }
+
+  // The call itself is not sent before the answer has come.
+  void CheckPeer() {
+    question_ = MakeRequest(check_->question, pool_->peer_);
+    Exchange(question_, error_code::kUnavailable,
+             [self = shared_from_this()] { self->OnPeerAnswer(); });
+  }
+
+  void OnPeerAnswer() {
+    const bool stays_open = parser_->get().keep_alive();
+    http_response answer = TakeResponse(parser_->get());
+    if (answer.status != kOk) {
+      End(std::move(answer));
+    } else if (!check_->is_peer(answer)) {
+      End(Fail(error_code::kUnavailable, pool_->peer_.ToString() +
+                                             ": another server than " +
+                                             check_->peer + " answers"));
+    } else if (!stays_open) {
+      End(Fail(
+          error_code::kUnavailable,
+          pool_->peer_.ToString() + ": the connection closes after a check"));
+    } else {
+      Send();
+    }
+  }
+
+  void Send() {
+    Exchange(request_, error_code::kUnknown,
+             [self = shared_from_this()] { self->Finish(); });
+  }
+
+  // Sends a request and reads its answer into `parser_`.
+  void Exchange(const message& request,
+                error_code on_failure,
+                std::function<void()> done) {
+    parser_.emplace();
+    parser_->body_limit(body_limit_);
     stream_->expires_after(std::chrono::milliseconds(timeout_));
     http::async_write(
-        *stream_, request_,
-        [self = shared_from_this()](beast::error_code failure, std::size_t) {
+        *stream_, request,
+        [self = shared_from_this(), on_failure, done = std::move(done)](
+            beast::error_code failure, std::size_t) mutable {
           if (failure) {
-            self->End(Fail(error_code::kUnknown,
-                           Describe(self->pool_->peer_, failure)));
+            self->End(Fail(on_failure, Describe(self->pool_->peer_, failure)));
             return;
           }
-          self->Read();
+          self->Read(on_failure, std::move(done));
         });
   }
 
-  void Read() {
+  void Read(error_code on_failure, std::function<void()> done) {
     http::async_read(
-        *stream_, buffer_, parser_,
-        [self = shared_from_this()](beast::error_code failure, std::size_t) {
+        *stream_, buffer_, *parser_,
+        [self = shared_from_this(), on_failure, done = std::move(done)](
+            beast::error_code failure, std::size_t) {
           if (failure) {
-            self->End(Fail(error_code::kUnknown,
-                           Describe(self->pool_->peer_, failure)));
+            self->End(Fail(on_failure, Describe(self->pool_->peer_, failure)));
             return;
           }
-          self->Finish();
+          done();
         });
   }
 
   void Finish() {
-    if (parser_.get().keep_alive()) {
+    if (parser_->get().keep_alive()) {
       stream_->expires_never();
-      pool_->GiveIdle(std::move(stream_));
+      pool_->GiveIdle(PeerName(), std::move(stream_));
     }
-    End(TakeResponse(parser_.get()));
+    End(TakeResponse(parser_->get()));
   }
 
   void End(result<http_response> outcome) {
@@ -202,12 +247,15 @@
   }
 
   std::shared_ptr<http_pool> pool_;
-  const http::request<http::string_body> request_;
+  const message request_;
+  message question_;
   const millis timeout_;
+  const std::uint64_t body_limit_;
   http_callback callback_;
+  const std::shared_ptr<const http_peer_check> check_;
   std::unique_ptr<beast::tcp_stream> stream_;
   beast::flat_buffer buffer_;
-  http::response_parser<http::string_body> parser_;
+  std::optional<http::response_parser<http::string_body>> parser_;
 };
 
 http_pool::http_pool(asio::io_context& context,
@@ -218,19 +266,24 @@
 void http_pool::Call(const http_call& call,
                      millis timeout,
                      std::uint64_t body_limit,
-                     http_callback callback) {
+                     http_callback callback,
+                     std::shared_ptr<const http_peer_check> check) {
   std::make_shared<http_exchange>(shared_from_this(), call, timeout, body_limit,
-                                  std::move(callback))
+                                  std::move(callback), std::move(check))
       ->Run();
 }
 
 // Skips kept connections that the peer has closed: a request written to one
 // would count as possibly run.
-std::unique_ptr<beast::tcp_stream> http_pool::TakeIdle() {
+std::unique_ptr<beast::tcp_stream> http_pool::TakeIdle(
+    const std::string& peer) {
   const std::lock_guard lock(mutex_);
-  while (!idle_.empty()) {
-    auto stream = std::move(idle_.back());
-    idle_.pop_back();
+  for (std::size_t i = idle_.size(); i-- > 0;) {
+    if (idle_[i].peer != peer) {
+      continue;
+    }
+    auto stream = std::move(idle_[i].stream);
+    idle_.erase(idle_.begin() + static_cast<std::ptrdiff_t>(i));
     beast::error_code failure;
     char byte = 0;
     stream->socket().non_blocking(true, failure);
@@ -243,10 +296,12 @@
   return nullptr;
 }
 
-void http_pool::GiveIdle(std::unique_ptr<beast::tcp_stream> stream) {
+void http_pool::GiveIdle(const std::string& peer,
+                         std::unique_ptr<beast::tcp_stream> stream) {
   const std::lock_guard lock(mutex_);
-  if (idle_.size() < idle_limit_) {
-    idle_.push_back(std::move(stream));
+  idle_.push_back({peer, std::move(stream)});
+  if (idle_.size() > idle_limit_) {
+    idle_.erase(idle_.begin());
   }
 }
 
