Take the state of a worker only from reports that none has overtaken

Cause: two calls of an agent are open at a time, and a call of its former process may arrive after one of the present process. The owner believed whichever came last: an old list adopted a run whose end had been processed, which nothing ends any more, so that the task was not started again while it was in the books; an old acknowledgement dropped orders that the present process had not taken.

Change: reports are numbered. One that was overtaken tells ends and outcomes of starts only. A call of a process that was replaced in the last 5 s is passed over.

--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -292,7 +292,10 @@
   }
   metrics_.CountEvent("agent_reports");
   const millis now = BootNow();
-  scheduler_->OnAgentProcess(sync.agent(), sync.incarnation());
+  if (!scheduler_->OnAgentProcess(sync.agent(), sync.incarnation(), now)) {
+    call.Finish();
+    return;
+  }
   if (sync.has_gone()) {
     scheduler_->OnExecutorLeft(sync.agent(), FromWire(sync.gone()), now);
   }
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -260,6 +260,9 @@
 struct scheduled_worker {
   std::string agent;
   std::uint64_t incarnation = 0;  // Of the agent's process; 0: not known.
+  std::uint64_t last_report = 0;  // Highest number of a report of the process.
+  // Former processes of the agent, and when each was replaced.
+  std::map<std::uint64_t, millis> former_incarnations;
   // Set if the agent has forgotten the orders that it has acknowledged.
   bool has_forgotten_orders = false;
   executor_description description;
@@ -354,8 +357,11 @@
   void OnReport(const worker_report& report, millis now);
 
   // Takes note of the process that speaks for an agent. It is told before the
-  // process gets orders, which another one may have tried.
-  void OnAgentProcess(const std::string& agent, std::uint64_t incarnation);
+  // process gets orders, which another one may have tried. Returns false for a
+  // delayed call of a process that another one has replaced.
+  bool OnAgentProcess(const std::string& agent,
+                      std::uint64_t incarnation,
+                      millis now);
 
   // Called when an agent reports that its worker's executor has left for good.
   void OnExecutorLeft(const std::string& agent,
@@ -764,6 +770,9 @@
   // executor made the list that lacks it: messages may arrive out of order.
   static constexpr millis kRunListGrace = 500;
 
+  // So long after an agent's process has been replaced, its calls may arrive.
+  static constexpr millis kFormerProcessMemory = 5'000;
+
   // So long after the order to stop a run, a list that shows it means that the
   // order was lost with the agent's process, and one that lacks it that the run
   // is gone, if the agent has taken the order.
--- a/src/libkernel/job_scheduler_orders_test.cpp
+++ b/src/libkernel/job_scheduler_orders_test.cpp
@@ -188,7 +188,7 @@
   report.incarnation = 1;
   scheduler.OnReport(report, now);
   BOOST_TEST(!scheduler.OrdersFor("a", 0).at(0).second.was_tried);
-  scheduler.OnAgentProcess("a", 2);
+  scheduler.OnAgentProcess("a", 2, now);
   const auto queued = TakeOrders("a");
   BOOST_REQUIRE_EQUAL(queued.size(), 1);
   BOOST_TEST(queued[0].was_tried);
@@ -249,6 +249,42 @@
   BOOST_TEST(TakeOrders("a").empty());
 }
 
+// Guards against a run that stays in the books for good, and a task that is not
+// started again: an old list showed a run after its end had been processed.
+BOOST_AUTO_TEST_CASE(run_in_a_report_that_was_overtaken_is_not_adopted) {
+  ReportIdleWorker("a");
+  scheduler.AddJob(MakeJob("j", 1), now);
+  Tick();
+  const worker_order order = TakeOrders("a").at(0);
+  worker_report ended = MakeReport("a");
+  ended.number = 2;
+  ended.ends.push_back({1, order.task, order.run, run_end::kFailed, ""});
+  scheduler.OnReport(ended, now);
+  Tick();
+  const worker_order second = TakeOrders("a").at(0);
+  BOOST_TEST(second.run > order.run);
+  worker_report overtaken = MakeReport("a");
+  overtaken.number = 1;
+  overtaken.has_runs = true;
+  overtaken.runs.push_back({order.task, order.run, "", 10, 0});
+  scheduler.OnReport(overtaken, now);
+  Tick();
+  BOOST_TEST(TakeOrders("a").empty());
+  const auto& task = scheduler.Jobs().at("j").occurrences.at(0).steps[0].tasks;
+  BOOST_TEST(task[0].runs.size() == 1U);
+}
+
+// Guards against a task that runs twice or never again: a call of an agent's
+// former process was taken for one of the present process.
+BOOST_AUTO_TEST_CASE(call_of_a_former_process_is_passed_over) {
+  ReportIdleWorker("a");
+  BOOST_TEST(scheduler.OnAgentProcess("a", 1, now));
+  BOOST_TEST(scheduler.OnAgentProcess("a", 2, now));
+  now += 1'000;
+  BOOST_TEST(!scheduler.OnAgentProcess("a", 1, now));
+  BOOST_TEST(scheduler.OnAgentProcess("a", 2, now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -57,7 +57,18 @@
   scheduled_worker& worker = workers_[report.agent];
   worker.agent = report.agent;
   wanted_members_.insert(report.agent);
-  if (report.worker.boot.started_ms < worker.description.boot.started_ms) {
+  if (!OnAgentProcess(report.agent, report.incarnation, now)) {
+    Emit("report_of_former_process", report.worker.boot.id, report.agent,
+         "incarnation=" + std::to_string(report.incarnation));
+    return;
+  }
+  // Calls of an agent overlap, and one may overtake another. What ended and
+  // which orders have outcomes is known for good; the rest is of its time.
+  const bool is_overtaken =
+      report.number != 0 && report.number < worker.last_report;
+  worker.last_report = std::max(worker.last_report, report.number);
+  if (report.worker.boot.started_ms < worker.description.boot.started_ms ||
+      (is_overtaken && report.worker.boot != worker.description.boot)) {
     Emit("report_of_former_boot", report.worker.boot.id, report.agent, "");
     return;
   }
@@ -72,8 +83,9 @@
          "remaining_ms=" + std::to_string(report.worker.remaining));
   }
   ForgetSilentRuns(worker);
-  OnAgentProcess(report.agent, report.incarnation);
-  worker.description = report.worker;
+  if (!is_overtaken) {
+    worker.description = report.worker;
+  }
   worker.granted_until = now + options_.grant;
   for (const ended_run& ended : report.ends) {
     if (NoteReceivedEnd(worker, ended.number)) {
@@ -83,6 +95,13 @@
   for (const start_result& result : report.starts) {
     ProcessStartResult(worker, result, now);
   }
+  if (is_overtaken) {
+    Emit("report_overtaken", report.worker.boot.id, report.agent,
+         "number=" + std::to_string(report.number) +
+             " last=" + std::to_string(worker.last_report) +
+             " runs_age_ms=" + std::to_string(report.runs_age));
+    return;
+  }
   if (report.has_runs || !report.runs.empty()) {
     ProcessRunList(worker, report, now);
   }
@@ -124,17 +143,29 @@
   return true;
 }
 
-void job_scheduler::OnAgentProcess(const std::string& agent,
-                                   std::uint64_t incarnation) {
+bool job_scheduler::OnAgentProcess(const std::string& agent,
+                                   std::uint64_t incarnation,
+                                   millis now) {
   const auto found = workers_.find(agent);
   if (found == workers_.end()) {
-    return;
+    return true;
   }
   scheduled_worker& worker = found->second;
+  std::erase_if(worker.former_incarnations, [now](const auto& entry) {
+    return now - entry.second > kFormerProcessMemory;
+  });
+  if (worker.former_incarnations.count(incarnation) != 0) {
+    return false;
+  }
   const std::uint64_t former = std::exchange(worker.incarnation, incarnation);
-  if (former == 0 || former == incarnation) {
-    return;
+  if (former == incarnation) {
+    return true;
   }
+  worker.last_report = 0;
+  if (former == 0) {
+    return true;
+  }
+  worker.former_incarnations[former] = now;
   worker.has_forgotten_orders = true;
   for (auto& [number, order] : worker.orders) {
     order.was_tried = order.was_tried || order.kind == order_kind::kStart;
@@ -151,6 +182,7 @@
       }
     }
   }
+  return true;
 }
 
 void job_scheduler::OnExecutorLeft(const std::string& agent,
