Take a list with the most ends that fit for an incomplete one

Cause: an executor lists at most 500 ends.

Change: a list with that many ends judges no missing run until some of them are recorded.

--- a/src/include/chervilkeel/task_executor.h
+++ b/src/include/chervilkeel/task_executor.h
@@ -66,9 +66,11 @@
   // none. Neither this end nor a later one may be acknowledged as recorded, or
   // the executor would forget an end that nobody has read.
   std::uint64_t first_unreadable_end = 0;
+  // True if there may be more ends than the executor lists at a time.
+  bool lacks_ends = false;
 
   bool IsComplete() const {
-    return unreadable_runs == 0 && unreadable_ends == 0;
+    return unreadable_runs == 0 && unreadable_ends == 0 && !lacks_ends;
   }
 };
 
