Order an agent's calls by the clock of its VM

Change: each call tells its process, number and time by the clock of the VM, which goes on while processes change. A call is outdated if a later one has come, unless its process was never seen: then the clock has started anew, or an older process is heard for the first time, and no run counts as missing for 5 s. Lists are dated by the fastest call so far. Memory of processes has no time limit now, only a size.

--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -414,6 +414,7 @@
   sync.set_agent(settings_.name);
   sync.set_incarnation(incarnation_);
   sync.set_number(++last_report_);
+  sync.set_sent_at_ms(now);
   sync.set_epoch(epoch_);
   sync.set_wait(wait);
   sync.set_acked_order(acked_order_);
--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -292,7 +292,10 @@
   }
   metrics_.CountEvent("agent_reports");
   const millis now = BootNow();
-  if (!scheduler_->OnAgentProcess(sync.agent(), sync.incarnation(), now)) {
+  if (scheduler_->NoteCall(sync.agent(), CallOf(sync), now) ==
+      call_order::kOfFormerProcess) {
+    LogEvent(kPart, "call_of_former_process",
+             {{"worker", sync.agent()}, {"incarnation", sync.incarnation()}});
     call.Finish();
     return;
   }
--- a/src/chervilkeeld/job_wire.cpp
+++ b/src/chervilkeeld/job_wire.cpp
@@ -122,11 +122,14 @@
   return out;
 }
 
+agent_call CallOf(const wire::agent_sync& sync) {
+  return {sync.incarnation(), sync.number(), sync.sent_at_ms()};
+}
+
 worker_report FromWire(const wire::agent_sync& sync) {
   worker_report report;
   report.agent = sync.agent();
-  report.incarnation = sync.incarnation();
-  report.number = sync.number();
+  report.call = CallOf(sync);
   const wire::worker_state& worker = sync.worker();
   report.worker.boot = FromWire(worker.boot());
   report.worker.service = worker.service();
--- a/src/chervilkeeld/job_wire.h
+++ b/src/chervilkeeld/job_wire.h
@@ -17,6 +17,8 @@
 wire::crashed_boot ToWire(const crashed_executor& crashed);
 crashed_executor FromWire(const wire::crashed_boot& crashed);
 
+agent_call CallOf(const wire::agent_sync& sync);
+
 // Leaves out rows that can't be read, and counts them. A list of runs is then
 // not taken for complete, since the run of a row may be anyone's. Of the ends
 // those after such a row are left out, too: to record them would acknowledge
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -260,9 +260,12 @@
 struct scheduled_worker {
   std::string agent;
   std::uint64_t incarnation = 0;  // Of the agent's process; 0: not known.
-  std::uint64_t last_report = 0;  // Highest number of a report of the process.
-  // Former processes of the agent, and when each was replaced.
-  std::map<std::uint64_t, millis> former_incarnations;
+  // The processes that have called; the latest last.
+  std::deque<std::uint64_t> known_incarnations;
+  std::uint64_t last_call = 0;  // Number and time of the latest call.
+  millis last_call_sent_at = 0;
+  // This process's clock less the agent's, by the call that was fastest.
+  millis clock_offset = 0;
   // Set if the agent has forgotten the orders that it has acknowledged.
   bool has_forgotten_orders = false;
   executor_description description;
@@ -356,11 +359,11 @@
   // Processes an agent's report and extends its grant.
   void OnReport(const worker_report& report, millis now);
 
-  // Takes note of the process that speaks for an agent. It is told before the
-  // process gets orders, which another one may have tried. Returns false for a
-  // delayed call of a process that another one has replaced.
-  bool OnAgentProcess(const std::string& agent,
-                      std::uint64_t incarnation,
+  // Takes note of an agent's call, and of the process that makes it: before the
+  // process gets orders, which another one may have tried. Calls of an agent
+  // overlap, are held up and overtake each other.
+  call_order NoteCall(const std::string& agent,
+                      const agent_call& call,
                       millis now);
 
   // Called when an agent reports that its worker's executor has left for good.
@@ -490,6 +493,10 @@
   // job_scheduler_workers.cpp: reports from workers.
 
   // Handles a report of a new boot: the runs of the former one are lost.
+  // The new process of an agent knows nothing of former orders.
+  void OnProcessChanged(scheduled_worker& worker);
+  void ForEachRun(scheduled_worker& worker,
+                  const std::function<void(task_run&)>& change);
   void OnBootChanged(scheduled_worker& worker,
                      const executor_description& description,
                      millis now);
@@ -770,8 +777,12 @@
   // executor made the list that lacks it: messages may arrive out of order.
   static constexpr millis kRunListGrace = 500;
 
-  // So long after an agent's process has been replaced, its calls may arrive.
-  static constexpr millis kFormerProcessMemory = 5'000;
+  // When an agent's clock starts anew, or a process that was not known calls
+  // late, no run counts as missing for so long.
+  static constexpr millis kClockRestartGrace = 5'000;
+
+  // Processes of an agent that are remembered.
+  static constexpr std::size_t kMaxKnownProcesses = 16;
 
   // So long after the order to stop a run, a list that shows it means that the
   // order was lost with the agent's process, and one that lacks it that the run
--- a/src/include/chervilkeel/worker_report.h
+++ b/src/include/chervilkeel/worker_report.h
@@ -118,17 +118,32 @@
   std::vector<lost_run> runs;
 };
 
+// A call of an agent to the owner.
+struct agent_call {
+  // Of the agent's process; another one knows nothing of former orders.
+  std::uint64_t incarnation = 0;
+  std::uint64_t number = 0;  // Rises in a process.
+  // By the clock of the agent's VM, which goes on while processes change; 0:
+  // not told.
+  millis sent_at = 0;
+};
+
+// How a call of an agent relates to those that have come before.
+enum class call_order {
+  kLatest,
+  kOvertaken,        // A later call of the same process has come.
+  kOfFormerProcess,  // A later call of another process has come.
+};
+
 // A report of an agent. `runs` is complete if `has_runs` is set. Otherwise it
 // may still name some runs, but a run that is missing may be there: a row of
 // the list could not be read, or the report has no list.
 struct worker_report {
   std::string agent;
-  // Of the agent's process; another one knows nothing of former orders.
-  std::uint64_t incarnation = 0;
-  std::uint64_t number = 0;  // Rises in a process; 0: not numbered.
+  agent_call call;
   executor_description worker;
   bool has_runs = false;
-  millis runs_age = 0;  // Since the list has come.
+  millis runs_age = 0;  // From the list's coming to the call.
   // The executor made the list between these times of the agent's clock.
   millis listed_after = 0;
   millis listed_before = 0;
--- a/src/libkernel/job_scheduler_crash_test.cpp
+++ b/src/libkernel/job_scheduler_crash_test.cpp
@@ -274,7 +274,7 @@
                         scheduler_fixture) {
   worker_report report = MakeReport("a");
   report.has_runs = true;
-  report.incarnation = 1;
+  report.call.incarnation = 1;
   scheduler.OnReport(report, now);
   Commit();
   scheduler.AddJob(MakeJob("j", 2), now);
@@ -286,7 +286,7 @@
   scheduler.OnReport(report, now);
   BOOST_TEST(TakeOrders("a").empty());
   report.starts.clear();
-  report.incarnation = 2;
+  report.call.incarnation = 2;
   scheduler.OnReport(report, now);
   const auto repeated = TakeOrders("a");
   BOOST_REQUIRE_EQUAL(repeated.size(), 1);
--- a/src/libkernel/job_scheduler_orders_test.cpp
+++ b/src/libkernel/job_scheduler_orders_test.cpp
@@ -80,9 +80,9 @@
   AddJob(MakeWholeWorkerJob("j"));
   worker_report report = MakeReport("a");
   report.has_runs = true;
-  report.incarnation = 1;
+  report.call.incarnation = 1;
   scheduler.OnReport(report, now);
-  report.incarnation = 2;
+  report.call.incarnation = 2;
   scheduler.OnReport(report, now);
   BOOST_TEST(TakeOrders("a").size() == 1);
 }
@@ -185,15 +185,15 @@
   AddJob(MakeWholeWorkerJob("j"));
   worker_report report = MakeReport("a");
   report.has_runs = true;
-  report.incarnation = 1;
+  report.call.incarnation = 1;
   scheduler.OnReport(report, now);
   BOOST_TEST(!scheduler.OrdersFor("a", 0).at(0).second.was_tried);
-  scheduler.OnAgentProcess("a", 2, now);
+  scheduler.NoteCall("a", {2, 0, 0}, now);
   const auto queued = TakeOrders("a");
   BOOST_REQUIRE_EQUAL(queued.size(), 1);
   BOOST_TEST(queued[0].was_tried);
   BOOST_TEST(TakeOrders("a").empty());  // Acknowledges the order.
-  report.incarnation = 2;
+  report.call.incarnation = 2;
   scheduler.OnReport(report, now);
   const auto repeated = TakeOrders("a");
   BOOST_REQUIRE_EQUAL(repeated.size(), 1);
@@ -257,14 +257,14 @@
   Tick();
   const worker_order order = TakeOrders("a").at(0);
   worker_report ended = MakeReport("a");
-  ended.number = 2;
+  ended.call = {1, 2, 500};
   ended.ends.push_back({1, order.task, order.run, run_end::kFailed, ""});
   scheduler.OnReport(ended, now);
   Tick();
   const worker_order second = TakeOrders("a").at(0);
   BOOST_TEST(second.run > order.run);
   worker_report overtaken = MakeReport("a");
-  overtaken.number = 1;
+  overtaken.call = {1, 1, 490};
   overtaken.has_runs = true;
   overtaken.runs.push_back({order.task, order.run, "", 10, 0});
   scheduler.OnReport(overtaken, now);
@@ -274,15 +274,92 @@
   BOOST_TEST(task[0].runs.size() == 1U);
 }
 
-// Guards against a task that runs twice or never again: a call of an agent's
-// former process was taken for one of the present process.
-BOOST_AUTO_TEST_CASE(call_of_a_former_process_is_passed_over) {
+// Guards against a task that runs twice (TWICE): an old list of a process that
+// had ended, held up by a cut of some seconds, made the present runs vanish.
+BOOST_AUTO_TEST_CASE(late_list_of_a_former_process_ends_no_run) {
   ReportIdleWorker("a");
-  BOOST_TEST(scheduler.OnAgentProcess("a", 1, now));
-  BOOST_TEST(scheduler.OnAgentProcess("a", 2, now));
-  now += 1'000;
-  BOOST_TEST(!scheduler.OnAgentProcess("a", 1, now));
-  BOOST_TEST(scheduler.OnAgentProcess("a", 2, now));
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  report.call = {1, 1, now};
+  scheduler.OnReport(report, now);
+  scheduler.AddJob(MakeJob("j", 1), now);
+  Tick();
+  const worker_order order = TakeOrders("a").at(0);
+  for (std::uint64_t i = 1; i <= 12; ++i) {
+    PassTime(500);
+    report.call = {2, i, now - 5};
+    report.listed_after = now - 20;
+    report.listed_before = now - 10;
+    report.runs = {{order.task, order.run, "", static_cast<std::uint32_t>(i)}};
+    scheduler.OnReport(report, now);
+  }
+  BOOST_REQUIRE(TakeOrders("a").empty());
+  worker_report late = MakeReport("a");
+  late.has_runs = true;
+  late.call = {1, 900, 1'010};
+  late.listed_after = 990;
+  late.listed_before = 1'000;
+  scheduler.OnReport(late, now);
+  Tick();
+  BOOST_TEST(TakeOrders("a").empty());
+}
+
+// Guards against runs that are given up (TWICE): a new owner takes an older
+// process that it did not know for the present one, whose calls then count as
+// those of a former process.
+BOOST_AUTO_TEST_CASE(process_stays_known_after_a_late_call_of_an_older_one) {
+  ReportIdleWorker("a");
+  BOOST_CHECK(scheduler.NoteCall("a", {2, 5, 700}, now) == call_order::kLatest);
+  BOOST_CHECK(scheduler.NoteCall("a", {1, 90, 100}, now) ==
+              call_order::kLatest);
+  BOOST_CHECK(scheduler.NoteCall("a", {2, 6, 720}, now) == call_order::kLatest);
+  BOOST_CHECK(scheduler.NoteCall("a", {1, 91, 110}, now) ==
+              call_order::kOfFormerProcess);
+  BOOST_CHECK(scheduler.NoteCall("a", {2, 5, 700}, now) ==
+              call_order::kOvertaken);
+}
+
+// Guards against a worker that is lost for good: its executor starts again
+// after its clock was set back, and each report of it counts as an old one.
+BOOST_AUTO_TEST_CASE(boot_with_an_earlier_start_is_followed_in_a_later_call) {
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  report.call = {1, 1, 100};
+  report.worker.boot.started_ms = 500;
+  scheduler.OnReport(report, now);
+  report.call = {1, 3, 300};
+  report.worker.boot.started_ms = 400;
+  scheduler.OnReport(report, now);
+  BOOST_TEST(scheduler.Workers().at("a").description.boot.started_ms == 400);
+  report.call = {1, 2, 200};
+  report.worker.boot.started_ms = 500;
+  scheduler.OnReport(report, now);
+  BOOST_TEST(scheduler.Workers().at("a").description.boot.started_ms == 400);
+}
+
+// Guards against work that is thrown away: the owner was paused, and a list
+// made before the pause counts as made when it is read.
+BOOST_AUTO_TEST_CASE(list_from_before_a_pause_shows_no_stuck_task) {
+  ReportIdleWorker("a");
+  scheduler.AddJob(MakeJob("j", 1), now);
+  Tick();
+  const worker_order order = TakeOrders("a").at(0);
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  report.call = {1, 1, 8'000};
+  report.runs.push_back({order.task, order.run, "", 10, 0});
+  report.listed_after = 7'900;
+  report.listed_before = 7'990;
+  report.runs_age = 10;
+  scheduler.OnReport(report, now);
+  PassTime(200);
+  now += 2'500;
+  report.call = {1, 2, 8'250};
+  report.listed_after = 8'000;
+  report.listed_before = 8'240;
+  scheduler.OnReport(report, now);
+  Tick();
+  BOOST_TEST(TakeOrders("a").empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -14,6 +14,14 @@
   return "run=" + std::to_string(run);
 }
 
+std::string ReportDetail(const worker_report& report) {
+  return "incarnation=" + std::to_string(report.call.incarnation) +
+         " number=" + std::to_string(report.call.number) +
+         " sent_at_ms=" + std::to_string(report.call.sent_at) +
+         " started_ms=" + std::to_string(report.worker.boot.started_ms) +
+         " runs_age_ms=" + std::to_string(report.runs_age);
+}
+
 }  // namespace
 
 void job_scheduler::ReserveResources(scheduled_worker& worker,
@@ -57,19 +65,15 @@
   scheduled_worker& worker = workers_[report.agent];
   worker.agent = report.agent;
   wanted_members_.insert(report.agent);
-  if (!OnAgentProcess(report.agent, report.incarnation, now)) {
-    Emit("report_of_former_process", report.worker.boot.id, report.agent,
-         "incarnation=" + std::to_string(report.incarnation));
-    return;
-  }
-  // Calls of an agent overlap, and one may overtake another. What ended and
-  // which orders have outcomes is known for good; the rest is of its time.
-  const bool is_overtaken =
-      report.number != 0 && report.number < worker.last_report;
-  worker.last_report = std::max(worker.last_report, report.number);
-  if (report.worker.boot.started_ms < worker.description.boot.started_ms ||
-      (is_overtaken && report.worker.boot != worker.description.boot)) {
-    Emit("report_of_former_boot", report.worker.boot.id, report.agent, "");
+  const call_order order = NoteCall(report.agent, report.call, now);
+  const bool is_other_boot = report.worker.boot != worker.description.boot;
+  const bool is_unordered = report.call.sent_at == 0;
+  if (order == call_order::kOfFormerProcess ||
+      (is_other_boot && order == call_order::kOvertaken) ||
+      (is_unordered &&
+       report.worker.boot.started_ms < worker.description.boot.started_ms)) {
+    Emit("report_outdated", report.worker.boot.id, report.agent,
+         ReportDetail(report));
     return;
   }
   for (const crashed_executor& crashed : report.crashes) {
@@ -83,7 +87,7 @@
          "remaining_ms=" + std::to_string(report.worker.remaining));
   }
   ForgetSilentRuns(worker);
-  if (!is_overtaken) {
+  if (order == call_order::kLatest) {
     worker.description = report.worker;
   }
   worker.granted_until = now + options_.grant;
@@ -95,11 +99,11 @@
   for (const start_result& result : report.starts) {
     ProcessStartResult(worker, result, now);
   }
-  if (is_overtaken) {
+  // What ended and which orders have outcomes is known for good; the rest of an
+  // overtaken report is of its time.
+  if (order == call_order::kOvertaken) {
     Emit("report_overtaken", report.worker.boot.id, report.agent,
-         "number=" + std::to_string(report.number) +
-             " last=" + std::to_string(worker.last_report) +
-             " runs_age_ms=" + std::to_string(report.runs_age));
+         ReportDetail(report));
     return;
   }
   if (report.has_runs || !report.runs.empty()) {
@@ -143,46 +147,72 @@
   return true;
 }
 
-bool job_scheduler::OnAgentProcess(const std::string& agent,
-                                   std::uint64_t incarnation,
+call_order job_scheduler::NoteCall(const std::string& agent,
+                                   const agent_call& call,
                                    millis now) {
   const auto found = workers_.find(agent);
   if (found == workers_.end()) {
-    return true;
+    return call_order::kLatest;
   }
   scheduled_worker& worker = found->second;
-  std::erase_if(worker.former_incarnations, [now](const auto& entry) {
-    return now - entry.second > kFormerProcessMemory;
-  });
-  if (worker.former_incarnations.count(incarnation) != 0) {
-    return false;
+  std::deque<std::uint64_t>& known = worker.known_incarnations;
+  const bool is_present_process = worker.incarnation == call.incarnation;
+  const bool is_known =
+      std::find(known.begin(), known.end(), call.incarnation) != known.end();
+  const bool is_earlier =
+      call.sent_at < worker.last_call_sent_at ||
+      (is_present_process && call.sent_at == worker.last_call_sent_at &&
+       call.number < worker.last_call);
+  if (is_earlier && is_known) {
+    return is_present_process ? call_order::kOvertaken
+                              : call_order::kOfFormerProcess;
+  }
+  const millis offset = now - call.sent_at;
+  worker.clock_offset = is_earlier || known.empty()
+                            ? offset
+                            : std::min(worker.clock_offset, offset);
+  worker.last_call = call.number;
+  worker.last_call_sent_at = call.sent_at;
+  if (!is_known) {
+    known.push_back(call.incarnation);
+    if (known.size() > kMaxKnownProcesses) {
+      known.pop_front();
+    }
   }
-  const std::uint64_t former = std::exchange(worker.incarnation, incarnation);
-  if (former == incarnation) {
-    return true;
+  const std::uint64_t former =
+      std::exchange(worker.incarnation, call.incarnation);
+  if (former != 0 && former != call.incarnation) {
+    OnProcessChanged(worker);
   }
-  worker.last_report = 0;
-  if (former == 0) {
-    return true;
+  if (is_earlier) {
+    ForEachRun(worker, [&](task_run& run) {
+      run.seen_at = call.sent_at + kClockRestartGrace;
+    });
   }
-  worker.former_incarnations[former] = now;
+  return call_order::kLatest;
+}
+
+void job_scheduler::OnProcessChanged(scheduled_worker& worker) {
   worker.has_forgotten_orders = true;
   for (auto& [number, order] : worker.orders) {
     order.was_tried = order.was_tried || order.kind == order_kind::kStart;
   }
+  ForEachRun(worker, [](task_run& run) { run.was_tried = true; });
+}
+
+void job_scheduler::ForEachRun(scheduled_worker& worker,
+                               const std::function<void(task_run&)>& change) {
   for (const task_name& key : worker.tasks) {
     scheduled_task* task = FindTask(key);
     if (task == nullptr) {
       continue;
     }
     for (task_run& run : task->runs) {
-      if (run.agent == agent) {
-        run.was_tried = true;
-        run.seen_at = 0;  // The process has asked for its lists since then.
+      if (run.agent == worker.agent) {
+        change(run);
       }
     }
   }
-  return true;
 }
 
 void job_scheduler::OnExecutorLeft(const std::string& agent,
@@ -226,7 +256,11 @@
 void job_scheduler::ProcessRunList(scheduled_worker& worker,
                                    const worker_report& report,
                                    millis now) {
-  worker.listed_at = now - report.runs_age;
+  // A report may have waited on its way, or while this process was paused.
+  const millis sent_at = report.call.sent_at == 0
+                             ? now
+                             : report.call.sent_at + worker.clock_offset;
+  worker.listed_at = sent_at - report.runs_age;
   std::set<task_name> listed;
   for (const run_status& status : report.runs) {
     listed.insert(status.task);
