Keep a connection whose check is answered later than a call may take

Cause: the question for the boot had the time of the order that waited for it.

An order that can't wait for it fails as not sent, and the connection is kept for the next one. order_reaches_an_executor_that_answers_late failed before.

--- a/src/include/chervilkeel/http_client.h
+++ b/src/include/chervilkeel/http_client.h
@@ -63,6 +63,7 @@
   // Has no effect on any server. Where it is refused, the call would be, too:
   // an answer other than 200 is that to the call.
   http_call question;
+  millis timeout = 0;  // Of the question, if it is longer than the call's.
   // Whether an answer of 200 is that of the named server.
   std::function<bool(const http_response& answer)> is_peer;
 };
--- a/src/libshell/http_client.cpp
+++ b/src/libshell/http_client.cpp
@@ -1,8 +1,11 @@
 #include "chervilkeel/http_client.h"
 
+#include <algorithm>
 #include <optional>
+#include <utility>
 
 #include <boost/asio/connect.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -171,10 +174,21 @@
 
   std::string PeerName() const { return check_ ? check_->peer : ""; }
 
-  // The call itself is not sent before the answer has come.
+  // The call itself is not sent before the answer has come. A peer that answers
+  // later than a call may take keeps the connection for the next one.
   void CheckPeer() {
+    patience_ = std::make_unique<asio::steady_timer>(
+        stream_->get_executor(), std::chrono::milliseconds(timeout_));
+    patience_->async_wait([self =
+                               shared_from_this()](beast::error_code failure) {
+      if (!failure) {
+        self->End(Fail(error_code::kUnavailable,
+                       self->pool_->peer_.ToString() + ": no answer in time"));
+      }
+    });
     question_ = MakeRequest(check_->question, pool_->peer_);
-    Exchange(question_, error_code::kUnavailable,
+    Exchange(question_, std::max(timeout_, check_->timeout),
+             error_code::kUnavailable,
              [self = shared_from_this()] { self->OnPeerAnswer(); });
   }
 
@@ -191,23 +205,27 @@
       End(Fail(
           error_code::kUnavailable,
           pool_->peer_.ToString() + ": the connection closes after a check"));
+    } else if (patience_->cancel() == 0) {
+      stream_->expires_never();
+      pool_->GiveIdle(PeerName(), std::move(stream_));
     } else {
       Send();
     }
   }
 
   void Send() {
-    Exchange(request_, error_code::kUnknown,
+    Exchange(request_, timeout_, error_code::kUnknown,
              [self = shared_from_this()] { self->Finish(); });
   }
 
   // Sends a request and reads its answer into `parser_`.
   void Exchange(const message& request,
+                millis timeout,
                 error_code on_failure,
                 std::function<void()> done) {
     parser_.emplace();
     parser_->body_limit(body_limit_);
-    stream_->expires_after(std::chrono::milliseconds(timeout_));
+    stream_->expires_after(std::chrono::milliseconds(timeout));
     http::async_write(
         *stream_, request,
         [self = shared_from_this(), on_failure, done = std::move(done)](
@@ -242,8 +260,12 @@
   }
 
   void End(result<http_response> outcome) {
-    http_callback callback = std::move(callback_);
-    callback(std::move(outcome));
+    if (patience_) {
+      patience_->cancel();
+    }
+    if (const http_callback callback = std::exchange(callback_, nullptr)) {
+      callback(std::move(outcome));
+    }
   }
 
   std::shared_ptr<http_pool> pool_;
@@ -253,6 +275,7 @@
   const std::uint64_t body_limit_;
   http_callback callback_;
   const std::shared_ptr<const http_peer_check> check_;
+  std::unique_ptr<asio::steady_timer> patience_;  // With the check of the peer.
   std::unique_ptr<beast::tcp_stream> stream_;
   beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::string_body>> parser_;
