Add no job again whose removal from the store is under way

Cause: an expired job leaves the owner's memory before its key leaves the store. An owner that lost its lease in between and was elected again reads the keys anew, and added the job without its progress: a completed job ran again (TWICE).

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -488,6 +488,8 @@
   void RestoreProgress(scheduled_job& job, const job_progress& progress);
   void OpenDueOccurrences(std::int64_t wall_ms, millis now);
   // Removes ended jobs whose retention has expired.
+  // Whether a job's retention has expired, though the store may still have it.
+  bool HasExpired(const std::string& id) const;
   void ExpireEndedJobs(std::int64_t wall_ms);
 
   // job_scheduler_workers.cpp: reports from workers.
@@ -781,6 +783,9 @@
   // late, no run counts as missing for so long.
   static constexpr millis kClockRestartGrace = 5'000;
 
+  // A list of stored jobs is not older than that when it is processed.
+  static constexpr millis kRemovedJobMemory = 30'000;
+
   // Processes of an agent that are remembered.
   static constexpr std::size_t kMaxKnownProcesses = 16;
 
@@ -868,7 +873,11 @@
   std::set<std::string> durable_members_;  // As stored last.
   std::set<std::string> wanted_members_;
   std::set<std::string> dirty_;  // Jobs whose progress has to be stored.
-  std::vector<std::string> expired_jobs_;
+  std::vector<std::string> expired_jobs_;  // To be removed from the store.
+  std::vector<std::string> committing_expired_jobs_;
+  // Jobs whose removal is stored, and since when. A list of stored jobs that
+  // was read before may still name them.
+  std::map<std::string, millis> removed_jobs_;
   std::set<std::string> agents_to_notify_;
   std::uint64_t commit_number_ = 0;
   // Number and contents of the commit in progress.
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -148,7 +148,7 @@
 }
 
 void job_scheduler::AddJob(const job_record& record, millis now) {
-  if (jobs_.count(record.id) != 0) {
+  if (jobs_.count(record.id) != 0 || HasExpired(record.id)) {
     return;
   }
   if (record.epoch > options_.epoch) {
@@ -408,6 +408,14 @@
   return false;
 }
 
+bool job_scheduler::HasExpired(const std::string& id) const {
+  const auto names_it = [&](const std::vector<std::string>& ids) {
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+  };
+  return names_it(expired_jobs_) || names_it(committing_expired_jobs_) ||
+         removed_jobs_.count(id) != 0;
+}
+
 void job_scheduler::ExpireEndedJobs(std::int64_t wall_ms) {
   for (auto job = jobs_.begin(); job != jobs_.end();) {
     if (job->second.end_is_durable && job->second.ended_ms > 0 &&
@@ -445,6 +453,7 @@
   }
   dirty_.clear();
   changes.expired_jobs = std::exchange(expired_jobs_, {});
+  committing_expired_jobs_ = changes.expired_jobs;
   if (durable_members_ != wanted_members_) {
     changes.members = wanted_members_;
     committing_members_ = wanted_members_;
@@ -473,6 +482,12 @@
   placement_requested_ =
       placement_requested_ || durable_members_ != committing_members_;
   durable_members_ = committing_members_;
+  std::erase_if(removed_jobs_, [this](const auto& entry) {
+    return last_tick_ - entry.second > kRemovedJobMemory;
+  });
+  for (const std::string& id : std::exchange(committing_expired_jobs_, {})) {
+    removed_jobs_[id] = last_tick_;
+  }
   for (const auto& [id, ended_ms] : committing_ended_jobs_) {
     const auto job = jobs_.find(id);
     if (job != jobs_.end()) {
@@ -501,6 +516,7 @@
   }
   expired_jobs_.insert(expired_jobs_.end(), changes.expired_jobs.begin(),
                        changes.expired_jobs.end());
+  committing_expired_jobs_.clear();
 }
 
 std::uint64_t job_scheduler::RecordedEnd(const std::string& agent) const {
--- a/src/libkernel/job_scheduler_orders_test.cpp
+++ b/src/libkernel/job_scheduler_orders_test.cpp
@@ -362,6 +362,57 @@
   BOOST_TEST(TakeOrders("a").empty());
 }
 
+// Guards against a job that runs again after it was completed (TWICE): its
+// removal from the store was pending when the owner lost the store for a
+// little, and the owner reads the list of jobs anew.
+BOOST_AUTO_TEST_CASE(expired_job_is_not_added_again_around_its_removal) {
+  ReportIdleWorker("a");
+  const job_record record = MakeJob("j", 1);
+  AddJob(record);
+  const worker_order order = TakeOrders("a").at(0);
+  ReportStart("a", order, start_outcome::kStarted);
+  ReportEnd("a", order, run_end::kDone);
+  Commit();
+  BOOST_REQUIRE(scheduler.StateOf("j") == job_state::kCompleted);
+  now += options.retention + 1'000;
+  ReportIdleWorker("a");
+  BOOST_REQUIRE(!scheduler.StateOf("j"));
+  const auto changes = scheduler.TakeChanges(kWallMs + now);
+  BOOST_REQUIRE(changes.has_value());
+  BOOST_REQUIRE_EQUAL(changes->expired_jobs.size(), 1U);
+  scheduler.CommitFailed(*changes);
+  scheduler.RaiseEpoch(2);
+  scheduler.AddJob(record, now);
+  BOOST_TEST(!scheduler.StateOf("j"));
+  Commit();
+  scheduler.AddJob(record, now);
+  ReportIdleWorker("a");
+  BOOST_TEST(TakeOrders("a").empty());
+}
+
+// Guards against starts beyond a worker's capacity or a step's limit (LIMIT,
+// ROUTE): the owner was paused, and a list made before the executor had the run
+// counts as made long after the order to stop it.
+BOOST_AUTO_TEST_CASE(stopped_run_keeps_its_room_after_a_pause_of_the_owner) {
+  ReportIdleWorker("a");
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  report.call = {1, 1, 7'700};
+  scheduler.OnReport(report, now);
+  AddJob(MakeWholeWorkerJob("cancelled"));
+  BOOST_REQUIRE_EQUAL(TakeOrders("a").size(), 1);
+  scheduler.CancelJob("cancelled");
+  BOOST_REQUIRE_EQUAL(TakeOrders("a").size(), 1);
+  BOOST_REQUIRE(TakeOrders("a").empty());  // Acknowledges the order.
+  now += 2'000;
+  report.call = {1, 2, 7'920};
+  report.runs_age = 10;
+  report.listed_after = 7'900;
+  report.listed_before = 7'910;
+  scheduler.OnReport(report, now);
+  BOOST_TEST(scheduler.Workers().at("a").tasks.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
