Do not try a start again after its run was ordered to stop

Callers saw: a run began after its task had ended elsewhere, or its job was cancelled, and was stopped at once (TWICE, UNASKED).

Cause: the agent carried out an order to stop beside the open start, and went on trying that start for up to 1.5 s. A start and its stop in one reply were both sent. A stop for a start that was being taken back made the agent forget to tell the outcome.

Change: a stop takes the open start back, and no further try is sent; a start whose stop came with it is not sent at all. When the executor has taken the stop and a later list lacks the run, the start is told as refused: the run leaves the owner's books, and the executor is not blamed. An answer to the try that comes after the stop is not told.

Evidence, before the change: start_that_is_stopped_is_not_tried_again, 3 starts for 1; start_that_is_stopped_by_the_same_reply_is_not_tried, 1 for 0; late_answer_to_a_start_that_is_stopped_is_not_told, told as started while 5 lists still showed the run; withdrawn_start_is_told_though_its_run_is_stopped, no outcome within 5 s. stopped_start_that_is_refused_frees_its_worker passed before: it holds what the agent relies on.

--- a/src/chervilkeeld/job_agent_fixture.h
+++ b/src/chervilkeeld/job_agent_fixture.h
@@ -37,7 +37,11 @@
   std::map<std::uint32_t, executor_verdict> start_verdicts;
   bool refuses_connections = false;  // Starts do not reach the executor.
   int unsent_starts = 0;
-  int starts = 0;  // Calls that the executor has read.
+  millis start_delay = 0;    // Of starts that are not answered.
+  bool holds_start = false;  // The next one is answered by the test.
+  std::function<void()> answer_start;
+  int unanswered_stops = 0;  // Before the first that is accepted.
+  int starts = 0;            // Calls that the executor has read.
   int stops = 0;
   int announcements = 0;  // Read by the agent.
   // Changes what the next announcements say.
@@ -64,7 +68,7 @@
     if (verdict == script_.start_verdicts.end()) {
       run_.task = order.task;
       run_.run = order.run;
-      callback(Fail(error_code::kUnknown, "no answer"));
+      GiveNoAnswer(std::move(callback));
       return;
     }
     if (verdict->second == executor_verdict::kAccepted) {
@@ -73,6 +77,12 @@
     }
     executor_answer answer;
     answer.verdict = verdict->second;
+    if (std::exchange(script_.holds_start, false)) {
+      script_.answer_start = [callback = std::move(callback), answer] {
+        callback(answer);
+      };
+      return;
+    }
     boost::asio::post(context_, [callback = std::move(callback), answer] {
       callback(answer);
     });
@@ -82,6 +92,11 @@
             std::uint64_t /*run*/,
             executor_callback<executor_answer> callback) override {
     ++script_.stops;
+    if (script_.unanswered_stops > 0) {
+      --script_.unanswered_stops;
+      callback(Fail(error_code::kUnknown, "no answer"));
+      return;
+    }
     stopped_ = true;
     callback(executor_answer());
   }
@@ -127,6 +142,19 @@
   }
 
  private:
+  void GiveNoAnswer(executor_callback<executor_answer> callback) {
+    if (script_.start_delay == 0) {
+      callback(Fail(error_code::kUnknown, "no answer"));
+      return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(context_);
+    timer->expires_after(std::chrono::milliseconds(script_.start_delay));
+    timer->async_wait([timer, callback = std::move(callback)](
+                          boost::system::error_code /*failure*/) {
+      callback(Fail(error_code::kUnknown, "no answer"));
+    });
+  }
+
   executor_script& script_;
   boost::asio::io_context& context_;
   run_status run_;
@@ -216,6 +244,15 @@
       order.run = 8;
       *reply->add_orders() = ToWire(2, order);
     }
+    if ((stops_task && request->acked_order() <= 1) ||
+        (stops_task_at_once && starts_now && request->acked_order() == 0)) {
+      worker_order order;
+      order.kind = order_kind::kStop;
+      order.boot = {"executor", 5};
+      order.task = {"job", 0, 0, 0};
+      order.run = 7;
+      *reply->add_orders() = ToWire(2, order);
+    }
     auto* reactor = context->DefaultReactor();
     {
       const std::lock_guard<std::mutex> lock(held_mutex_);
@@ -290,6 +327,8 @@
   std::atomic<bool> starts_task_early = false;  // Before the first report.
   std::atomic<bool> says_tried = false;         // Of the first task.
   std::atomic<bool> repeats_start = false;      // Of the first task.
+  std::atomic<bool> stops_task = false;  // The first, once it is started.
+  std::atomic<bool> stops_task_at_once = false;  // In the reply that starts it.
   std::atomic<std::uint64_t> epoch = 1;
   std::atomic<std::uint64_t> acknowledged_end = 0;
 
@@ -390,6 +429,13 @@
     }
   }
 
+  void RunFor(millis duration) {
+    const millis until = BootNow() + duration;
+    while (BootNow() < until) {
+      context.run_one_for(std::chrono::milliseconds(50));
+    }
+  }
+
   // Gives up after some time.
   template <class condition_type>
   void RunForUntil(condition_type condition) {
--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -39,7 +39,7 @@
 
 }  // namespace
 
-void job_agent_process::Carry(worker_order order) {
+void job_agent_process::Carry(worker_order order, bool is_stopped) {
   const run_name name{order.task, order.run};
   if (order.boot != worker_.boot) {
     LogEvent(kPart, "order_for_other_boot",
@@ -53,12 +53,11 @@
                  {{"id", order.task.ToString()}, {"run", order.run}});
         return;
       }
-      open_starts_[name] = {std::move(order), 0, false, BootNow()};
+      open_starts_[name] = {std::move(order), 0, false, is_stopped, BootNow()};
       SendStart(name);
       break;
     case order_kind::kStop:
-      open_stops_[name] = {std::move(order), 0, false, BootNow()};
-      SendStop(name);
+      CarryStop(std::move(order));
       break;
     case order_kind::kPace:
       SendPace(order);
@@ -66,6 +65,28 @@
   }
 }
 
+void job_agent_process::CarryStop(worker_order order) {
+  const run_name name{order.task, order.run};
+  const auto start = open_starts_.find(name);
+  const bool is_start_open = start != open_starts_.end();
+  if (is_start_open && !start->second.withdrawing) {
+    LogEvent(kPart, "start_stopped",
+             {{"id", name.first.ToString()},
+              {"run", name.second},
+              {"tries", start->second.tries},
+              {"waited_ms", BootNow() - start->second.since}});
+    start->second.withdrawing = true;
+    start->second.is_stopped = true;
+  }
+  const auto [open, is_new] = open_stops_.try_emplace(name);
+  open->second.withdrawing = is_start_open;
+  if (is_new) {
+    open->second.order = std::move(order);
+    open->second.since = BootNow();
+    SendStop(name);
+  }
+}
+
 bool job_agent_process::WasStartOrdered(const run_name& name) const {
   return open_starts_.count(name) != 0 || withdrawn_.count(name) != 0 ||
          settled_.count(name) != 0 ||
@@ -96,7 +117,8 @@
 
 void job_agent_process::SendStart(const run_name& name) {
   const auto open = open_starts_.find(name);
-  if (open == open_starts_.end() || leaving_) {
+  if (open == open_starts_.end() || open->second.withdrawing ||
+      open->second.is_stopped || leaving_) {
     return;
   }
   if (open->second.tries == 0 &&
@@ -170,12 +192,19 @@
     if (outcome == start_outcome::kStarted) {
       history_.OnStarted(name.first, name.second);
     }
+    // A stop has overtaken the try: lists tell when the run is gone.
+    if (open->second.withdrawing) {
+      return;
+    }
     if (certain) {
       open_starts_.erase(open);
       Report(name, outcome);
       return;
     }
   }
+  if (open->second.withdrawing) {
+    return;
+  }
   // An earlier try may still be carried out. Repeating the same run is safe;
   // to let the task run elsewhere, the run has to be stopped here first.
   if (open->second.tries < kStartTries && !answer) {
@@ -193,7 +222,7 @@
             {"tries", open->second.tries},
             {"waited_ms", BootNow() - open->second.since}});
   open->second.withdrawing = true;
-  open_stops_[name] = {open->second.order, 0, true, BootNow()};
+  open_stops_[name] = {open->second.order, 0, true, false, BootNow()};
   SendStop(name);
 }
 
@@ -231,9 +260,12 @@
              {{"id", name.first.ToString()}, {"run", name.second}});
     return;
   }
-  open_starts_.erase(name);
+  const auto start = open_starts_.find(name);
   // A stop takes its time: a run that was there works on for a little.
-  withdrawn_[name] = BootNow();
+  withdrawn_[name] = {BootNow(), start->second.is_stopped
+                                     ? start_outcome::kRefused
+                                     : start_outcome::kWithdrawn};
+  open_starts_.erase(start);
   if (!holding_) {
     HoldAfter(0);
   }
@@ -256,14 +288,15 @@
     Report(name, start_outcome::kStarted);
   }
   for (auto entry = withdrawn_.begin(); entry != withdrawn_.end();) {
-    if (!runs_complete_ || asked <= entry->second ||
+    if (!runs_complete_ || asked <= entry->second.stopped_at ||
         running.count(entry->first) != 0) {
       ++entry;
       continue;
     }
     const run_name name = entry->first;
+    const start_outcome outcome = entry->second.outcome;
     entry = withdrawn_.erase(entry);
-    Report(name, start_outcome::kWithdrawn);
+    Report(name, outcome);
   }
 }
 
--- a/src/chervilkeeld/job_agent_orders_test.cpp
+++ b/src/chervilkeeld/job_agent_orders_test.cpp
@@ -146,6 +146,73 @@
   BOOST_TEST(outcome.has_value());
 }
 
+// Guards against a start long after it was given up (TWICE, UNASKED): its tries
+// went on beside the order to stop the run.
+BOOST_AUTO_TEST_CASE(start_that_is_stopped_is_not_tried_again) {
+  script.listings = 1'000'000;
+  script.lists_start = false;
+  owner->starts_task = true;
+  Announce();
+  RunUntil([this] { return script.starts > 0; });
+  owner->stops_task = true;
+  RunForUntil([this] { return script.stops > 0; });
+  RunFor(500);
+  BOOST_TEST(script.starts == 1);
+  RunForUntil([this] { return outcome.has_value(); });
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kRefused));
+}
+
+// Guards against a start that is not wanted any more (UNASKED): the order to
+// stop the run came with it.
+BOOST_AUTO_TEST_CASE(start_that_is_stopped_by_the_same_reply_is_not_tried) {
+  script.listings = 1'000'000;
+  script.lists_start = false;
+  script.start_verdicts[0] = executor_verdict::kAccepted;
+  owner->starts_task = true;
+  owner->stops_task_at_once = true;
+  Announce();
+  RunForUntil([this] { return outcome.has_value(); });
+  BOOST_TEST(script.starts == 0);
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kRefused));
+}
+
+// Guards against a run that its owner takes for started after it was stopped:
+// the try was answered after the stop.
+BOOST_AUTO_TEST_CASE(late_answer_to_a_start_that_is_stopped_is_not_told) {
+  script.listings = 1'000'000;
+  script.lists_start = false;
+  script.lists_after_stop = 5;
+  script.start_verdicts[0] = executor_verdict::kAccepted;
+  script.holds_start = true;
+  owner->starts_task = true;
+  Announce();
+  RunUntil([this] { return script.answer_start != nullptr; });
+  owner->stops_task = true;
+  RunForUntil([this] { return script.stops > 0; });
+  script.answer_start();
+  RunForUntil([this] { return outcome.has_value(); });
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kRefused));
+  BOOST_TEST(lists_left_at_outcome <= 0);
+}
+
+// Guards against an outcome that is never told: the owner stopped a run whose
+// start was being taken back.
+BOOST_AUTO_TEST_CASE(withdrawn_start_is_told_though_its_run_is_stopped) {
+  script.listings = 1'000'000;
+  script.lists_start = false;
+  script.unanswered_stops = 3;
+  owner->starts_task = true;
+  Announce();
+  RunForUntil([this] { return script.stops > 0; });
+  owner->stops_task = true;
+  RunForUntil([this] { return outcome.has_value(); });
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kWithdrawn));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -1,6 +1,7 @@
 #include "job_agent_process.h"
 
 #include <algorithm>
+#include <set>
 
 #include <boost/json.hpp>
 
@@ -584,18 +585,27 @@
   if (worker_.boot.id.empty()) {
     return;
   }
+  std::vector<worker_order> orders;
+  std::set<run_name> stopped;
   for (const wire::order& entry : reply.orders()) {
     if (entry.number() <= acked_order_) {
       continue;
     }
     acked_order_ = entry.number();
     auto order = FromWire(entry);
-    if (order) {
-      Carry(std::move(order.value()));
-    } else {
+    if (!order) {
       LogEvent(kPart, "order_unreadable", {{"error", ToString(order.error())}},
                true);
+      continue;
     }
+    if (order.value().kind == order_kind::kStop) {
+      stopped.emplace(order.value().task, order.value().run);
+    }
+    orders.push_back(std::move(order.value()));
+  }
+  for (worker_order& order : orders) {
+    const bool is_stopped = stopped.count({order.task, order.run}) != 0;
+    Carry(std::move(order), is_stopped);
   }
 }
 
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -49,9 +49,16 @@
     worker_order order;
     int tries = 0;
     bool withdrawing = false;  // A start that is being taken back.
+    bool is_stopped = false;   // A start that the owner has stopped.
     millis since = 0;
   };
 
+  // A start that was taken back.
+  struct withdrawn_start {
+    millis stopped_at = 0;  // The executor accepted the stop.
+    start_outcome outcome = start_outcome::kWithdrawn;  // Once it is gone.
+  };
+
   // A result of a start that the owner has not acknowledged. Results are
   // numbered, as calls that carry them overlap.
   struct untold_start {
@@ -106,7 +113,11 @@
   void AdoptEpoch(std::uint64_t epoch);
 
   // Orders.
-  void Carry(worker_order order);
+  // `is_stopped` if the same reply orders its stop.
+  void Carry(worker_order order, bool is_stopped);
+  // Stops a run. A start of it that has no outcome is not tried any more, and
+  // is told as refused when the run is gone.
+  void CarryStop(worker_order order);
   void SendStart(const run_name& name);
   // Stops a run whose start may still be carried out, and tells it as withdrawn
   // when it is gone.
@@ -180,9 +191,8 @@
   std::uint64_t last_start_ = 0;  // Highest number of a result.
   std::map<run_name, open_order> open_starts_;
   std::map<run_name, open_order> open_stops_;
-  // Starts that were taken back, and when the executor accepted the stop. The
-  // run may work on until a later list shows it no more.
-  std::map<run_name, millis> withdrawn_;
+  // The runs of these starts may work on until a later list shows them no more.
+  std::map<run_name, withdrawn_start> withdrawn_;
   // Starts with an outcome, and when it was known.
   std::map<run_name, millis> settled_;
   std::uint64_t incarnation_ = 0;
--- a/src/libkernel/job_scheduler_orders_test.cpp
+++ b/src/libkernel/job_scheduler_orders_test.cpp
@@ -58,6 +58,21 @@
              }) == 1);
 }
 
+// An agent that has stopped a start before it was answered tells it as refused
+// when the run is gone. The worker is free at once, and counts as healthy.
+BOOST_AUTO_TEST_CASE(stopped_start_that_is_refused_frees_its_worker) {
+  ReportIdleWorker("a");
+  AddJob(MakeWholeWorkerJob("cancelled"));
+  const worker_order start = TakeOrders("a").at(0);
+  scheduler.CancelJob("cancelled");
+  BOOST_REQUIRE_EQUAL(TakeOrders("a").size(), 1);
+  AddJob(MakeWholeWorkerJob("next"));
+  BOOST_TEST(TakeOrders("a").empty());
+  ReportStart("a", start, start_outcome::kRefused);
+  BOOST_TEST(TakeOrders("a").size() == 1);
+  BOOST_TEST(!scheduler.Workers().at("a").health.IsSuspect());
+}
+
 // The agent hears of the raised epoch while the executor's answer to a start is
 // under way, and forgets its orders of the former epoch.
 BOOST_AUTO_TEST_CASE(open_start_is_ordered_again_under_a_raised_epoch) {
