Try a start only while the owner is heard, and under its first grant

Callers saw: a run that began 1.1 s after the end of its task had been recorded (TWICE).

Cause: nothing bounded the age of an order. One that lay at an owner, on its way, or at an agent that was paused was carried out when it came, and its tries went on while the owner could not be heard, which may have stored the task's end meanwhile. After a silence, a try could also follow under a new grant, when the owner had given the worker up and started the task elsewhere.

Change: a try is sent only if a call that the owner has answered was sent less than 0.7 s ago; otherwise the agent asks at once and goes on when it is answered. No try is sent after the grant under which the start was ordered: until then the owner holds the run in its books. What was never sent is refused then, the rest taken back.

Evidence, before the change: start_is_tried_again_only_when_the_owner_is_heard, 2 starts for 1; start_in_a_late_reply_waits_until_the_owner_is_heard, 1 for 0; start_is_not_tried_after_the_grant_it_was_ordered_under, 3 for 1.

--- a/src/chervilkeeld/job_agent_fixture.h
+++ b/src/chervilkeeld/job_agent_fixture.h
@@ -256,7 +256,7 @@
     auto* reactor = context->DefaultReactor();
     {
       const std::lock_guard<std::mutex> lock(held_mutex_);
-      if (holds && holds(*request)) {
+      if ((is_silent && request->obeys()) || (holds && holds(*request))) {
         held_.push_back({*request, reply, reactor});
         return reactor;
       }
@@ -299,7 +299,14 @@
   void Answer(std::size_t index) {
     const held_sync held = Held(index);
     boost::asio::post(context_, [this, sync = held.sync] { heard_(sync); });
-    held.reactor->Finish(grpc::Status::OK);
+    Finish(index, grpc::Status::OK);
+  }
+
+  // Answers the calls that are still held.
+  void AnswerAll() {
+    for (std::size_t index = 0; index < HeldCalls(); ++index) {
+      Finish(index, grpc::Status::OK);
+    }
   }
 
   // Answers with an order to start a second task.
@@ -314,14 +321,15 @@
 
   // The call is lost on its way.
   void Break(std::size_t index) {
-    Held(index).reactor->Finish(
-        grpc::Status(grpc::StatusCode::UNAVAILABLE, "connection reset"));
+    Finish(index,
+           grpc::Status(grpc::StatusCode::UNAVAILABLE, "connection reset"));
   }
 
   std::atomic<bool> holds_one_reply = false;
   std::atomic<wire::agent_orders*> held_reply = nullptr;
   std::atomic<grpc::ServerUnaryReactor*> held_reactor = nullptr;
 
+  std::atomic<bool> is_silent = false;  // Holds the calls that report runs.
   std::atomic<bool> starts_task = false;
   std::atomic<bool> starts_second_task = false;
   std::atomic<bool> starts_task_early = false;  // Before the first report.
@@ -337,6 +345,7 @@
     wire::agent_sync sync;
     wire::agent_orders* reply = nullptr;
     grpc::ServerUnaryReactor* reactor = nullptr;
+    bool is_finished = false;
   };
 
   held_sync Held(std::size_t index) {
@@ -344,6 +353,14 @@
     return held_.at(index);
   }
 
+  void Finish(std::size_t index, const grpc::Status& status) {
+    const std::lock_guard<std::mutex> lock(held_mutex_);
+    held_sync& held = held_.at(index);
+    if (!std::exchange(held.is_finished, true)) {
+      held.reactor->Finish(status);
+    }
+  }
+
   boost::asio::io_context& context_;
   heard_function heard_;
   std::mutex held_mutex_;
@@ -404,7 +421,11 @@
                   std::make_unique<one_executor_adapter>(script));
   }
 
-  ~agent_fixture() { server->Shutdown(); }
+  ~agent_fixture() {
+    owner->is_silent = false;
+    owner->AnswerAll();
+    server->Shutdown();
+  }
 
   void Announce() {
     BOOST_REQUIRE(agent->Start());
--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -15,7 +15,11 @@
 constexpr millis kOrderRetry = 100;
 constexpr int kStartTries = 3;            // Before the start is taken back.
 constexpr millis kSettledMemory = 5'000;  // Above the time of a reply's way.
-constexpr millis kLeastLease = 300;       // A start under less is not worth it.
+// An owner that has stored an end, or a cancellation, must not see the task
+// start later than 1 s after. Its answers to calls that wait come within some
+// 0.3 s, or 0.7 s with more than 150 agents.
+constexpr millis kMaxOwnerSilence = 700;
+constexpr millis kLeastLease = 300;  // A start under less is not worth it.
 
 start_outcome OutcomeOf(executor_verdict verdict) {
   switch (verdict) {
@@ -53,7 +57,9 @@
                  {{"id", order.task.ToString()}, {"run", order.run}});
         return;
       }
-      open_starts_[name] = {std::move(order), 0, false, is_stopped, BootNow()};
+      open_starts_[name] = {std::move(order), 0,     false,
+                            is_stopped,       false, BootNow(),
+                            granted_until_};
       SendStart(name);
       break;
     case order_kind::kStop:
@@ -121,17 +127,16 @@
       open->second.is_stopped || leaving_) {
     return;
   }
-  if (open->second.tries == 0 &&
-      (!clock_known_ || granted_until_ - BootNow() < kLeastLease ||
-       worker_.draining)) {
-    if (open->second.order.was_tried) {
-      TakeBack(name);
-      return;
-    }
-    open_starts_.erase(open);
-    Report(name, start_outcome::kRefused);
+  if (open->second.granted_until - BootNow() < kLeastLease ||
+      (open->second.tries == 0 && (!clock_known_ || worker_.draining))) {
+    GiveUpStart(name);
+    return;
+  }
+  if (!IsOwnerHeard()) {
+    AwaitOwner(name);
     return;
   }
+  open->second.awaits_owner = false;
   ++open->second.tries;
   LogEvent(kPart, "start_sent",
            {{"id", name.first.ToString()},
@@ -141,6 +146,7 @@
             {"started_ms", worker_.boot.started_ms},
             {"epoch", epoch_},
             {"order_age_ms", BootNow() - open->second.since},
+            {"owner_heard_ms", BootNow() - owner_heard_},
             {"lease_ms", granted_until_ - BootNow()}});
   history_.OnStartSent(name.first, name.second, BootNow());
   executor_->Start(
@@ -152,6 +158,54 @@
       });
 }
 
+bool job_agent_process::IsOwnerHeard() const {
+  return BootNow() - owner_heard_ <= kMaxOwnerSilence;
+}
+
+void job_agent_process::AwaitOwner(const run_name& name) {
+  open_order& open = open_starts_.at(name);
+  if (!std::exchange(open.awaits_owner, true)) {
+    LogEvent(kPart, "start_awaits_owner",
+             {{"id", name.first.ToString()},
+              {"run", name.second},
+              {"tries", open.tries},
+              {"order_age_ms", BootNow() - open.since},
+              {"owner_heard_ms", BootNow() - owner_heard_}});
+  }
+  Sync(false);
+  Later(kOrderRetry, [this, name] {
+    const auto waiting = open_starts_.find(name);
+    if (waiting != open_starts_.end() && waiting->second.awaits_owner) {
+      SendStart(name);
+    }
+  });
+}
+
+void job_agent_process::ResumeStarts() {
+  if (!IsOwnerHeard()) {
+    return;
+  }
+  std::vector<run_name> waiting;
+  for (const auto& [name, open] : open_starts_) {
+    if (open.awaits_owner) {
+      waiting.push_back(name);
+    }
+  }
+  for (const run_name& name : waiting) {
+    SendStart(name);
+  }
+}
+
+void job_agent_process::GiveUpStart(const run_name& name) {
+  const auto open = open_starts_.find(name);
+  if (open->second.tries > 0 || open->second.order.was_tried) {
+    TakeBack(name);
+    return;
+  }
+  open_starts_.erase(open);
+  Report(name, start_outcome::kRefused);
+}
+
 // Another boot says nothing about the runs of the one that was called.
 void job_agent_process::NoteStartAnswer(const run_name& name,
                                         const result<executor_answer>& answer) {
@@ -222,7 +276,7 @@
             {"tries", open->second.tries},
             {"waited_ms", BootNow() - open->second.since}});
   open->second.withdrawing = true;
-  open_stops_[name] = {open->second.order, 0, true, false, BootNow()};
+  open_stops_[name] = {open->second.order, 0, true, false, false, BootNow(), 0};
   SendStop(name);
 }
 
--- a/src/chervilkeeld/job_agent_orders_test.cpp
+++ b/src/chervilkeeld/job_agent_orders_test.cpp
@@ -213,6 +213,62 @@
   BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kWithdrawn));
 }
 
+// Guards against a start by an agent that can't know that its task has ended or
+// its job is cancelled (TWICE, UNASKED): the owner has stopped the run, and is
+// not heard.
+BOOST_AUTO_TEST_CASE(start_is_tried_again_only_when_the_owner_is_heard) {
+  script.listings = 1'000'000;
+  script.lists_start = false;
+  script.start_delay = 900;
+  owner->starts_task = true;
+  Announce();
+  RunForUntil([this] { return script.starts > 0; });
+  owner->is_silent = true;
+  RunFor(1'300);
+  BOOST_TEST(script.starts == 1);
+  owner->is_silent = false;
+  owner->AnswerAll();
+  RunForUntil([this] { return script.starts > 1; });
+  BOOST_TEST(script.starts == 2);
+}
+
+// Guards against a start that lay at an owner, or on its way, while its task
+// ended elsewhere (TWICE).
+BOOST_AUTO_TEST_CASE(start_in_a_late_reply_waits_until_the_owner_is_heard) {
+  script.listings = 1'000'000;
+  script.start_verdicts[0] = executor_verdict::kAccepted;
+  owner->is_silent = true;
+  owner->starts_task = true;
+  Announce();
+  RunForUntil([this] { return owner->HeldCalls() > 0; });
+  RunFor(800);
+  owner->Answer(0);
+  RunFor(200);
+  BOOST_TEST(script.starts == 0);
+  owner->is_silent = false;
+  owner->AnswerAll();
+  RunForUntil([this] { return outcome.has_value(); });
+  BOOST_TEST(script.starts == 1);
+}
+
+// Guards against a run that its owner has given up with its silent agent, and
+// started elsewhere (TWICE).
+BOOST_AUTO_TEST_CASE(start_is_not_tried_after_the_grant_it_was_ordered_under) {
+  script.listings = 1'000'000;
+  script.lists_start = false;
+  script.start_delay = 900;
+  owner->starts_task = true;
+  Announce();
+  RunForUntil([this] { return script.starts > 0; });
+  owner->is_silent = true;
+  RunFor(2'800);
+  owner->is_silent = false;
+  RunForUntil([this] { return outcome.has_value(); });
+  BOOST_TEST(script.starts == 1);
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kWithdrawn));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -498,6 +498,7 @@
       pause = kSyncRetry;
     } else if (orders.epoch() == epoch_) {
       NoteOwner(true, address, "");
+      owner_heard_ = std::max(owner_heard_, asked);
       told_crashes_ = std::max(told_crashes_, crashes);
       std::erase_if(starts_, [last_start](const untold_start& started) {
         return started.number <= last_start;
@@ -514,6 +515,7 @@
       locator_.Learn(address,
                      {orders.entries().begin(), orders.entries().end()});
       TakeOrders(orders, boot, asked);
+      ResumeStarts();
     } else {
       pause = kSyncRetry;
     }
@@ -553,6 +555,7 @@
   runs_told_ = 0;
   told_end_ = 0;
   told_crashes_ = 0;
+  owner_heard_ = 0;
   starts_.clear();
   open_starts_.clear();
   open_stops_.clear();
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -48,9 +48,13 @@
   struct open_order {
     worker_order order;
     int tries = 0;
-    bool withdrawing = false;  // A start that is being taken back.
-    bool is_stopped = false;   // A start that the owner has stopped.
+    bool withdrawing = false;   // A start that is being taken back.
+    bool is_stopped = false;    // A start that the owner has stopped.
+    bool awaits_owner = false;  // A start, until the owner is heard again.
     millis since = 0;
+    // Of a start: the end of the grant under which it was ordered. The owner
+    // holds the run in its books until then, but maybe not under a later grant.
+    millis granted_until = 0;
   };
 
   // A start that was taken back.
@@ -118,6 +122,14 @@
   // Stops a run. A start of it that has no outcome is not tried any more, and
   // is told as refused when the run is gone.
   void CarryStop(worker_order order);
+  // A start is tried only while the owner has been heard lately: it may have
+  // stored the task's end, or a cancellation, that it couldn't tell yet.
+  bool IsOwnerHeard() const;
+  void AwaitOwner(const run_name& name);
+  // Goes on with the starts that wait for the owner.
+  void ResumeStarts();
+  // Ends a start that is not tried any more.
+  void GiveUpStart(const run_name& name);
   void SendStart(const run_name& name);
   // Stops a run whose start may still be carried out, and tells it as withdrawn
   // when it is gone.
@@ -161,6 +173,7 @@
   std::uint64_t epoch_ = 0;
   std::uint64_t obeyed_epoch_ = 0;  // The executor obeys it.
   millis granted_until_ = 0;
+  millis owner_heard_ = 0;   // When a call that it has answered was sent.
   millis clock_offset_ = 0;  // The executor's clock less this VM's.
   bool clock_known_ = false;
   bool holding_ = false;
