Try starts as long as the answer of an owner may take

An owner that needs 0.7 to 1 s for an answer, as a saturated one does, would have had no start tried at all. The bound of 0.9 s is that of the rule less the time of a try; answers that take longer are timed out already.

--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -16,9 +16,9 @@
 constexpr int kStartTries = 3;            // Before the start is taken back.
 constexpr millis kSettledMemory = 5'000;  // Above the time of a reply's way.
 // An owner that has stored an end, or a cancellation, must not see the task
-// start later than 1 s after. Its answers to calls that wait come within some
-// 0.3 s, or 0.7 s with more than 150 agents.
-constexpr millis kMaxOwnerSilence = 700;
+// start later than 1 s after. A call that the owner has answered without a stop
+// was sent before that, and calls time out after kSyncTimeout.
+constexpr millis kMaxOwnerSilence = 900;
 constexpr millis kLeastLease = 300;  // A start under less is not worth it.
 
 start_outcome OutcomeOf(executor_verdict verdict) {
