Tell the owner of a leave until a call that told it is answered

Callers would see: the tasks of an executor that has left wait some 3 s longer than needed, until its grant has lapsed.

Cause: the reply to any call made the agent forget the leave, also to one that was sent before it.

Change: only the reply to a call that told it does.

Evidence, before the change: leave_is_told_after_a_reply_to_an_earlier_call, not told within 5 s.

--- a/src/chervilkeeld/job_agent_fixture.h
+++ b/src/chervilkeeld/job_agent_fixture.h
@@ -44,6 +44,7 @@
   int starts = 0;            // Calls that the executor has read.
   int stops = 0;
   int announcements = 0;  // Read by the agent.
+  bool is_down = false;   // Connections are refused.
   // Changes what the next announcements say.
   std::function<void(announcement&)> distort;
 };
@@ -112,6 +113,12 @@
                    executor_callback<executor_run_list> callback) override {
     script_.highest_recorded = std::max(script_.highest_recorded, recorded_end);
     ++script_.lists;
+    if (script_.is_down) {
+      boost::asio::post(context_, [callback = std::move(callback)] {
+        callback(Fail(error_code::kUnavailable, "connection refused"));
+      });
+      return;
+    }
     if (context.boot.id != "executor") {
       executor_run_list refused;
       refused.verdict = executor_verdict::kOtherBoot;
@@ -382,6 +389,7 @@
   int complete_lists = 0;
   int lists_left_at_outcome = 0;
   std::set<std::uint64_t> told_runs;  // Whose outcome has been told.
+  std::optional<executor_boot> gone;  // Told as having left.
   // What calls have told of crashes, by the epoch of the call.
   std::map<std::uint64_t, std::vector<crashed_executor>> crashes;
 
@@ -390,6 +398,9 @@
       ++calls;
       obeying += sync.obeys() ? 1 : 0;
       not_obeying += !sync.obeys() && obeying > 0 ? 1 : 0;
+      if (sync.has_gone()) {
+        gone = FromWire(sync.gone());
+      }
       const worker_report report = FromWire(sync);
       if (sync.obeys()) {
         last_report = report;
@@ -432,6 +443,12 @@
     AnnounceBoot();
   }
 
+  void AnnounceLeave() {
+    script.distort = [](announcement& said) { said.leaving = true; };
+    AnnounceBoot();
+    script.distort = nullptr;
+  }
+
   void AnnounceBoot(unsigned expected_status = 200) {
     http_request announced;
     announced.body = kAnnouncementBody;
--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -456,8 +456,12 @@
   CallOwnerService<wire::agent_sync, wire::agent_orders>(
       context_, peers_, address, kSyncMethod, std::move(sync), kSyncTimeout,
       [this, address, now, last_start, crashes, wait, epoch = epoch_,
-       boot = worker_.boot](const result<wire::agent_orders>& reply) {
+       boot = worker_.boot,
+       gone = gone_](const result<wire::agent_orders>& reply) {
         (wait ? syncing_ : news_open_) = false;
+        if (reply && reply.value().is_owner() && gone == gone_) {
+          gone_ = executor_boot();
+        }
         // An owner of another epoch has left the report aside.
         const bool was_read = reply && reply.value().epoch() == epoch;
         OnReply(reply, address, boot, now, was_read ? last_start : 0,
@@ -509,9 +513,6 @@
       if (orders.wants_runs()) {
         runs_told_ = 0;
       }
-      if (!gone_.id.empty()) {
-        gone_ = executor_boot();
-      }
       locator_.Learn(address,
                      {orders.entries().begin(), orders.entries().end()});
       TakeOrders(orders, boot, asked);
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -281,6 +281,30 @@
   }
 }
 
+// Guards against tasks that wait for an executor that is gone: its leave was
+// forgotten at a reply to a call that had not told it.
+BOOST_AUTO_TEST_CASE(leave_is_told_after_a_reply_to_an_earlier_call) {
+  script.listings = 1'000'000;
+  Announce();
+  RunForUntil([this] { return obeying > 0; });
+  RunFor(100);
+  owner->is_silent = true;
+  script.distort = [](announcement& said) {
+    said.sequence = 2;
+    said.worker.draining = true;
+  };
+  AnnounceBoot();
+  RunForUntil([this] { return owner->HeldCalls() == 2; });
+  AnnounceLeave();
+  script.is_down = true;
+  RunFor(300);
+  owner->is_silent = false;
+  owner->AnswerAll();
+  RunForUntil([this] { return gone.has_value(); });
+  BOOST_REQUIRE(gone.has_value());
+  BOOST_TEST(gone->started_ms == 5);
+}
+
 // Guards against an executor that sees its connection close: SIGTERM comes
 // while an announcement that was read whole is being answered.
 BOOST_AUTO_TEST_CASE(announcement_is_answered_before_the_agent_ends) {
