Ask an executor that leaves before its runs count as ended

Callers would see: two runs of one task (TWICE).

Cause: the announcement that an executor leaves names its id only, which it keeps when it starts again. One that was held up until then made the owner drop the runs of the new boot, and start their tasks elsewhere, at once. So did one that came before the executor had ended.

Change: the agent asks the executor every 0.1 s, for 5 s at most. The leave counts, for the boot that was followed when it came, once the executor refuses connections, another boot answers, or the next boot is followed. While it answers, or its connection is not even refused, it does not.

--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -17,10 +17,13 @@
 constexpr millis kHoldWait = 250;  // The executor answers at an end, or then.
 constexpr millis kHoldTimeout = 1'200;     // Of the call; above the wait.
 constexpr millis kConfirmTimeout = 1'000;  // Of the question for a boot.
-constexpr millis kHoldRetry = 150;         // After a failed call.
-constexpr millis kUnrecordedPause = 40;    // While ends wait to be recorded.
-constexpr millis kRunsInterval = 250;   // Between two full lists to the owner.
-constexpr millis kSyncTimeout = 1'000;  // Above what the owner holds a call.
+// An executor that leaves ends after its announcement, at times seconds later.
+constexpr millis kLeaveInterval = 100;  // Between two questions.
+constexpr millis kMaxLeaveTime = 5'000;
+constexpr millis kHoldRetry = 150;       // After a failed call.
+constexpr millis kUnrecordedPause = 40;  // While ends wait to be recorded.
+constexpr millis kRunsInterval = 250;    // Between two full lists to the owner.
+constexpr millis kSyncTimeout = 1'000;   // Above what the owner holds a call.
 constexpr millis kSyncRetry = 150;
 constexpr millis kListingFresh = 1'000;  // An older list is not reported.
 constexpr int kHoldFailuresToLost = 3;
@@ -126,12 +129,17 @@
   accepted.body = "{}";
   if (value.leaving) {
     if (value.worker.boot.id == worker_.boot.id) {
-      LogEvent(kPart, "executor_left", {{"executor", worker_.boot.id}}, true);
-      gone_ = worker_.boot;
-      history_.OnLeft();
-      runs_.clear();
-      obeyed_epoch_ = 0;
-      Sync(false);
+      LogEvent(kPart, "leave_announced",
+               {{"executor", worker_.boot.id},
+                {"started_ms", worker_.boot.started_ms},
+                {"draining", worker_.draining}},
+               true);
+      leave_announced_ = BootNow();
+      if (leaving_boot_ != worker_.boot) {
+        leaving_boot_ = worker_.boot;
+        Later(kLeaveInterval,
+              [this, boot = worker_.boot] { ConfirmLeave(boot); });
+      }
     }
     respond(accepted);
     return;
@@ -159,6 +167,60 @@
   respond(accepted);
 }
 
+void job_agent_process::ConfirmLeave(const executor_boot& boot) {
+  if (boot != worker_.boot || leaving_) {
+    return;
+  }
+  if (BootNow() - leave_announced_ > kMaxLeaveTime) {
+    LogEvent(kPart, "leave_unconfirmed", {{"executor", boot.id}}, true);
+    metrics_.CountEvent("leaves_unconfirmed");
+    leaving_boot_ = executor_boot();
+    return;
+  }
+  const auto ask_again = [this, boot] {
+    Later(kLeaveInterval, [this, boot] { ConfirmLeave(boot); });
+  };
+  if (epoch_ == 0) {
+    ask_again();
+    return;
+  }
+  executor_->RenewLeases(
+      {{boot.id, 0}, epoch_, kConfirmTimeout}, 0, 0, 0,
+      [this, boot, ask_again,
+       asked = BootNow()](const result<executor_run_list>& listing) {
+        if (boot != worker_.boot) {
+          return;
+        }
+        // A connection that is not even refused may be cut.
+        const bool is_down = !listing &&
+                             listing.error().code == error_code::kUnavailable &&
+                             BootNow() - asked < kConfirmTimeout;
+        const bool is_other_boot =
+            listing &&
+            (listing.value().verdict == executor_verdict::kOtherBoot ||
+             (listing.value().verdict == executor_verdict::kAccepted &&
+              !IsMadeBy(listing.value(), boot)));
+        if (is_down || is_other_boot) {
+          OnExecutorLeft();
+        } else {
+          ask_again();
+        }
+      });
+}
+
+void job_agent_process::OnExecutorLeft() {
+  LogEvent(kPart, "executor_left",
+           {{"executor", worker_.boot.id},
+            {"waited_ms", BootNow() - leave_announced_}},
+           true);
+  gone_ = worker_.boot;
+  leaving_boot_ = executor_boot();
+  history_.OnLeft();
+  runs_.clear();
+  obeyed_epoch_ = 0;
+  Sync(false);
+}
+
 void job_agent_process::TakeBoot(const announcement& said) {
   const executor_boot& boot = said.worker.boot;
   // Without an epoch nobody has orders for the executor, and it isn't called.
@@ -256,7 +318,9 @@
   if (worker_.boot.id.empty() || !runs_listed_) {
     return;
   }
-  if (worker_.draining || gone_ == worker_.boot) {
+  if (leaving_boot_ == worker_.boot) {
+    OnExecutorLeft();
+  } else if (worker_.draining || gone_ == worker_.boot) {
     history_.OnLeft();
   } else {
     history_.OnCrash(worker_.boot, BootNow());
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -78,6 +78,10 @@
   void ConfirmBoot(const announcement& said);
   void FollowBoot(const announcement& said);
   void NoteEndOfBoot();
+  // Takes an executor for gone that has announced it, once it answers no more.
+  // The announcement names no boot, and may be a late one of a former boot.
+  void ConfirmLeave(const executor_boot& boot);
+  void OnExecutorLeft();
 
   // Holding and listing.
   void Hold();
@@ -170,6 +174,8 @@
   std::uint64_t sequence_ = 0;   // Of the last announcement.
   std::uint64_t announced_ = 0;  // How many were taken.
   executor_boot gone_;           // An executor that has left, not yet told.
+  executor_boot leaving_boot_;   // It has announced that it leaves ...
+  millis leave_announced_ = 0;   // ... then.
   std::uint64_t epoch_ = 0;
   std::uint64_t obeyed_epoch_ = 0;  // The executor obeys it.
   millis granted_until_ = 0;
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -281,6 +281,63 @@
   }
 }
 
+// Guards against two runs of one task (TWICE): the announcement that a former
+// boot leaves came after the next one had begun under its id.
+BOOST_AUTO_TEST_CASE(
+    leave_that_the_executor_denies_by_its_answers_is_not_told) {
+  script.listings = 1'000'000;
+  Announce();
+  RunForUntil([this] { return obeying > 0; });
+  RunFor(100);
+  AnnounceLeave();
+  RunFor(1'000);
+  BOOST_TEST(!gone.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(leave_is_told_once_the_executor_is_down) {
+  script.listings = 1'000'000;
+  Announce();
+  RunForUntil([this] { return obeying > 0; });
+  RunFor(100);
+  AnnounceLeave();
+  RunFor(300);
+  BOOST_TEST(!gone.has_value());
+  script.is_down = true;
+  RunForUntil([this] { return gone.has_value(); });
+  BOOST_REQUIRE(gone.has_value());
+  BOOST_TEST(gone->started_ms == 5);
+}
+
+BOOST_AUTO_TEST_CASE(leave_is_told_once_another_boot_answers) {
+  script.listings = 1'000'000;
+  Announce();
+  RunForUntil([this] { return obeying > 0; });
+  RunFor(100);
+  AnnounceLeave();
+  RunFor(300);
+  script.started_ms = 6;
+  RunForUntil([this] { return gone.has_value(); });
+  BOOST_REQUIRE(gone.has_value());
+  BOOST_TEST(gone->started_ms == 5);
+}
+
+// The next boot is announced before the former one has been asked again.
+BOOST_AUTO_TEST_CASE(boot_that_left_before_the_next_one_is_no_crash) {
+  script.listings = 1'000'000;
+  script.start_verdicts[0] = executor_verdict::kAccepted;
+  owner->starts_task = true;
+  Announce();
+  RunForUntil([this] { return outcome.has_value(); });
+  AnnounceLeave();
+  script.started_ms = 6;
+  AnnounceBoot();
+  RunForUntil([this] { return last_report.worker.boot.started_ms == 6; });
+  RunFor(300);
+  BOOST_REQUIRE(gone.has_value());
+  BOOST_TEST(gone->started_ms == 5);
+  BOOST_TEST(crashes.empty());
+}
+
 // Guards against tasks that wait for an executor that is gone: its leave was
 // forgotten at a reply to a call that had not told it.
 BOOST_AUTO_TEST_CASE(leave_is_told_after_a_reply_to_an_earlier_call) {
