Take an answer to an order from the boot that was asked only

Callers would see: a task that crashes executors is started again and again.

Cause: an answer that came after the next boot was followed counted as one of that boot, and proved its runs, which had not worked long enough. The clock was not taken from it, since the open orders had been dropped.

Evidence, before the change: late_answer_of_a_former_boot_proves_no_run_of_the_next, the run counted as proven.

--- a/src/chervilkeeld/job_agent_fixture.h
+++ b/src/chervilkeeld/job_agent_fixture.h
@@ -246,7 +246,7 @@
     }
     if (starts_second_task && request->acked_order() <= 1) {
       worker_order order;
-      order.boot = {"executor", 5};
+      order.boot = {"executor", second_task_boot};
       order.task = {"job", 0, 0, 1};
       order.run = 8;
       *reply->add_orders() = ToWire(2, order);
@@ -339,6 +339,7 @@
   std::atomic<bool> is_silent = false;  // Holds the calls that report runs.
   std::atomic<bool> starts_task = false;
   std::atomic<bool> starts_second_task = false;
+  std::atomic<std::int64_t> second_task_boot = 5;
   std::atomic<bool> starts_task_early = false;  // Before the first report.
   std::atomic<bool> says_tried = false;         // Of the first task.
   std::atomic<bool> repeats_start = false;      // Of the first task.
--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -149,10 +149,11 @@
             {"owner_heard_ms", BootNow() - owner_heard_},
             {"lease_ms", granted_until_ - BootNow()}});
   history_.OnStartSent(name.first, name.second, BootNow());
+  const order_context context = Context(kOrderTimeout);
   executor_->Start(
-      Context(kOrderTimeout), open->second.order, LeaseEnd(),
-      [this, name, epoch = epoch_](const result<executor_answer>& answer) {
-        if (epoch == epoch_) {
+      context, open->second.order, LeaseEnd(),
+      [this, name, context](const result<executor_answer>& answer) {
+        if (IsCurrent(context)) {
           OnStartAnswer(name, answer);
         }
       });
@@ -286,13 +287,13 @@
     return;
   }
   ++open->second.tries;
-  executor_->Stop(
-      Context(kOrderTimeout), name.first, name.second,
-      [this, name, epoch = epoch_](const result<executor_answer>& answer) {
-        if (epoch == epoch_) {
-          OnStopAnswer(name, answer);
-        }
-      });
+  const order_context context = Context(kOrderTimeout);
+  executor_->Stop(context, name.first, name.second,
+                  [this, name, context](const result<executor_answer>& answer) {
+                    if (IsCurrent(context)) {
+                      OnStopAnswer(name, answer);
+                    }
+                  });
 }
 
 void job_agent_process::OnStopAnswer(const run_name& name,
--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -331,6 +331,10 @@
   return {worker_.boot, epoch_, timeout};
 }
 
+bool job_agent_process::IsCurrent(const order_context& asked) const {
+  return asked.epoch == epoch_ && asked.boot == worker_.boot;
+}
+
 void job_agent_process::Later(millis delay, std::function<void()> step) {
   auto timer = std::make_shared<boost::asio::steady_timer>(context_);
   timer->expires_after(std::chrono::milliseconds(delay));
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -156,6 +156,8 @@
   void Report(const run_name& name, start_outcome outcome);
   void Later(millis delay, std::function<void()> step);
   order_context Context(millis timeout) const;
+  // Whether an answer is to a call of the present epoch to the present boot.
+  bool IsCurrent(const order_context& asked) const;
 
   boost::asio::io_context& context_;
   const process_settings settings_;
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -136,6 +136,49 @@
   }
 }
 
+// Guards against a task that goes on crashing executors: an answer of the
+// former boot, which came late, proved the run on the present one.
+BOOST_AUTO_TEST_CASE(late_answer_of_a_former_boot_proves_no_run_of_the_next) {
+  script.listings = 1'000'000;
+  script.lists_start = false;
+  script.start_verdicts[0] = executor_verdict::kAccepted;
+  script.start_verdicts[1] = executor_verdict::kAccepted;
+  script.holds_start = true;
+  owner->starts_task = true;
+  Announce();
+  RunForUntil([this] { return script.answer_start != nullptr; });
+  script.started_ms = 6;
+  AnnounceBoot();
+  RunForUntil([this] { return last_report.worker.boot.started_ms == 6; });
+  script.lists_start = true;
+  owner->second_task_boot = 6;
+  owner->starts_second_task = true;
+  // No list comes after the second start.
+  RunForUntil([this] {
+    script.listings = told_runs.count(8) != 0 ? 0 : 1;
+    return script.listings == 0;
+  });
+  RunFor(2 * kProvingTime);
+  script.answer_start();
+  script.lists_start = false;
+  script.listings = 1'000'000;
+  script.started_ms = 7;
+  AnnounceBoot();
+  const auto find_run = [this]() -> const lost_run* {
+    for (const crashed_executor& crashed : crashes[1]) {
+      for (const lost_run& run : crashed.runs) {
+        if (crashed.boot.started_ms == 6 && run.run == 8) {
+          return &run;
+        }
+      }
+    }
+    return nullptr;
+  };
+  RunForUntil([&] { return find_run() != nullptr; });
+  BOOST_REQUIRE(find_run() != nullptr);
+  BOOST_TEST(!find_run()->proven);
+}
+
 // A start at an executor that is down already can't have crashed it.
 BOOST_AUTO_TEST_CASE(start_at_a_dead_executor_is_not_among_its_lost_runs) {
   script.listings = 1'000'000;
