--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -136,6 +136,49 @@
   }
 }
 
+// Guards against a task that goes on crashing executors: an answer of the
+// former boot, which came late, proved the run on the present one.
+BOOST_AUTO_TEST_CASE(late_answer_of_a_former_boot_proves_no_run_of_the_next) {
+  script.listings = 1'000'000;
+  script.lists_start = false;
+  script.start_verdicts[0] = executor_verdict::kAccepted;
+  script.start_verdicts[1] = executor_verdict::kAccepted;
+  script.holds_start = true;
+  owner->starts_task = true;
+  Announce();
+  RunForUntil([this] { return script.answer_start != nullptr; });
+  script.started_ms = 6;
+  AnnounceBoot();
+  RunForUntil([this] { return last_report.worker.boot.started_ms == 6; });
+  script.lists_start = true;
+  owner->second_task_boot = 6;
+  owner->starts_second_task = true;
+  // No list comes after the second start.
+  RunForUntil([this] {
+    script.listings = told_runs.count(8) != 0 ? 0 : 1;
+    return script.listings == 0;
+  });
+  RunFor(2 * kProvingTime);
+  script.answer_start();
+  script.lists_start = false;
+  script.listings = 1'000'000;
+  script.started_ms = 7;
+  AnnounceBoot();
+  const auto find_run = [this]() -> const lost_run* {
+    for (const crashed_executor& crashed : crashes[1]) {
+      for (const lost_run& run : crashed.runs) {
+        if (crashed.boot.started_ms == 6 && run.run == 8) {
+          return &run;
+        }
+      }
+    }
+    return nullptr;
+  };
+  RunForUntil([&] { return find_run() != nullptr; });
+  BOOST_REQUIRE(find_run() != nullptr);
+  BOOST_TEST(!find_run()->proven);
+}
+
 // A start at an executor that is down already can't have crashed it.
 BOOST_AUTO_TEST_CASE(start_at_a_dead_executor_is_not_among_its_lost_runs) {
   script.listings = 1'000'000;
@@ -281,6 +324,87 @@
   }
 }
 
+// Guards against two runs of one task (TWICE): the announcement that a former
+// boot leaves came after the next one had begun under its id.
+BOOST_AUTO_TEST_CASE(
+    leave_that_the_executor_denies_by_its_answers_is_not_told) {
+  script.listings = 1'000'000;
+  Announce();
+  RunForUntil([this] { return obeying > 0; });
+  RunFor(100);
+  AnnounceLeave();
+  RunFor(1'000);
+  BOOST_TEST(!gone.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(leave_is_told_once_the_executor_is_down) {
+  script.listings = 1'000'000;
+  Announce();
+  RunForUntil([this] { return obeying > 0; });
+  RunFor(100);
+  AnnounceLeave();
+  RunFor(300);
+  BOOST_TEST(!gone.has_value());
+  script.is_down = true;
+  RunForUntil([this] { return gone.has_value(); });
+  BOOST_REQUIRE(gone.has_value());
+  BOOST_TEST(gone->started_ms == 5);
+}
+
+BOOST_AUTO_TEST_CASE(leave_is_told_once_another_boot_answers) {
+  script.listings = 1'000'000;
+  Announce();
+  RunForUntil([this] { return obeying > 0; });
+  RunFor(100);
+  AnnounceLeave();
+  RunFor(300);
+  script.started_ms = 6;
+  RunForUntil([this] { return gone.has_value(); });
+  BOOST_REQUIRE(gone.has_value());
+  BOOST_TEST(gone->started_ms == 5);
+}
+
+// The next boot is announced before the former one has been asked again.
+BOOST_AUTO_TEST_CASE(boot_that_left_before_the_next_one_is_no_crash) {
+  script.listings = 1'000'000;
+  script.start_verdicts[0] = executor_verdict::kAccepted;
+  owner->starts_task = true;
+  Announce();
+  RunForUntil([this] { return outcome.has_value(); });
+  AnnounceLeave();
+  script.started_ms = 6;
+  AnnounceBoot();
+  RunForUntil([this] { return last_report.worker.boot.started_ms == 6; });
+  RunFor(300);
+  BOOST_REQUIRE(gone.has_value());
+  BOOST_TEST(gone->started_ms == 5);
+  BOOST_TEST(crashes.empty());
+}
+
+// Guards against tasks that wait for an executor that is gone: its leave was
+// forgotten at a reply to a call that had not told it.
+BOOST_AUTO_TEST_CASE(leave_is_told_after_a_reply_to_an_earlier_call) {
+  script.listings = 1'000'000;
+  Announce();
+  RunForUntil([this] { return obeying > 0; });
+  RunFor(100);
+  owner->is_silent = true;
+  script.distort = [](announcement& said) {
+    said.sequence = 2;
+    said.worker.draining = true;
+  };
+  AnnounceBoot();
+  RunForUntil([this] { return owner->HeldCalls() == 2; });
+  AnnounceLeave();
+  script.is_down = true;
+  RunFor(300);
+  owner->is_silent = false;
+  owner->AnswerAll();
+  RunForUntil([this] { return gone.has_value(); });
+  BOOST_REQUIRE(gone.has_value());
+  BOOST_TEST(gone->started_ms == 5);
+}
+
 // Guards against an executor that sees its connection close: SIGTERM comes
 // while an announcement that was read whole is being answered.
 BOOST_AUTO_TEST_CASE(announcement_is_answered_before_the_agent_ends) {
