Try the suspect task that has waited longest first, after 10 s

Cause: places for trials are few, and who gets them went by the rank of the job, tasks beside one crash before those beside two. Under load new suspects come all the time, and the order has no regard to waiting: a suspect could be passed by for as long as others came.

Change: suspects that have waited for kMaxTrialWait are tried before all others, in the order in which they became ready. All rules of a trial hold as before.

Evidence: suspect_of_two_crashes_is_tried_beside_new_suspects failed before (still queued after 20 s).

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -586,6 +586,10 @@
   static bool IsAnswering(const scheduled_worker& worker, millis now);
   // Starts trials of those tasks of a step, as far as there is room.
   void StartTrials(const waiting_step& waiting, suspect_kind kind, millis now);
+  // Starts trials of the suspect tasks that have waited for kMaxTrialWait,
+  // those that have waited longest first, whatever their crashes and
+  // priorities.
+  void StartOverdueTrials(const std::vector<waiting_step>& steps, millis now);
   // Starts a suspect task where nothing else can be taken for the cause of a
   // crash, or reserves a worker for it. Returns false if there is none.
   bool StartTrial(scheduled_job& job,
@@ -808,6 +812,12 @@
   // So many trials one after the other are few on a worker.
   static constexpr std::size_t kFewTrials = 2;
 
+  // A suspect that has waited for so long is tried before those that came
+  // later, which would pass it by for as long as they come. Shorter times cost
+  // more than they gain: tasks that have crashed twice are more often the
+  // cause.
+  static constexpr millis kMaxTrialWait = 10'000;
+
   // A worker whose executor has crashed in the last kCrashMemory ms is the last
   // choice for a trial: the executor itself may be the cause.
   static constexpr millis kCrashMemory = 10'000;
--- a/src/libkernel/job_scheduler_crashes.cpp
+++ b/src/libkernel/job_scheduler_crashes.cpp
@@ -272,6 +272,46 @@
   }
 }
 
+void job_scheduler::StartOverdueTrials(const std::vector<waiting_step>& steps,
+                                       millis now) {
+  struct overdue_suspect {
+    millis ready_since;
+    const waiting_step* step;
+    std::uint32_t index;
+  };
+  std::vector<overdue_suspect> overdue;
+  for (const waiting_step& waiting : steps) {
+    const scheduled_job& job = *waiting.job;
+    if (job.record.spec.steps[waiting.step_index].gang) {
+      continue;
+    }
+    const auto& tasks =
+        job.occurrences.at(waiting.occurrence).steps[waiting.step_index].tasks;
+    for (const std::uint32_t index : waiting.tasks) {
+      if (tasks[index].is_suspect &&
+          now - tasks[index].ready_since >= kMaxTrialWait) {
+        overdue.push_back({tasks[index].ready_since, &waiting, index});
+      }
+    }
+  }
+  std::stable_sort(overdue.begin(), overdue.end(),
+                   [](const auto& left, const auto& right) {
+                     return left.ready_since < right.ready_since;
+                   });
+  std::set<const waiting_step*> without_worker;
+  for (const overdue_suspect& entry : overdue) {
+    if (without_worker.count(entry.step) != 0) {
+      continue;
+    }
+    scheduled_job& job = *entry.step->job;
+    const task_name key{job.record.id, entry.step->occurrence,
+                        entry.step->step_index, entry.index};
+    if (!StartTrial(job, key, *FindTask(key), now)) {
+      without_worker.insert(entry.step);
+    }
+  }
+}
+
 bool job_scheduler::StartTrial(scheduled_job& job,
                                const task_name& key,
                                scheduled_task& task,
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -322,6 +322,7 @@
     return !places_best_effort &&
            waiting.job->record.spec.steps[waiting.step_index].filler;
   });
+  StartOverdueTrials(steps, now);
   for (const waiting_step& waiting : steps) {
     const job_step& step = waiting.job->record.spec.steps[waiting.step_index];
     if (step.gang) {
--- a/src/libkernel/job_scheduler_trials_test.cpp
+++ b/src/libkernel/job_scheduler_trials_test.cpp
@@ -62,6 +62,41 @@
   BOOST_TEST(CountJobs("bad", job_state::kFailed) == 20);
 }
 
+// Guards against sound tasks that wait as long as new suspects come (LOST):
+// those beside two crashes were tried only when no other suspect waited.
+BOOST_FIXTURE_TEST_CASE(suspect_of_two_crashes_is_tried_beside_new_suspects,
+                        crowded_trials_fixture) {
+  // Submits jobs if they are new, and tells of a crash beneath their tasks.
+  std::int64_t crashed_boot = 0;
+  const auto crash_beneath = [&](const std::vector<std::string>& ids) {
+    worker_report report = MakeReport("gone");
+    report.worker.service = "another";
+    report.worker.boot.started_ms = 1'000;
+    crashed_executor crashed{report.worker.boot, {}};
+    crashed.boot.started_ms = ++crashed_boot;
+    for (const std::string& id : ids) {
+      if (records.count(id) == 0) {
+        Submit(MakeSmallJob(id));
+      }
+      constexpr std::uint64_t kHighRun = 500'000;
+      crashed.runs.push_back(
+          {{id, 0, 0, 0},
+           kHighRun + static_cast<std::uint64_t>(crashed_boot),
+           false});
+    }
+    report.crashes.push_back(crashed);
+    scheduler.OnReport(report, now);
+  };
+  crash_beneath({"bad", "sound"});
+  crash_beneath({"bad", "sound"});
+  for (int i = 0; i < 40; ++i) {
+    const std::string first = "bad" + std::to_string(i);
+    crash_beneath({first + "a", first + "b", first + "c", first + "d"});
+    PassFleetTime(500);
+  }
+  BOOST_TEST(NameOf(*scheduler.StateOf("sound")) == "completed");
+}
+
 // Guards against sound tasks that become suspect without a crash: an agent
 // tells of earlier crashes again with each new one, and once the cause of such
 // a crash was given up, the tasks beside it were blamed.
