Test the books of runs by disturbed channels and seeds

Cause: no test joins the owner's books with those of agents and executors, so a message that is late, lost, doubled or of a former process, epoch or boot is tried one case at a time.

Change: job_scheduler_books_test plays the real job_scheduler with simulated agents, executors and a store in virtual time, with disturbances drawn by a seed, and checks from the executors' side.

--- /dev/null
+++ b/src/libkernel/job_scheduler_books_fixture.h
@@ -0,0 +1,366 @@
+// Joins the real job scheduler with simulated agents and executors by channels
+// that lose, delay and reorder messages, all in virtual time.
+#pragma once
+
+#include "job_scheduler_books_owner.h"
+
+namespace chervilkeel {
+
+class books_world {
+ public:
+  explicit books_world(std::uint64_t seed) : random_(seed) {
+    has_crashes_ = random_.Happens(50);
+    has_agent_ends_ = random_.Happens(50);
+    has_pauses_ = random_.Happens(60);
+    has_bad_links_ = random_.Happens(85);
+    has_late_orders_ = random_.Happens(60);
+    has_store_trouble_ = random_.Happens(50);
+    has_epochs_ = random_.Happens(40);
+    has_owner_changes_ = random_.Happens(40);
+    guards_capacity_ = random_.Happens(50);
+  }
+
+  books_agent_faults faults;
+
+  void Print() { ledger_.prints = true; }
+
+  // Returns what was broken first, or nothing.
+  std::string Play() {
+    NewOwner();
+    const millis sites = random_.Between(2, 4);
+    for (millis i = 0; i < sites; ++i) {
+      auto& site = sites_.emplace_back(std::make_unique<books_site>(
+          books_site{std::string(1, static_cast<char>('a' + i)),
+                     random_.Between(100, 100'000),
+                     {time_, random_, {}, nullptr},
+                     nullptr,
+                     {},
+                     owner_,
+                     0}));
+      Bear(*site);
+      StartAgent(*site);
+      Announce(*site);
+      Disturb(*site);
+    }
+    SubmitJobs();
+    DisturbOwner();
+    time_.RunUntil(kCalmFrom);
+    Calm();
+    time_.RunUntil(kEnd);
+    CheckEnd();
+    return ledger_.failure;
+  }
+
+  std::uint64_t Starts() const { return ledger_.starts; }
+
+ private:
+  struct books_site {
+    std::string name;
+    millis clock_offset = 0;  // Of the agent.
+    books_executor executor;
+    std::shared_ptr<books_agent> agent;
+    link_state owner_link;
+    std::shared_ptr<books_owner> owner;  // That the agent calls.
+    std::uint64_t lives = 0;             // Of the executor.
+  };
+
+  bool IsCalm() const { return time_.Now() >= kCalmFrom; }
+
+  void NewOwner() {
+    owner_ = std::make_shared<books_owner>(time_, random_, store_, ledger_);
+    owner_->Begin();
+    owners_.push_back(owner_);
+  }
+
+  void Bear(books_site& site) {
+    if (site.lives++ == 0 || random_.Happens(30)) {
+      site_ids_[site.name] =
+          "executor-" + site.name + std::to_string(site.lives);
+    }
+    site.executor.boot = std::make_shared<books_boot>(
+        time_, random_, ledger_,
+        executor_boot{site_ids_[site.name], kWallMs + time_.Now()}, kCapacity,
+        guards_capacity_);
+  }
+
+  void Crash(books_site& site) {
+    if (site.executor.boot == nullptr) {
+      return;
+    }
+    site.executor.boot->Crash();
+    site.executor.boot = nullptr;
+    has_crashed_ = true;
+    time_.After(random_.Between(50, 3'000), [this, &site] { Bear(site); });
+  }
+
+  void StartAgent(books_site& site) {
+    site.agent = std::make_shared<books_agent>(time_, site.executor, site.name,
+                                               site.clock_offset);
+    site.agent->faults = faults;
+    site.agent->call = [this, &site](const books_sync& sync, bool has_failed,
+                                     const books_agent::reply_function& reply) {
+      CallOwner(site, sync, has_failed, reply);
+    };
+    site.agent->Begin();
+  }
+
+  void EndAgent(books_site& site) {
+    if (site.agent == nullptr) {
+      return;
+    }
+    site.agent = nullptr;
+    ledger_.Note(time_.Now(), "agent " + site.name + " ends");
+    time_.After(random_.Between(5, 1'500), [this, &site] { StartAgent(site); });
+  }
+
+  void Announce(books_site& site) {
+    if (site.executor.boot != nullptr) {
+      executor_description said;
+      said.boot = site.executor.boot->Name();
+      said.service = "cutting";
+      said.labels = {"a", "rack-1"};
+      said.capacity = kCapacity;
+      const bool is_late = !IsCalm() && random_.Happens(5);
+      time_.After(is_late ? random_.Between(50, 3'000) : 2, [&site, said] {
+        if (site.agent != nullptr) {
+          site.agent->OnAnnouncement(said);
+        }
+      });
+    }
+    time_.After(kAnnouncementInterval, [this, &site] { Announce(site); });
+  }
+
+  void CallOwner(books_site& site,
+                 const books_sync& sync,
+                 bool has_failed,
+                 const books_agent::reply_function& reply) {
+    if (has_failed) {
+      const millis last = static_cast<millis>(owners_.size()) - 1;
+      const millis chosen =
+          random_.Happens(70) ? last : random_.Between(0, last);
+      site.owner = owners_[static_cast<std::size_t>(chosen)];
+    }
+    const auto is_answered = std::make_shared<bool>(false);
+    const auto answer = [is_answered,
+                         reply](const std::optional<books_reply>& value) {
+      if (!std::exchange(*is_answered, true)) {
+        reply(value);
+      }
+    };
+    time_.After(kSyncTimeout, [answer] { answer(std::nullopt); });
+    if (random_.Happens(site.owner_link.lost_percent)) {
+      return;
+    }
+    time_.After(Delay(site), [this, &site, owner = site.owner, sync, answer] {
+      owner->Run([this, &site, owner, sync, answer] {
+        owner->OnSync(sync, [this, &site, answer](const books_reply& value) {
+          if (!random_.Happens(site.owner_link.lost_percent)) {
+            time_.After(Delay(site), [answer, value] { answer(value); });
+          }
+        });
+      });
+    });
+  }
+
+  millis Delay(const books_site& site) {
+    return random_.Happens(site.owner_link.slow_percent)
+               ? random_.Between(20, 3'000)
+               : random_.Between(1, 6);
+  }
+
+  link_state DrawLink(bool has_late_orders) {
+    link_state link;
+    switch (has_bad_links_ ? random_.Between(0, 5) : 0) {
+      case 1:
+        link.slow_percent = 30;
+        break;
+      case 2:
+        link.lost_percent = 25;
+        link.slow_percent = 10;
+        break;
+      case 3:
+        link.lost_percent = 100;
+        break;
+      default:
+        break;
+    }
+    if (has_late_orders && random_.Happens(50)) {
+      link.late_percent = 15;
+    }
+    return link;
+  }
+
+  void Disturb(books_site& site) {
+    time_.After(random_.Between(200, 2'500), [this, &site] {
+      if (IsCalm()) {
+        return;
+      }
+      site.owner_link = DrawLink(false);
+      site.executor.link = DrawLink(has_late_orders_);
+      if (has_crashes_ && random_.Happens(12)) {
+        Crash(site);
+      }
+      if (has_agent_ends_ && random_.Happens(15)) {
+        EndAgent(site);
+      }
+      Disturb(site);
+    });
+  }
+
+  void DisturbOwner() {
+    time_.After(random_.Between(300, 3'000), [this] {
+      if (IsCalm()) {
+        return;
+      }
+      store_.is_in_trouble = has_store_trouble_ && random_.Happens(40);
+      if (has_pauses_ && random_.Happens(35)) {
+        owner_->PauseFor(random_.Between(200, 4'000));
+      }
+      if (has_epochs_ && random_.Happens(15)) {
+        owner_->Run([owner = owner_] { owner->RaiseEpoch(); });
+      }
+      if (has_owner_changes_ && random_.Happens(15)) {
+        ++store_.epoch;
+        owner_->ReplaceAfter(random_.Between(0, kMaxBelief));
+        NewOwner();
+      }
+      DisturbOwner();
+    });
+  }
+
+  void Calm() {
+    store_.is_in_trouble = false;
+    for (const auto& site : sites_) {
+      site->owner_link = {};
+      site->executor.link = {};
+    }
+  }
+
+  void SubmitJobs() {
+    const millis jobs = random_.Between(3, 12);
+    for (millis i = 0; i < jobs; ++i) {
+      job_record record;
+      record.id = "job" + std::to_string(i);
+      record.queue = books_owner::Queue();
+      record.accepted_ms = kWallMs;
+      const millis steps = random_.Between(1, 2);
+      for (millis s = 0; s < steps; ++s) {
+        job_step step;
+        step.tasks = static_cast<std::uint32_t>(random_.Between(1, 4));
+        step.size = {500 * random_.Between(1, 4), 100, 0};
+        step.expected = random_.Between(100, 1'500);
+        step.speculative = random_.Happens(10);
+        step.most_per_worker =
+            static_cast<std::uint32_t>(random_.Between(0, 2));
+        if (s > 0) {
+          step.after.push_back(0);
+        }
+        record.spec.steps.push_back(step);
+      }
+      const millis when = random_.Between(200, kCalmFrom - 3'000);
+      time_.After(when, [this, record]() mutable {
+        record.epoch = store_.epoch;
+        store_.records.push_back(record);
+        ledger_.jobs[record.id] = record;
+        for (const auto& owner : owners_) {
+          owner->AddJob(record);
+        }
+      });
+      if (random_.Happens(15)) {
+        time_.After(when + random_.Between(5, 3'000), [this, id = record.id] {
+          store_.cancelled.insert(id);
+          owner_->CancelJob(id);
+        });
+      }
+    }
+  }
+
+  bool HasRun(const task_run& run, const task_name& task) const {
+    for (const auto& site : sites_) {
+      const auto& boot = site->executor.boot;
+      if (site->name == run.agent && boot != nullptr &&
+          boot->Name() == run.boot && boot->IsRunning({task, run.run})) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void CheckEnd() {
+    const job_scheduler& scheduler = owner_->Scheduler();
+    for (const auto& [id, record] : ledger_.jobs) {
+      const auto job = scheduler.Jobs().find(id);
+      if (job == scheduler.Jobs().end()) {
+        ledger_.Fail(time_.Now(), id + " is not known");
+        continue;
+      }
+      const job_state state = job->second.state;
+      const bool may_be =
+          state == job_state::kCompleted ||
+          (state == job_state::kCancelled && store_.cancelled.count(id) != 0) ||
+          (state == job_state::kFailed && has_crashed_);
+      if (!may_be) {
+        ledger_.Fail(time_.Now(), id + " is still " + NameOf(state));
+      }
+      for (const auto& [number, occurrence] : job->second.occurrences) {
+        CheckRuns(id, number, occurrence);
+      }
+    }
+    for (const auto& [agent, worker] : scheduler.Workers()) {
+      if (!(worker.used == amount()) || !worker.tasks.empty()) {
+        ledger_.Fail(time_.Now(), "worker " + agent + " has used room");
+      }
+    }
+    for (const auto& site : sites_) {
+      if (site->executor.boot != nullptr && !site->executor.boot->IsIdle()) {
+        ledger_.Fail(time_.Now(), "executor of " + site->name + " has runs");
+      }
+    }
+  }
+
+  void CheckRuns(const std::string& id,
+                 std::uint32_t number,
+                 const scheduled_occurrence& occurrence) {
+    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+      const auto& tasks = occurrence.steps[s].tasks;
+      for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        for (const task_run& run : tasks[i].runs) {
+          const task_name task{id, number, s, i};
+          if (!HasRun(run, task)) {
+            ledger_.Fail(time_.Now(), "the books hold " + task.ToString() +
+                                          " run " + std::to_string(run.run) +
+                                          ", which no executor has");
+          }
+        }
+      }
+    }
+  }
+
+  static constexpr millis kCalmFrom = 20'000;
+  static constexpr millis kEnd = kCalmFrom + 15'000;
+  static constexpr millis kAnnouncementInterval = 200;
+  static constexpr millis kSyncTimeout = 1'000;
+  static constexpr millis kMaxBelief = 800;  // Of an owner that was replaced.
+  static constexpr amount kCapacity = {4'000, 8'000, 0};
+
+  virtual_time time_;
+  dice random_;
+  books_ledger ledger_;
+  books_store store_;
+  bool has_crashes_ = false;
+  bool has_agent_ends_ = false;
+  bool has_pauses_ = false;
+  bool has_bad_links_ = false;
+  bool has_late_orders_ = false;
+  bool has_store_trouble_ = false;
+  bool has_epochs_ = false;
+  bool has_owner_changes_ = false;
+  bool guards_capacity_ = false;
+  bool has_crashed_ = false;
+  std::vector<std::unique_ptr<books_site>> sites_;
+  std::map<std::string, std::string> site_ids_;
+  std::shared_ptr<books_owner> owner_;  // The newest.
+  std::vector<std::shared_ptr<books_owner>> owners_;
+};
+
+}  // namespace chervilkeel
