Disturb the books by drains, pauses of agents, services and stuck tasks

Cause: with crashes, restarts and bad links alone, runs of wanted tasks were never stopped and no order lay at a paused agent.

Change: executors drain and leave, tasks get stuck, services and repeated jobs run, agents pause.

--- a/src/libkernel/job_scheduler_books_agent.h
+++ b/src/libkernel/job_scheduler_books_agent.h
@@ -12,6 +12,7 @@
   bool wait = false;
   std::uint64_t epoch = 0;
   std::uint64_t acked_order = 0;
+  executor_boot gone;  // An executor that has left.
 };
 
 struct books_reply {
@@ -41,6 +42,23 @@
   void Begin() { Sync(true); }
 
   void OnAnnouncement(const executor_description& said) {
+    Run([this, said] { TakeBoot(said); });
+  }
+
+  void OnLeft(const executor_boot& boot) {
+    Run([this, boot] {
+      if (boot.id != worker_.boot.id) {
+        return;
+      }
+      gone_ = worker_.boot;
+      runs_.clear();
+      obeyed_epoch_ = 0;
+      Sync(false);
+    });
+  }
+
+ private:
+  void TakeBoot(const executor_description& said) {
     if (said.boot == worker_.boot || worker_.boot.id.empty() || epoch_ == 0) {
       if (said.boot.started_ms >= worker_.boot.started_ms) {
         FollowBoot(said);
@@ -68,8 +86,8 @@
         }));
   }
 
- private:
   void FollowBoot(const executor_description& said) {
+    const bool drains = said.draining && !worker_.draining;
     if (said.boot != worker_.boot) {
       NoteCrash();
       obeyed_epoch_ = 0;
@@ -83,13 +101,17 @@
       first_seen_.clear();
     }
     worker_ = said;
+    if (drains) {
+      Sync(false);
+    }
     if (!holding_) {
       Hold();
     }
   }
 
   void NoteCrash() {
-    if (worker_.boot.id.empty() || !runs_listed_) {
+    if (worker_.boot.id.empty() || !runs_listed_ || worker_.draining ||
+        gone_ == worker_.boot) {
       return;
     }
     crashed_executor crashed{worker_.boot, {}};
@@ -197,6 +219,7 @@
     sync.wait = wait;
     sync.epoch = epoch_;
     sync.acked_order = acked_order_;
+    sync.gone = gone_;
     worker_report& report = sync.report;
     report.agent = name_;
     report.incarnation = incarnation_;
@@ -265,6 +288,7 @@
       if (reply->wants_runs) {
         runs_told_ = 0;
       }
+      gone_ = executor_boot();
       TakeOrders(*reply, boot);
     } else {
       pause = kSyncRetry;
@@ -330,6 +354,7 @@
   const std::string name_;
   const std::uint64_t incarnation_;
   executor_boot unconfirmed_;
+  executor_boot gone_;
   std::uint64_t obeyed_epoch_ = 0;
   bool holding_ = false;
   std::uint64_t hold_timer_ = 0;
--- a/src/libkernel/job_scheduler_books_executor.h
+++ b/src/libkernel/job_scheduler_books_executor.h
@@ -74,8 +74,7 @@
     std::uint32_t of_step = 1;
     for (const auto& [run, state] : runs_) {
       used += ledger_.StepOf(run.first).size;
-      of_step +=
-          run.first.job == task.job && run.first.step == task.step ? 1 : 0;
+      of_step += IsOfSameStep(run.first, task) ? 1 : 0;
     }
     if (used.milli_processors > capacity_.milli_processors) {
       if (guards_capacity_) {
@@ -89,10 +88,7 @@
                                     " exceeds its step's limit on " + where_);
     }
     ledger_.OnStart(request.run, where_, time_.Now(), request.is_late);
-    runs_[request.run] = {time_.Now(), random_.Between(100, 1'500), false};
-    const run_end end =
-        random_.Happens(kFailedPercent) ? run_end::kFailed : run_end::kDone;
-    EndAfter(runs_[request.run].duration, request.run, end);
+    Begin(request.run);
     return {executor_verdict::kAccepted, Clock()};
   }
 
@@ -138,11 +134,8 @@
     list.started_ms = name_.started_ms;
     list.ended = ends_;
     for (const auto& [run, state] : runs_) {
-      const millis done =
-          (time_.Now() - state.began) * 100 / (state.duration + 1);
       list.running.push_back(
-          {run.first, run.second, "",
-           static_cast<std::uint32_t>(std::min<millis>(done, 99)), 0});
+          {run.first, run.second, "", PercentOf(run, state), 0});
     }
     return list;
   }
@@ -163,8 +156,37 @@
     millis began = 0;
     millis duration = 0;
     bool is_stopping = false;
+    bool is_stuck = false;  // Makes no progress and does not end.
   };
 
+  static bool IsOfSameStep(const task_name& one, const task_name& other) {
+    return one.job == other.job && one.occurrence == other.occurrence &&
+           one.step == other.step;
+  }
+
+  void Begin(const run_name& run) {
+    const bool is_service = ledger_.StepOf(run.first).service;
+    run_state& state = runs_[run];
+    state = {time_.Now(), random_.Between(100, ledger_.is_calm ? 200 : 1'500),
+             false, false};
+    const bool fails = !ledger_.is_calm && random_.Happens(kFailedPercent);
+    state.is_stuck =
+        !is_service && !ledger_.is_calm && random_.Happens(kStuckPercent);
+    if (!state.is_stuck && (!is_service || fails)) {
+      EndAfter(state.duration, run, fails ? run_end::kFailed : run_end::kDone);
+    }
+  }
+
+  std::uint32_t PercentOf(const run_name& run, const run_state& state) const {
+    if (ledger_.StepOf(run.first).service) {
+      return 100;
+    }
+    const millis worked = time_.Now() - state.began;
+    return state.is_stuck ? kStuckAt
+                          : static_cast<std::uint32_t>(worked * 100 /
+                                                       (state.duration + 1));
+  }
+
   bool Obey(std::uint64_t epoch) {
     if (epoch < highest_epoch_) {
       return false;
@@ -226,6 +248,8 @@
   static constexpr millis kMaxLease = 6'000;
   static constexpr millis kStopTime = 200;
   static constexpr int kFailedPercent = 8;
+  static constexpr int kStuckPercent = 5;
+  static constexpr std::uint32_t kStuckAt = 10;  // Percent of the work.
 
   virtual_time& time_;
   dice& random_;
--- a/src/libkernel/job_scheduler_books_fixture.h
+++ b/src/libkernel/job_scheduler_books_fixture.h
@@ -11,6 +11,8 @@
   explicit books_world(std::uint64_t seed) : random_(seed) {
     has_crashes_ = random_.Happens(50);
     has_agent_ends_ = random_.Happens(50);
+    has_agent_pauses_ = random_.Happens(50);
+    has_drains_ = random_.Happens(40);
     has_pauses_ = random_.Happens(60);
     has_bad_links_ = random_.Happens(85);
     has_late_orders_ = random_.Happens(60);
@@ -36,6 +38,7 @@
                      nullptr,
                      {},
                      owner_,
+                     0,
                      0}));
       Bear(*site);
       StartAgent(*site);
@@ -62,6 +65,7 @@
     link_state owner_link;
     std::shared_ptr<books_owner> owner;  // That the agent calls.
     std::uint64_t lives = 0;             // Of the executor.
+    millis leaves_at = 0;                // While it drains.
   };
 
   bool IsCalm() const { return time_.Now() >= kCalmFrom; }
@@ -73,7 +77,8 @@
   }
 
   void Bear(books_site& site) {
-    if (site.lives++ == 0 || random_.Happens(30)) {
+    const bool has_left = std::exchange(site.leaves_at, 0) != 0;
+    if (site.lives++ == 0 || has_left || random_.Happens(30)) {
       site_ids_[site.name] =
           "executor-" + site.name + std::to_string(site.lives);
     }
@@ -93,6 +98,32 @@
     time_.After(random_.Between(50, 3'000), [this, &site] { Bear(site); });
   }
 
+  // Drains an executor, which then ends and tells its agent, if that hears it.
+  void Drain(books_site& site) {
+    if (site.executor.boot == nullptr || site.leaves_at != 0) {
+      return;
+    }
+    const millis remaining = random_.Between(300, 3'000);
+    site.leaves_at = time_.Now() + remaining;
+    has_crashed_ = true;  // So it looks to an agent that was not told.
+    time_.After(remaining, [this, &site, boot = site.executor.boot] {
+      if (boot != site.executor.boot) {
+        return;
+      }
+      boot->Crash();
+      site.executor.boot = nullptr;
+      time_.After(random_.Between(50, 3'000), [this, &site] { Bear(site); });
+      if (random_.Happens(30)) {
+        return;
+      }
+      time_.After(random_.Between(1, 1'000), [&site, name = boot->Name()] {
+        if (site.agent != nullptr) {
+          site.agent->OnLeft(name);
+        }
+      });
+    });
+  }
+
   void StartAgent(books_site& site) {
     site.agent = std::make_shared<books_agent>(time_, site.executor, site.name,
                                                site.clock_offset);
@@ -110,7 +141,8 @@
     }
     site.agent = nullptr;
     ledger_.Note(time_.Now(), "agent " + site.name + " ends");
-    time_.After(random_.Between(5, 1'500), [this, &site] { StartAgent(site); });
+    time_.After(random_.Between(5, random_.Happens(50) ? 100 : 1'500),
+                [this, &site] { StartAgent(site); });
   }
 
   void Announce(books_site& site) {
@@ -120,6 +152,8 @@
       said.service = "cutting";
       said.labels = {"a", "rack-1"};
       said.capacity = kCapacity;
+      said.draining = site.leaves_at != 0;
+      said.remaining = std::max<millis>(site.leaves_at - time_.Now(), 0);
       const bool is_late = !IsCalm() && random_.Happens(5);
       time_.After(is_late ? random_.Between(50, 3'000) : 2, [&site, said] {
         if (site.agent != nullptr) {
@@ -172,7 +206,7 @@
     link_state link;
     switch (has_bad_links_ ? random_.Between(0, 5) : 0) {
       case 1:
-        link.slow_percent = 30;
+        link.slow_percent = random_.Happens(50) ? 20 : 60;
         break;
       case 2:
         link.lost_percent = 25;
@@ -191,7 +225,7 @@
   }
 
   void Disturb(books_site& site) {
-    time_.After(random_.Between(200, 2'500), [this, &site] {
+    time_.After(random_.Between(200, 1'500), [this, &site] {
       if (IsCalm()) {
         return;
       }
@@ -200,9 +234,15 @@
       if (has_crashes_ && random_.Happens(12)) {
         Crash(site);
       }
-      if (has_agent_ends_ && random_.Happens(15)) {
+      if (has_agent_ends_ && random_.Happens(25)) {
         EndAgent(site);
       }
+      if (has_agent_pauses_ && site.agent != nullptr && random_.Happens(15)) {
+        site.agent->PauseFor(random_.Between(100, 4'000));
+      }
+      if (has_drains_ && random_.Happens(12)) {
+        Drain(site);
+      }
       Disturb(site);
     });
   }
@@ -229,6 +269,7 @@
   }
 
   void Calm() {
+    ledger_.is_calm = true;
     store_.is_in_trouble = false;
     for (const auto& site : sites_) {
       site->owner_link = {};
@@ -236,28 +277,40 @@
     }
   }
 
+  job_record DrawJob(const std::string& id, bool is_service) {
+    job_record record;
+    record.id = id;
+    record.queue = books_owner::Queue();
+    record.accepted_ms = kWallMs;
+    const millis steps = is_service ? 1 : random_.Between(1, 2);
+    for (millis s = 0; s < steps; ++s) {
+      job_step step;
+      step.tasks = static_cast<std::uint32_t>(random_.Between(1, 4));
+      step.size = {500 * random_.Between(1, 4), 100, 0};
+      step.expected = random_.Between(100, 1'500);
+      step.service = is_service;
+      step.speculative = !is_service && random_.Happens(20);
+      step.most_per_worker = static_cast<std::uint32_t>(random_.Between(0, 2));
+      if (s > 0) {
+        step.after.push_back(0);
+      }
+      record.spec.steps.push_back(step);
+    }
+    return record;
+  }
+
   void SubmitJobs() {
-    const millis jobs = random_.Between(3, 12);
+    const millis jobs = random_.Between(3, 16);
     for (millis i = 0; i < jobs; ++i) {
-      job_record record;
-      record.id = "job" + std::to_string(i);
-      record.queue = books_owner::Queue();
-      record.accepted_ms = kWallMs;
-      const millis steps = random_.Between(1, 2);
-      for (millis s = 0; s < steps; ++s) {
-        job_step step;
-        step.tasks = static_cast<std::uint32_t>(random_.Between(1, 4));
-        step.size = {500 * random_.Between(1, 4), 100, 0};
-        step.expected = random_.Between(100, 1'500);
-        step.speculative = random_.Happens(10);
-        step.most_per_worker =
-            static_cast<std::uint32_t>(random_.Between(0, 2));
-        if (s > 0) {
-          step.after.push_back(0);
-        }
-        record.spec.steps.push_back(step);
-      }
+      const bool is_service = random_.Happens(10);
       const millis when = random_.Between(200, kCalmFrom - 3'000);
+      job_record record = DrawJob("job" + std::to_string(i), is_service);
+      if (!is_service && random_.Happens(15)) {
+        record.spec.repeats = static_cast<std::uint32_t>(random_.Between(1, 4));
+        record.spec.first_due_ms =
+            kWallMs + time_.Now() + when + random_.Between(0, 500);
+        record.spec.repeat_interval = random_.Between(100, 1'000);
+      }
       time_.After(when, [this, record]() mutable {
         record.epoch = store_.epoch;
         store_.records.push_back(record);
@@ -266,11 +319,13 @@
           owner->AddJob(record);
         }
       });
-      if (random_.Happens(15)) {
-        time_.After(when + random_.Between(5, 3'000), [this, id = record.id] {
-          store_.cancelled.insert(id);
-          owner_->CancelJob(id);
-        });
+      if (is_service || random_.Happens(15)) {
+        const millis latest = kCalmFrom - 1'000 - when;
+        time_.After(when + random_.Between(5, is_service ? latest : 3'000),
+                    [this, id = record.id] {
+                      store_.cancelled.insert(id);
+                      owner_->CancelJob(id);
+                    });
       }
     }
   }
@@ -349,6 +404,8 @@
   books_store store_;
   bool has_crashes_ = false;
   bool has_agent_ends_ = false;
+  bool has_agent_pauses_ = false;
+  bool has_drains_ = false;
   bool has_pauses_ = false;
   bool has_bad_links_ = false;
   bool has_late_orders_ = false;
--- a/src/libkernel/job_scheduler_books_ledger.h
+++ b/src/libkernel/job_scheduler_books_ledger.h
@@ -60,7 +60,8 @@
   std::map<std::string, job_record> jobs;
   std::map<std::string, millis> cancelled_at;  // When an owner took it.
   std::string failure;                         // The first one.
-  bool prints = false;                         // What happens, to stderr.
+  bool is_calm = false;  // Tasks are short and do not fail.
+  bool prints = false;   // What happens, to stderr.
 
   void Note(millis now, const std::string& text) const {
     if (prints) {
--- a/src/libkernel/job_scheduler_books_orders.h
+++ b/src/libkernel/job_scheduler_books_orders.h
@@ -9,6 +9,9 @@
 struct books_agent_faults {
   bool ignores_boots = false;         // Orders reach the next boot.
   bool tries_stopped_starts = false;  // Until they are answered.
+  // A start is tried again under a grant that came after the one under which
+  // it was ordered has expired.
+  bool renews_leases_of_starts = false;
 };
 
 class books_orders : public std::enable_shared_from_this<books_orders> {
@@ -21,11 +24,37 @@
 
   books_agent_faults faults;
 
+  // Keeps what happens until the process goes on.
+  void PauseFor(millis duration) {
+    if (std::exchange(is_paused_, true)) {
+      return;
+    }
+    time_.After(duration, [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self == nullptr) {
+        return;
+      }
+      self->is_paused_ = false;
+      for (const auto& event : std::exchange(self->kept_, {})) {
+        event();
+      }
+    });
+  }
+
  protected:
+  void Run(const std::function<void()>& event) {
+    if (is_paused_) {
+      kept_.push_back(event);
+    } else {
+      event();
+    }
+  }
+
   struct open_order {
     worker_order order;
     int tries = 0;
     bool withdrawing = false;
+    millis granted_until = 0;  // When the order came.
   };
   struct untold_start {
     std::uint64_t number = 0;
@@ -38,18 +67,18 @@
   template <class value_type, class function_type>
   std::function<void(std::optional<value_type>)> Guarded(
       function_type function) {
-    return
-        [weak = weak_from_this(), function](std::optional<value_type> value) {
-          if (const auto self = weak.lock()) {
-            function(std::move(value));
-          }
-        };
+    return [weak = weak_from_this(),
+            function](std::optional<value_type> value) {
+      if (const auto self = weak.lock()) {
+        self->Run([function, value = std::move(value)] { function(value); });
+      }
+    };
   }
 
   void After(millis delay, std::function<void()> step) {
     time_.After(delay, [weak = weak_from_this(), step = std::move(step)] {
       if (const auto self = weak.lock()) {
-        step();
+        self->Run(step);
       }
     });
   }
@@ -77,7 +106,7 @@
       return;
     }
     if (order.kind == order_kind::kStart && !WasStartOrdered(name)) {
-      open_starts_[name] = {order, 0, false};
+      open_starts_[name] = {order, 0, false, granted_until_};
       if (is_stopped && !faults.tries_stopped_starts) {
         TakeBack(name);
       } else {
@@ -90,7 +119,7 @@
         TakeBack(name);
         return;
       }
-      open_stops_[name] = {order, 0, false};
+      open_stops_[name] = {order, 0, false, 0};
       SendStop(name);
     }
   }
@@ -118,7 +147,8 @@
       return;
     }
     if (open->second.tries == 0 &&
-        (!clock_known_ || granted_until_ - Clock() < kLeastLease)) {
+        (!clock_known_ || granted_until_ - Clock() < kLeastLease ||
+         worker_.draining)) {
       if (open->second.order.was_tried) {
         TakeBack(name);
         return;
@@ -128,10 +158,12 @@
       return;
     }
     ++open->second.tries;
+    const millis lease = faults.renews_leases_of_starts
+                             ? LeaseEnd()
+                             : open->second.granted_until + clock_offset_;
     executor_.Call<books_boot::answer>(
         worker_.boot, faults.ignores_boots, kOrderTimeout,
-        [name, epoch = epoch_, lease = LeaseEnd()](books_boot& boot,
-                                                   bool is_late) {
+        [name, epoch = epoch_, lease](books_boot& boot, bool is_late) {
           return boot.Start({name, epoch, lease, is_late});
         },
         Guarded<books_boot::answer>([this, name, epoch = epoch_](auto answer) {
@@ -185,7 +217,7 @@
     if (std::exchange(open.withdrawing, true)) {
       return;
     }
-    open_stops_[name] = {open.order, 0, true};
+    open_stops_[name] = {open.order, 0, true, 0};
     SendStop(name);
   }
 
@@ -249,6 +281,8 @@
   static constexpr millis kSettledMemory = 5'000;
   static constexpr millis kLeastLease = 300;
 
+  bool is_paused_ = false;
+  std::vector<std::function<void()>> kept_;
   virtual_time& time_;
   books_executor& executor_;
   const millis boot_clock_offset_;
--- a/src/libkernel/job_scheduler_books_owner.h
+++ b/src/libkernel/job_scheduler_books_owner.h
@@ -151,6 +151,9 @@
       reply({});
       return;
     }
+    if (!sync.gone.id.empty()) {
+      scheduler_.OnExecutorLeft(agent, sync.gone, now);
+    }
     const bool obeys = sync.obeys && sync.epoch == epoch_;
     if (obeys) {
       scheduler_.OnReport(sync.report, now);
