Take acknowledged orders only from calls of the present epoch

Cause: orders are numbered anew by each owner. A call that an agent made under the former epoch and that arrived late, after it had adopted the new one, acknowledged orders of the new owner that it had never got: a start was dropped and stayed open for good, and its job never ended (LOST).

Change: a call under another epoch acknowledges nothing. The simulated owner follows the same rule.

--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -318,9 +318,11 @@
   const millis hold = std::clamp(
       kHoldTimePerAgent * static_cast<millis>(scheduler_->Workers().size()),
       kMinHoldTime, kMaxHoldTime);
-  waiting_sync waiting{call, now + hold, sync.acked_order(), obeys};
-  const bool has_orders =
-      !scheduler_->OrdersFor(sync.agent(), sync.acked_order()).empty();
+  // A call that was made under a former epoch acknowledges orders of that one.
+  const std::uint64_t acked =
+      sync.epoch() == ownership_.epoch ? sync.acked_order() : 0;
+  waiting_sync waiting{call, now + hold, acked, obeys};
+  const bool has_orders = !scheduler_->OrdersFor(sync.agent(), acked).empty();
   // An agent that doesn't know the current epoch is answered immediately.
   if (sync.wait() && sync.epoch() == ownership_.epoch && !has_orders) {
     waiting_[sync.agent()] = waiting;
--- a/src/libkernel/job_scheduler_books_owner.h
+++ b/src/libkernel/job_scheduler_books_owner.h
@@ -163,10 +163,10 @@
       former->second.reply({});
       waiting_.erase(former);
     }
-    const waiting_sync waiting{std::move(reply), now + kHoldTime,
-                               sync.acked_order, obeys};
+    const std::uint64_t acked = sync.epoch == epoch_ ? sync.acked_order : 0;
+    const waiting_sync waiting{std::move(reply), now + kHoldTime, acked, obeys};
     if (sync.wait && sync.epoch == epoch_ &&
-        scheduler_.OrdersFor(agent, sync.acked_order).empty()) {
+        scheduler_.OrdersFor(agent, acked).empty()) {
       waiting_[agent] = waiting;
     } else {
       Answer(agent, waiting);
