Let an adopted task wait for all former workers, too

Cause: a new owner that found a run of a task took the task for known, and no longer waited for the other workers of the former owner with it. A failure that one of them had yet to tell was missing when the adopted run failed; a run there would have run beside the next one (TWICE).

Change: adoption leaves the wait as it is. adopted_task_that_fails_waits_for_every_former_worker failed before.

--- a/src/libkernel/job_scheduler_test.cpp
+++ b/src/libkernel/job_scheduler_test.cpp
@@ -462,6 +462,26 @@
   BOOST_TEST(TakeOrders("a").size() + TakeOrders("b").size() == 1);
 }
 
+// Guards against a task that is started after its last attempt has failed
+// (BUDGET), or runs twice (TWICE): the end of an earlier run waits at a former
+// worker that has not reported.
+BOOST_AUTO_TEST_CASE(adopted_task_that_fails_waits_for_every_former_worker) {
+  scheduler.Restore({MakeJob("j", 1)}, {}, {}, {"a", "b"}, now);
+  worker_report adopted = MakeReport("a");
+  adopted.has_runs = true;
+  adopted.runs.push_back({{"j", 0, 0, 0}, 2, "", 10, 0});
+  scheduler.OnReport(adopted, now);
+  Commit();
+  worker_report failed = MakeReport("a");
+  failed.has_runs = true;
+  failed.ends.push_back({1, {"j", 0, 0, 0}, 2, run_end::kFailed, ""});
+  scheduler.OnReport(failed, now);
+  Tick();
+  BOOST_TEST(TakeOrders("a").empty());
+  ReportIdleWorker("b");
+  BOOST_TEST(TakeOrders("a").size() + TakeOrders("b").size() == 1);
+}
+
 // Guards against a task that runs twice (TWICE): its run under the former owner
 // stands in a row that can't be read, and would be granted its life while the
 // task starts elsewhere.
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -400,7 +400,6 @@
     }
     return;
   }
-  task->possibly_running = false;
   task->highest_run = std::max(task->highest_run, adopted.run);
   if (!status.checkpoint.empty()) {
     task->checkpoint = status.checkpoint;
