--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -57,9 +57,8 @@
                  {{"id", order.task.ToString()}, {"run", order.run}});
         return;
       }
-      open_starts_[name] = {std::move(order), 0,     false,
-                            is_stopped,       false, BootNow(),
-                            granted_until_};
+      open_starts_[name] = MakeOpenOrder(std::move(order));
+      open_starts_[name].is_stopped = is_stopped;
       SendStart(name);
       break;
     case order_kind::kStop:
@@ -71,6 +70,15 @@
   }
 }
 
+job_agent_process::open_order job_agent_process::MakeOpenOrder(
+    worker_order order) const {
+  open_order open;
+  open.order = std::move(order);
+  open.since = BootNow();
+  open.granted_until = granted_until_;
+  return open;
+}
+
 void job_agent_process::CarryStop(worker_order order) {
   const run_name name{order.task, order.run};
   const auto start = open_starts_.find(name);
@@ -84,11 +92,10 @@
     start->second.withdrawing = true;
     start->second.is_stopped = true;
   }
-  const auto [open, is_new] = open_stops_.try_emplace(name);
+  const auto [open, is_new] =
+      open_stops_.try_emplace(name, MakeOpenOrder(std::move(order)));
   open->second.withdrawing = is_start_open;
   if (is_new) {
-    open->second.order = std::move(order);
-    open->second.since = BootNow();
     SendStop(name);
   }
 }
@@ -277,7 +284,8 @@
             {"tries", open->second.tries},
             {"waited_ms", BootNow() - open->second.since}});
   open->second.withdrawing = true;
-  open_stops_[name] = {open->second.order, 0, true, false, false, BootNow(), 0};
+  open_stops_[name] = MakeOpenOrder(open->second.order);
+  open_stops_[name].withdrawing = true;
   SendStop(name);
 }
 
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -125,6 +125,7 @@
   void Carry(worker_order order, bool is_stopped);
   // Stops a run. A start of it that has no outcome is not tried any more, and
   // is told as refused when the run is gone.
+  open_order MakeOpenOrder(worker_order order) const;
   void CarryStop(worker_order order);
   // A start is tried only while the owner has been heard lately: it may have
   // stored the task's end, or a cancellation, that it couldn't tell yet.
