--- a/src/libkernel/job_scheduler_books_test.cpp
+++ b/src/libkernel/job_scheduler_books_test.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr std::uint64_t kFirstSeed = 1;
-constexpr std::uint64_t kLastSeed = 50;
+constexpr std::uint64_t kLastSeed = 700;
 
 struct seed_range {
   std::uint64_t first = kFirstSeed;
