--- /dev/null
+++ b/review/standin/case.cpp
@@ -0,0 +1,671 @@
+// Plays one case of the review: starts the store, executors, entries and agents
+// on loopback, submits jobs, brings the disruption about and judges what clients
+// and executors have seen.
+//
+//   case NAME FOLDER    with TROUBLE=0 in the environment: without the disruption
+//
+// Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <optional>
+
+#include "platform.h"
+
+namespace review {
+
+constexpr int kEntries = 3;
+constexpr int kAgents = 11;
+constexpr const char* kHost = "jobs.example";
+
+// A process of the project.
+struct process {
+  std::string name;
+  std::string settings;
+  pid_t id = 0;
+};
+
+class fleet {
+ public:
+  fleet(record& log, std::string folder)
+      : log_(log), folder_(std::move(folder)), shared_(log) {}
+
+  world& World() { return shared_; }
+
+  bool Start(int max_attempts) {
+    if (!FindPorts()) {
+      log_.Line("no free ports");
+      return false;
+    }
+    store_ = std::make_unique<store>(address{"127.0.0.1", base_});
+    if (!store_->Start()) {
+      return false;
+    }
+    json::array routes;
+    for (const int priority : {0, 2}) {
+      routes.push_back(json::object{{"name", priority == 0 ? "r-one" : "r-two"},
+                                    {"host", kHost},
+                                    {"prefix", priority == 0 ? "/one/" : "/two/"},
+                                    {"kind", "unsafe"},
+                                    {"timeout_ms", 3000},
+                                    {"latency_target_ms", 1000},
+                                    {"priority", priority},
+                                    {"service", "cutting"},
+                                    {"max_attempts", max_attempts},
+                                    {"stretch", 2.0}});
+    }
+    store_->Put("op/config",
+                json::serialize(json::object{
+                    {"version", 7},
+                    {"routes", std::move(routes)},
+                    {"services",
+                     json::array{json::object{{"name", "cutting"},
+                                              {"rejects_overload", true}}}},
+                    {"limits", json::object{{"max_body_bytes", 262144}}}}));
+    for (int i = 0; i < kAgents; ++i) {
+      shared_.executors.push_back(std::make_unique<executor>(
+          shared_, i, App(i), Control(i),
+          json::object{{"cpu", 16000}, {"mem_mb", 62500}, {"gpu", 0}}));
+    }
+    for (int i = 0; i < kEntries; ++i) {
+      StartEntry(i);
+    }
+    for (int i = 0; i < kAgents; ++i) {
+      StartAgent(i);
+    }
+    for (const auto& entry : shared_.executors) {
+      if (!entry->Boot()) {
+        return false;
+      }
+    }
+    ticker_ = std::thread([this] {
+      while (!stopping_) {
+        {
+          const std::lock_guard lock(shared_.mutex);
+          for (const auto& entry : shared_.executors) {
+            entry->Tick();
+          }
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      }
+    });
+    return AwaitReady();
+  }
+
+  void Stop() {
+    if (stopping_.exchange(true)) {
+      return;
+    }
+    if (ticker_.joinable()) {
+      ticker_.join();
+    }
+    for (const int signal : {SIGTERM, SIGKILL}) {
+      for (const process& entry : processes_) {
+        if (entry.id > 0) {
+          kill(entry.id, signal);
+        }
+      }
+      const std::int64_t until = Now() + 4000;
+      for (process& entry : processes_) {
+        while (entry.id > 0 && Now() < until) {
+          if (waitpid(entry.id, nullptr, WNOHANG) == entry.id) {
+            entry.id = 0;
+          } else {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+          }
+        }
+      }
+    }
+    for (const process& entry : processes_) {
+      if (entry.id > 0) {
+        waitpid(entry.id, nullptr, 0);
+      }
+    }
+  }
+
+  // Submits a job until it is accepted; returns whether it was.
+  bool Submit(const std::string& id,
+              const json::object& job,
+              const std::string& prefix = "/one/") {
+    const std::string body = json::serialize(job);
+    for (int attempt = 0; attempt < 40; ++attempt) {
+      const http_message answer =
+          Call(Front(attempt % kEntries), "POST", prefix + id, body, 3000, kHost,
+               "X-Deadline-Remaining: 3000\r\n");
+      log_.Line("client: POST " + id + " -> " + std::to_string(answer.status) +
+                " " + answer.body);
+      if (answer.status / 100 == 2) {
+        return true;
+      }
+      Sleep(250);
+    }
+    return false;
+  }
+
+  // Returns what a GET shows; empty if there was no answer of 200.
+  std::string StateOf(const std::string& id,
+                      const std::string& prefix = "/one/") {
+    for (int attempt = 0; attempt < 6; ++attempt) {
+      const http_message answer =
+          Call(Front(attempt % kEntries), "GET", prefix + id, "", 3000, kHost,
+               "X-Deadline-Remaining: 3000\r\n");
+      if (answer.status == 200) {
+        return std::string(json::parse(answer.body).at("state").as_string());
+      }
+      Sleep(200);
+    }
+    return "";
+  }
+
+  static void Sleep(std::int64_t time) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(time));
+  }
+
+ private:
+  address Front(int i) const { return {"127.0.1." + std::to_string(i + 1), base_ + 1}; }
+  address Ready(int i) const { return {"127.0.1." + std::to_string(i + 1), base_ + 2}; }
+  address App(int i) const { return {"127.0.2." + std::to_string(i + 1), base_ + 5}; }
+  address Control(int i) const { return {"127.0.2." + std::to_string(i + 1), base_ + 6}; }
+
+  static bool IsFree(const address& at) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in where = SocketAddress(at);
+    const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&where),
+                           sizeof(where)) == 0;
+    close(fd);
+    return free;
+  }
+
+  bool FindPorts() {
+    for (int attempt = 0; attempt < 50; ++attempt) {
+      base_ = 20000 + (getpid() * 37 + attempt * 211) % 10000;
+      bool free = true;
+      for (int port = base_; port < base_ + 8 && free; ++port) {
+        free = IsFree({"127.0.0.1", port});
+        for (int i = 0; i < kAgents && free; ++i) {
+          free = IsFree({"127.0.2." + std::to_string(i + 1), port});
+        }
+        for (int i = 0; i < kEntries && free; ++i) {
+          free = IsFree({"127.0.1." + std::to_string(i + 1), port});
+        }
+      }
+      if (free) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  std::string Seeds() const {
+    std::string text;
+    for (int i = 0; i < kEntries; ++i) {
+      text += (i == 0 ? "" : ",") + std::string("127.0.1.") +
+              std::to_string(i + 1) + ":" + std::to_string(base_ + 7);
+    }
+    return text;
+  }
+
+  std::string Common(const std::string& role,
+                     const std::string& name,
+                     const std::string& ip) const {
+    return "[process]\nrole = " + role + "\nname = " + name + "\naddress = " + ip +
+           "\nrpc_port = " + std::to_string(base_ + 3) +
+           "\nhttp_port = " + std::to_string(base_ + 4) + "\ndata_centre = a\n";
+  }
+
+  // The settings are those that the templates in platform/ give.
+  void StartEntry(int i) {
+    const std::string name = "front-a-" + std::to_string(i + 1);
+    Launch(name, Common("job_entry", name, Front(i).ip) +
+                     "processors = 0.25\n[store]\nendpoint = 127.0.0.1:" +
+                     std::to_string(base_) + "\n[jobs]\nadapter = platform\nfront = " +
+                     Front(i).Text() + "\nreadiness = " + Ready(i).Text() +
+                     "\nseeds = " + Seeds() + "\nlongest_lease_ms = 6000\n");
+  }
+
+  void StartAgent(int i) {
+    const std::string name = "side-a-" + std::to_string(i + 1);
+    Launch(name, Common("job_agent", name, App(i).ip) +
+                     "[store]\nendpoint = 127.0.0.1:" + std::to_string(base_) +
+                     "\n[jobs]\nadapter = platform\nannouncements = " +
+                     Control(i).Text() + "\nexecutor = " + App(i).Text() +
+                     "\nseeds = " + Seeds() + "\nlongest_lease_ms = 6000\n");
+  }
+
+  void Launch(const std::string& name, const std::string& settings) {
+    process entry;
+    entry.name = name;
+    entry.settings = folder_ + "/" + name + ".ini";
+    std::ofstream(entry.settings) << settings;
+    const std::string output = folder_ + "/" + name + ".log";
+    entry.id = fork();
+    if (entry.id == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // Ends with the case in any event.
+      const int fd = open(output.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
+      dup2(fd, 1);
+      dup2(fd, 2);
+      execl("target/src/chervilkeeld/chervilkeeld", "chervilkeeld", "--config",
+            entry.settings.c_str(), static_cast<char*>(nullptr));
+      _exit(127);
+    }
+    log_.Line("started " + name + ", process " + std::to_string(entry.id));
+    processes_.push_back(entry);
+  }
+
+  bool AwaitReady() {
+    const std::int64_t until = Now() + 20'000;
+    for (int i = 0; i < kEntries; ++i) {
+      while (Call(Ready(i), "GET", "/readiness", "", 500).status != 200) {
+        if (Now() > until) {
+          log_.Line("entry " + std::to_string(i) + " does not become ready");
+          return false;
+        }
+        Sleep(100);
+      }
+    }
+    Sleep(4000);  // Traffic starts some seconds after the machines.
+    return true;
+  }
+
+  record& log_;
+  const std::string folder_;
+  world shared_;
+  std::unique_ptr<store> store_;
+  std::vector<process> processes_;
+  std::thread ticker_;
+  std::atomic<bool> stopping_{false};
+  int base_ = 0;
+};
+
+// Jobs beside the odd ones: these are one in twenty, or fewer.
+constexpr int kOthersBefore = 27;
+constexpr int kOthersAfter = 30;
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kCannotRun = 2;
+
+std::vector<seen_run> RunsOf(world& shared, const std::string& task) {
+  const std::lock_guard lock(shared.mutex);
+  std::vector<seen_run> found;
+  for (const auto& run : shared.runs) {
+    if (run->task.rfind(task, 0) == 0) {
+      found.push_back(*run);
+    }
+  }
+  return found;
+}
+
+std::size_t CountOf(const std::vector<seen_run>& runs, const std::string& how) {
+  std::size_t count = 0;
+  for (const seen_run& run : runs) {
+    count += run.how == how ? 1 : 0;
+  }
+  return count;
+}
+
+// Tasks that last and end by themselves, as `done`.
+int PlayService(fleet& play, record& log, bool trouble) {
+  world& shared = play.World();
+  behaviour lasting;
+  lasting.lasts = true;
+  lasting.exits_after = trouble ? 4000 : 0;
+  shared.behaviours["lasting"] = lasting;
+  const std::string id = "5e0000000000000a";
+  constexpr std::size_t kTasks = 3;
+  if (!play.Submit(id, {{"spec", "lasting"},
+                        {"steps", json::array{json::object{{"count", kTasks},
+                                                           {"cpu", 1000},
+                                                           {"mem_mb", 512},
+                                                           {"estimate_ms", 1000},
+                                                           {"long_running", true},
+                                                           {"image", "web"}}}}})) {
+    return kCannotRun;
+  }
+  std::int64_t last_end = 0;
+  for (int waited = 0; waited < 100; ++waited) {
+    fleet::Sleep(100);
+    const auto runs = RunsOf(shared, id);
+    if (trouble && CountOf(runs, "done") == kTasks) {
+      for (const seen_run& run : runs) {
+        last_end = std::max(last_end, run.ended);
+      }
+      break;
+    }
+  }
+  if (trouble && last_end == 0) {
+    return kCannotRun;
+  }
+  // A task that lasts is owed from 6 s after its last run; 3 s without it break
+  // the rule.
+  fleet::Sleep(11'000);
+  const std::string state = play.StateOf(id);
+  log.Line("client: GET " + id + " -> " + state);
+  int missing = 0;
+  for (std::size_t i = 0; i < kTasks; ++i) {
+    const std::string task = id + ".0.0." + std::to_string(i);
+    bool runs = false;
+    {
+      const std::lock_guard lock(shared.mutex);
+      for (const auto& entry : shared.executors) {
+        runs = runs || entry->Runs(task);
+      }
+    }
+    log.Line(task + ": " + std::to_string(RunsOf(shared, task).size()) + " runs, " +
+             (runs ? "at work" : "not running"));
+    missing += runs ? 0 : 1;
+  }
+  if (missing > 0) {
+    log.Line("LOST: " + std::to_string(missing) +
+             " tasks that last do not run, more than 9 s after their last runs; "
+             "nobody has cancelled the job, which is shown as " + state);
+  }
+  return missing > 0 ? kBroken : kHeld;
+}
+
+// A long task whose executors crash, each for 2 s.
+int PlayCrashes(fleet& play, record& log, bool trouble) {
+  world& shared = play.World();
+  behaviour tracing;
+  tracing.work = 20'000;
+  shared.behaviours["long"] = tracing;
+  const std::string id = "5e0000000000000b";
+  if (!play.Submit(id, {{"spec", "long"},
+                        {"steps", json::array{json::object{{"count", 1},
+                                                           {"cpu", 2000},
+                                                           {"mem_mb", 512},
+                                                           {"estimate_ms", 20'000}}}}})) {
+    return kCannotRun;
+  }
+  constexpr int kCrashes = 4;
+  int crashes = 0;
+  const std::int64_t until = Now() + 75'000;
+  std::string state;
+  while (Now() < until) {
+    fleet::Sleep(100);
+    executor* at = nullptr;
+    for (const seen_run& run : RunsOf(shared, id)) {
+      if (run.ended == 0 && Now() - run.started >= 3'000) {
+        for (const auto& entry : shared.executors) {
+          at = entry->Id() == run.executor ? entry.get() : at;
+        }
+      }
+    }
+    if (trouble && at != nullptr && crashes < kCrashes) {
+      ++crashes;
+      at->Crash();
+      fleet::Sleep(2000);
+      if (!at->Boot()) {
+        return kCannotRun;
+      }
+    }
+    state = play.StateOf(id);
+    if (state == "completed" || state == "failed") {
+      break;
+    }
+  }
+  log.Line("client: GET " + id + " -> " + state);
+  const auto runs = RunsOf(shared, id);
+  log.Line(std::to_string(runs.size()) + " runs, " +
+           std::to_string(CountOf(runs, "failed")) + " ended failed, " +
+           std::to_string(CountOf(runs, "lost")) + " lost with their executors");
+  if (state == "failed" && CountOf(runs, "failed") == 0) {
+    log.Line("LOST: the job is shown as failed, and none of its runs has ended so");
+    return kBroken;
+  }
+  return state == "completed" ? kHeld : kCannotRun;
+}
+
+// A gang that can never be done.
+int PlayGang(fleet& play, record& log, bool trouble) {
+  world& shared = play.World();
+  constexpr std::size_t kMembers = 6;
+  constexpr std::size_t kMaxAttempts = 2;
+  behaviour member;
+  member.work = 1000;
+  member.gang = kMembers;
+  member.poison = trouble;
+  shared.behaviours["gang"] = member;
+  // The gang is one job in twenty.
+  behaviour batch;
+  batch.work = 800;
+  shared.behaviours["batch"] = batch;
+  for (int i = 0; i < 20; ++i) {
+    char other[17];
+    std::snprintf(other, sizeof(other), "5e00000000001%03x", i);
+    if (!play.Submit(other, {{"spec", "batch"},
+                             {"steps", json::array{json::object{
+                                           {"count", 4},
+                                           {"cpu", 1000},
+                                           {"mem_mb", 512},
+                                           {"estimate_ms", 800}}}}})) {
+      return kCannotRun;
+    }
+    fleet::Sleep(150);
+  }
+  const std::string id = "5e0000000000000c";
+  if (!play.Submit(id, {{"spec", "gang"},
+                        {"steps", json::array{json::object{{"count", kMembers},
+                                                           {"cpu", 2000},
+                                                           {"mem_mb", 512},
+                                                           {"estimate_ms", 1000},
+                                                           {"gang", true}}}}})) {
+    return kCannotRun;
+  }
+  const std::int64_t until = Now() + 30'000;
+  std::string state;
+  while (Now() < until) {
+    fleet::Sleep(200);
+    state = play.StateOf(id);
+    if (state == "completed" || state == "failed") {
+      break;
+    }
+  }
+  fleet::Sleep(3000);
+  log.Line("client: GET " + id + " -> " + state);
+  std::size_t open_ends = 0;
+  {
+    const std::lock_guard lock(shared.mutex);
+    for (const auto& entry : shared.executors) {
+      open_ends += entry->OpenEnds();
+    }
+  }
+  // Each run of the gang has one member that ends `failed`.
+  std::vector<std::int64_t> failures;
+  const auto runs = RunsOf(shared, id);
+  for (const seen_run& run : runs) {
+    if (run.how == "failed") {
+      failures.push_back(run.ended);
+    }
+  }
+  std::sort(failures.begin(), failures.end());
+  std::set<std::uint64_t> late;
+  for (const seen_run& run : runs) {
+    if (failures.size() >= kMaxAttempts &&
+        run.started > failures[kMaxAttempts - 1]) {
+      late.insert(run.run);
+    }
+  }
+  log.Line("the gang failed " + std::to_string(failures.size()) +
+           " times; ends not taken note of: " + std::to_string(open_ends));
+  if (!late.empty() && open_ends == 0) {
+    log.Line("BUDGET: the gang was started " + std::to_string(late.size()) +
+             " times after " + std::to_string(kMaxAttempts) +
+             " of its runs had ended failed (max_attempts)");
+    return kBroken;
+  }
+  if (trouble) {
+    return state == "failed" ? kHeld : kCannotRun;
+  }
+  return state == "completed" ? kHeld : kCannotRun;
+}
+
+// Some jobs of 12 tasks among others of 4 tasks, in the queue that goes first.
+// `odd` says how their tasks behave. Judged are the others, and the odd ones
+// too if they can be done.
+int PlayAmong(fleet& play,
+              record& log,
+              int odd_jobs,
+              const behaviour& odd,
+              json::object step) {
+  world& shared = play.World();
+  behaviour batch;
+  batch.work = 800;
+  shared.behaviours["batch"] = batch;
+  shared.behaviours["odd"] = odd;
+  step["count"] = 12;
+  step["cpu"] = 1000;
+  step["mem_mb"] = 512;
+  const auto submit_batch = [&](int number) {
+    char id[17];
+    std::snprintf(id, sizeof(id), "5e00000000000%03x", number);
+    const bool accepted =
+        play.Submit(id,
+                    {{"spec", "batch"},
+                     {"steps", json::array{json::object{{"count", 4},
+                                                        {"cpu", 1000},
+                                                        {"mem_mb", 512},
+                                                        {"estimate_ms", 800}}}}},
+                    "/two/");
+    return accepted ? std::string(id) : std::string();
+  };
+  std::vector<std::pair<std::string, std::string>> jobs;  // Prefix and id.
+  for (int i = 0; i < kOthersBefore; ++i) {
+    jobs.emplace_back("/two/", submit_batch(i));
+    fleet::Sleep(150);
+  }
+  for (int i = 0; i < odd_jobs; ++i) {
+    const std::string id = "5e000000000000f" + std::to_string(i);
+    if (!play.Submit(id, {{"spec", "odd"}, {"steps", json::array{step}}})) {
+      return kCannotRun;
+    }
+    if (!odd.lasts) {
+      jobs.emplace_back("/one/", id);
+    }
+  }
+  fleet::Sleep(4000);
+  for (int i = 0; i < kOthersAfter; ++i) {
+    jobs.emplace_back("/two/", submit_batch(kOthersBefore + i));
+    fleet::Sleep(150);
+  }
+  for (const auto& [prefix, id] : jobs) {
+    if (id.empty()) {
+      return kCannotRun;
+    }
+  }
+  log.Line("the traffic has ended");
+  fleet::Sleep(14'000);  // finish_s
+  // A job with nothing running for 3 s breaks the rule, as next to nothing of
+  // the capacity is in use.
+  std::map<std::string, std::int64_t> idle_since;
+  std::set<std::string> broken;
+  std::map<std::string, std::string> states;
+  const std::int64_t until = Now() + 6'000;
+  while (Now() < until) {
+    for (const auto& [prefix, id] : jobs) {
+      bool runs = false;
+      for (const seen_run& run : RunsOf(shared, id)) {
+        runs = runs || run.ended == 0;
+      }
+      std::string& state = states[id];
+      if (state != "completed") {
+        state = play.StateOf(id, prefix);
+      }
+      if (runs || state == "completed") {
+        idle_since.erase(id);
+      } else if (Now() - idle_since.try_emplace(id, Now()).first->second >= 3'000) {
+        broken.insert(id);
+      }
+    }
+    fleet::Sleep(100);
+  }
+  const auto odd_runs = RunsOf(shared, "5e000000000000f");
+  std::size_t running = 0;
+  {
+    const std::lock_guard lock(shared.mutex);
+    for (const auto& run : shared.runs) {
+      running += run->ended == 0 ? 1 : 0;
+    }
+  }
+  log.Line(std::to_string(odd_runs.size()) + " runs of the odd jobs, " +
+           std::to_string(CountOf(odd_runs, "stopped")) + " of them stopped; " +
+           std::to_string(running) + " tasks of one core run now, of 176 cores");
+  for (const auto& [id, state] : states) {
+    log.Line("client: GET " + id + " -> " + state + ", " +
+             std::to_string(RunsOf(shared, id).size()) + " runs");
+  }
+  if (!broken.empty()) {
+    log.Line("LOST: " + std::to_string(broken.size()) +
+             " accepted jobs have had nothing running for 3 s");
+    return kBroken;
+  }
+  return kHeld;
+}
+
+// A job whose tasks last, and fail soon after each start.
+int PlayLoop(fleet& play, record& log, bool trouble) {
+  behaviour odd;
+  odd.lasts = true;
+  odd.fails_after = trouble ? 200 : 0;
+  return PlayAmong(play, log, 1, odd,
+                   {{"estimate_ms", 1000}, {"long_running", true}, {"image", "web"}});
+}
+
+// Jobs whose tasks take long.
+int PlayLong(fleet& play, record& log, bool trouble) {
+  behaviour odd;
+  odd.work = trouble ? 420'000 : 1400;
+  return PlayAmong(play, log, 3, odd, {{"estimate_ms", 1400}});
+}
+
+}  // namespace review
+
+int main(int argc, char** argv) {
+  if (argc != 3) {
+    std::fprintf(stderr, "usage: case NAME FOLDER\n");
+    return review::kCannotRun;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  const char* wish = std::getenv("TROUBLE");
+  const bool trouble = wish == nullptr || std::string(wish) != "0";
+  char folder[] = "/tmp/chervilkeel-review-XXXXXX";
+  if (mkdtemp(folder) == nullptr) {
+    return review::kCannotRun;
+  }
+  review::record log(std::string(argv[2]) + "/record.txt");
+  log.Line(std::string("case ") + argv[1] + (trouble ? "" : ", without the disruption"));
+  int outcome = review::kCannotRun;
+  // Its threads go on until the process ends.
+  review::fleet& play = *new review::fleet(log, folder);
+  const std::string name = argv[1];
+  if (play.Start(2)) {
+    outcome = name == "service"   ? review::PlayService(play, log, trouble)
+              : name == "crashes" ? review::PlayCrashes(play, log, trouble)
+              : name == "loop"    ? review::PlayLoop(play, log, trouble)
+              : name == "long"    ? review::PlayLong(play, log, trouble)
+              : name == "gang"    ? review::PlayGang(play, log, trouble)
+                                  : review::kCannotRun;
+  }
+  play.Stop();
+  log.Line(outcome == 0   ? "the rule held"
+           : outcome == 1 ? "the rule was broken"
+                          : "the case could not run");
+  std::printf("%s\n", outcome == 0   ? "held"
+                      : outcome == 1 ? "broken"
+                                     : "could not run");
+  std::fflush(nullptr);
+  if (std::getenv("KEEP") == nullptr) {
+    const std::string command = std::string("rm -rf ") + folder;
+    if (std::system(command.c_str()) != 0) {
+      std::printf("could not remove %s\n", folder);
+    }
+  } else {
+    std::printf("logs in %s\n", folder);
+  }
+  std::fflush(nullptr);
+  _exit(outcome);
+}
