--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,7 +4,7 @@
 # review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/src/chervilkeeld/chervilkeeld ] && [ -x review/build/case ] || exit 2
-timeout -s TERM 115 review/build/case gang review/5
+timeout -s TERM 115 review/build/case service review/5
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
