--- a/review/standin/case.cpp
+++ b/review/standin/case.cpp
@@ -161,6 +161,15 @@
     return "";
   }
 
+  // Returns the pending jobs of a queue; -1 if there was no answer of 200.
+  int Pending(const std::string& prefix) {
+    const http_message answer = Call(Front(0), "GET", prefix, "", 3000, kHost,
+                                     "X-Deadline-Remaining: 3000\r\n");
+    return answer.status == 200
+               ? json::parse(answer.body).at("pending").to_number<int>()
+               : -1;
+  }
+
   static void Sleep(std::int64_t time) {
     std::this_thread::sleep_for(std::chrono::milliseconds(time));
   }
@@ -540,6 +549,121 @@
   return kHeld;
 }
 
+json::object SmallJob() {
+  return {{"spec", "batch"},
+          {"steps", json::array{json::object{{"count", 1},
+                                             {"cpu", 1000},
+                                             {"mem_mb", 512},
+                                             {"estimate_ms", 800}}}}};
+}
+
+std::string SmallJobId(int number) {
+  char id[17];
+  std::snprintf(id, sizeof(id), "5e000000000000%02x", number);
+  return id;
+}
+
+// Not a case, see REPORT.md: a liveness report by another writer under each
+// executor's id.
+int PlayForeign(fleet& play, record& log, bool trouble) {
+  world& shared = play.World();
+  behaviour batch;
+  batch.work = 800;
+  shared.behaviours["batch"] = batch;
+  if (trouble) {
+    for (const auto& entry : shared.executors) {
+      log.Line("report by another writer, " + entry->Id() + " -> " +
+               std::to_string(entry->SendForeignReport()));
+    }
+  }
+  fleet::Sleep(4'000);
+  std::vector<sound_job> jobs;
+  for (int i = 0; i < 5; ++i) {
+    if (!play.Submit(SmallJobId(i), SmallJob(), "/two/")) {
+      return kCannotRun;
+    }
+    jobs.push_back({"/two/", SmallJobId(i), 1});
+  }
+  fleet::Sleep(14'000);  // finish_s
+  std::map<std::string, std::string> states;
+  const std::set<std::string> idle = FindIdle(play, jobs, states);
+  for (const auto& [id, state] : states) {
+    log.Line("client: GET " + id + " -> " + state);
+  }
+  if (!idle.empty()) {
+    log.Line("LOST: " + std::to_string(idle.size()) +
+             " accepted jobs have had nothing running for 3 s");
+    return kBroken;
+  }
+  return kHeld;
+}
+
+// Not a case, see REPORT.md: while ten executors are full, the last one is lost
+// for good, and jobs come.
+int PlayPending(fleet& play, record& log, bool trouble) {
+  world& shared = play.World();
+  behaviour fill;
+  fill.work = 25'000;
+  shared.behaviours["fill"] = fill;
+  behaviour batch;
+  batch.work = 800;
+  shared.behaviours["batch"] = batch;
+  const auto fill_executors = [&](const std::string& id, int count) {
+    return play.Submit(
+        id, {{"spec", "fill"},
+             {"steps", json::array{json::object{{"count", count},
+                                                {"cpu", 16000},
+                                                {"mem_mb", 512},
+                                                {"estimate_ms", 25'000}}}}});
+  };
+  if (!fill_executors("5e00000000000f00", kAgents - 1)) {
+    return kCannotRun;
+  }
+  fleet::Sleep(2'500);
+  executor* last = nullptr;
+  {
+    const std::lock_guard lock(shared.mutex);
+    for (const auto& entry : shared.executors) {
+      last = entry->IsIdle() ? entry.get() : last;
+    }
+  }
+  if (last == nullptr) {
+    return kCannotRun;
+  }
+  if (trouble) {
+    std::thread([last] { last->Crash(); }).detach();
+  } else if (!fill_executors("5e00000000000f01", 1)) {
+    return kCannotRun;
+  }
+  fleet::Sleep(100);
+  constexpr int kJobs = 4;
+  const std::int64_t accepted = Now();
+  for (int i = 0; i < kJobs; ++i) {
+    if (!play.Submit(SmallJobId(i), SmallJob(), "/two/")) {
+      return kCannotRun;
+    }
+  }
+  bool is_broken = false;
+  while (Now() < accepted + 13'000) {
+    fleet::Sleep(800);
+    const int pending = play.Pending("/two/");
+    int begun = 0;
+    for (int i = 0; i < kJobs; ++i) {
+      begun += RunsOf(shared, SmallJobId(i)).empty() ? 0 : 1;
+    }
+    log.Line("client: GET /two/ -> pending " + std::to_string(pending) + "; " +
+             std::to_string(kJobs - begun) + " jobs have not begun, accepted " +
+             std::to_string(Now() - accepted) + " ms before");
+    // visible_ms + 2 s, and what the calls take.
+    is_broken = is_broken || (Now() - accepted > 5'500 && pending >= 0 &&
+                              2 * pending < kJobs - begun);
+  }
+  if (is_broken) {
+    log.Line("MIXED: under half of the jobs that have not begun are pending");
+  }
+  return is_broken ? kBroken : kHeld;
+}
+
 // Some jobs of 12 tasks among others of 4 tasks, in the queue that goes first.
 // `odd` says how their tasks behave. Judged are the others, and the odd ones
 // too if they can be done.
@@ -661,6 +785,8 @@
               : name == "crashes" ? review::PlayCrashes(play, log, trouble)
               : name == "loop"    ? review::PlayLoop(play, log, trouble)
               : name == "long"    ? review::PlayLong(play, log, trouble)
+              : name == "foreign" ? review::PlayForeign(play, log, trouble)
+              : name == "pending" ? review::PlayPending(play, log, trouble)
               : name == "times"   ? review::PlayTimes(play, log, trouble)
                                   : review::kCannotRun;
   }
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -489,8 +489,28 @@
     world_.changed.notify_all();
   }
 
+  bool IsIdle() const { return up_ && running_.empty(); }
   bool Runs(const std::string& task) const { return running_.count(task) != 0; }
 
+  // Sends a liveness report under this executor's id as another writer might:
+  // its service is not one that the configuration names. Returns the status.
+  int SendForeignReport() {
+    const json::object body{{"service", "nonsense"},
+                            {"address", app_.Text()},
+                            {"zone", "a"},
+                            {"version", "v1"},
+                            {"slots", 8},
+                            {"state", "ready"},
+                            {"cold_remaining_ms", 0},
+                            {"capacity", capacity_},
+                            {"labels", json::array{"a", "r1-0"}},
+                            {"born", born_},
+                            {"clock_ms", Clock()},
+                            {"sequence", 5000}};
+    return Call(control_, "PUT", "/instances/" + id_, json::serialize(body), 1000)
+        .status;
+  }
+
   // Ends that the system has not taken note of yet.
   std::size_t OpenEnds() const { return ended_.size(); }
 
