Tell failures of a step from failures of its workers

Cause: each failed run counted against its worker. Three on a worker make it suspect, with one probe in up to 4 s, and the probe went to the first waiting step that fits: always the failing service, as its queue comes first and its tasks wait again after each failure. No success ever cleared a worker.

Change: failures are kept by step. A step is at fault if its runs have failed on three workers (two, if there are no more), more of them than have succeeded or outlasted the failed ones, while fewer other steps fail there than workers; its failures then count against no worker, those already counted included. The first 500 ms are left to runs that outlast the failed ones, so that faulty workers are kept apart as before. A probe is left to steps that do not fail for 500 ms, which holds where a step cannot be found at fault (one worker). Since failures of a service no longer keep workers away, early ones delay its next start: the first does not, then 250 ms, doubled up to 2 s.

--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -183,6 +183,7 @@
             {"waited_ms", idle->waited},
             {"suspect", idle->is_suspect},
             {"awaits_former_workers", idle->awaits_former_workers},
+            {"restart_in_ms", idle->restart_in},
             {"startable_workers", idle->startable_workers},
             {"obstacles", obstacles}},
            true);
--- a/src/include/chervilkeel/job.h
+++ b/src/include/chervilkeel/job.h
@@ -139,6 +139,16 @@
 std::string EncodeJobProgress(const job_progress& progress);
 result<job_progress> DecodeJobProgress(const std::string& text);
 
+// Identifies a step in an occurrence of a job, written as JOB.OCCURRENCE.STEP.
+struct step_name {
+  std::string job;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+
+  std::string ToString() const;
+  auto operator<=>(const step_name&) const = default;
+};
+
 // Identifies a task of a job, written as JOB.OCCURRENCE.STEP.INDEX.
 struct task_name {
   std::string job;
@@ -146,6 +156,7 @@
   std::uint32_t step = 0;
   std::uint32_t index = 0;
 
+  step_name Step() const { return {job, occurrence, step}; }
   std::string ToString() const;
   auto operator<=>(const task_name&) const = default;
 };
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -134,12 +134,27 @@
   std::vector<task_run> runs;
   std::vector<std::string> failed_on;  // Agents.
   millis ready_since = 0;
+  // Runs of a service that failed early, one after the other, and until when
+  // it is not started again.
+  std::uint32_t early_failures = 0;
+  millis restart_at = 0;
+};
+
+// A run that failed.
+struct failed_run {
+  std::string agent;
+  millis at = 0;
+  millis worked = 0;  // Since the start of the run.
 };
 
 struct scheduled_step {
   std::vector<scheduled_task> tasks;
   std::uint32_t done = 0;
   bool ready = false;
+  // The latest failures of its runs, oldest first.
+  std::deque<failed_run> failures;
+  // Set while these are put down to the step and not to its workers.
+  bool is_at_fault = false;
 };
 
 struct scheduled_occurrence {
@@ -244,6 +259,7 @@
   bool is_suspect = false;  // The task starts only as a trial.
   // The task waits until all workers of the former scheduler have reported.
   bool awaits_former_workers = false;
+  millis restart_in = 0;  // The rest of a delay after early failures.
   std::uint64_t startable_workers = 0;
   std::map<start_obstacle, std::uint64_t> obstacles;  // To numbers of workers.
 };
@@ -527,6 +543,27 @@
                         const run_status& status,
                         millis listed_before,
                         millis now);
+  // job_scheduler_failures.cpp: runs that fail.
+  // Counts a failure against the worker, unless its step is at fault.
+  void NoteFailure(scheduled_worker& worker,
+                   const step_name& name,
+                   millis worked,
+                   millis now);
+  scheduled_step& StepOf(const step_name& name);
+  // Whether more runs of a step have failed lately than have succeeded or have
+  // been at work for longer than any of those.
+  static bool MostRunsFail(const scheduled_step& step, millis now);
+  // Decides for each step with failures whether the step is at fault or its
+  // workers are.
+  void JudgeFailures(millis now);
+  bool IsAtFault(const step_name& name, millis now);
+  // Delays the next start of a service that has failed early, the longer the
+  // more often it did so on end.
+  void DelayRestart(const task_name& key,
+                    scheduled_task& task,
+                    millis worked,
+                    millis now);
+
   // Tells the worker's health what the progress of a run means for it.
   void NoteProgress(scheduled_worker& worker,
                     const run_status& status,
@@ -619,7 +656,7 @@
                       millis now);
 
   // job_scheduler_placement.cpp: choice of workers, and orders.
-  std::vector<waiting_step> WaitingSteps();
+  std::vector<waiting_step> WaitingSteps(millis now);
   // Returns the estimated work left of an occurrence, in milli-processor ms.
   static double RemainingWork(const scheduled_job& job,
                               const scheduled_occurrence& occurrence);
@@ -849,6 +886,23 @@
   // With so many doubtful runs a task waits until one of them is settled.
   static constexpr std::size_t kMaxDoubtfulRuns = 2;
 
+  // A step whose runs have failed on so many workers may be at fault; on two,
+  // if its service has no more. Until its first failure is so old, its other
+  // runs are given time to last longer.
+  static constexpr std::size_t kMinWorkersOfFault = 2;
+  static constexpr std::size_t kMaxWorkersOfFault = 3;
+  static constexpr millis kMinFaultTime = 500;
+  // Failures of a step count for so long, and at most so many of them.
+  static constexpr millis kFailureMemory = 30'000;
+  static constexpr std::size_t kMaxKnownFailures = 64;
+
+  // A service that has been at work for so long has started well.
+  static constexpr millis kSettledTime = 5'000;
+  // The second early failure on end delays the next start by the first of
+  // these; each one after it doubles the delay.
+  static constexpr millis kFirstRestartDelay = 250;
+  static constexpr millis kMaxRestartDelay = 2'000;
+
   // Crashes of a worker that are remembered: more than agents tell of.
   static constexpr std::size_t kMaxKnownCrashes = 16;
 
@@ -886,7 +940,8 @@
   std::set<std::string> wanted_members_;
   // Stored members that a commit without a known outcome removes.
   std::set<std::string> doubtful_members_;
-  std::set<std::string> dirty_;  // Jobs whose progress has to be stored.
+  std::set<step_name> failing_steps_;  // With failures that still count.
+  std::set<std::string> dirty_;        // Jobs whose progress has to be stored.
   std::vector<std::string> expired_jobs_;  // To be removed from the store.
   std::vector<std::string> committing_expired_jobs_;
   // Jobs whose removal is stored, and since when. A list of stored jobs that
--- a/src/libkernel/crash_fixture.h
+++ b/src/libkernel/crash_fixture.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -37,6 +38,20 @@
   // Time from a task's start to the crash that it causes; 0: it causes none.
   std::function<millis(const task_name&)> crash_delay =
       [](const task_name&) -> millis { return 0; };
+  // How a run ends by itself, and how long after its start. Nothing: batch
+  // tasks are done after kTaskTime, services and gangs do not end.
+  struct own_end {
+    millis delay = 0;
+    run_end end = run_end::kDone;
+  };
+  std::function<std::optional<own_end>(const std::string& executor,
+                                       const task_name&)>
+      find_own_end =
+          [](const std::string&, const task_name&) -> std::optional<own_end> {
+    return std::nullopt;
+  };
+  // When services are listed as at work, after their start; 0: never.
+  millis service_startup = 0;
   bool agents_remember = true;
   bool loses_orders = false;      // Between the agents and their executors.
   bool agents_tell_once = false;  // Otherwise with each report.
@@ -127,21 +142,35 @@
     }
   }
 
+  std::optional<own_end> EndOf(const std::string& name,
+                               const task_name& task) const {
+    const auto found = find_own_end(name, task);
+    if (!found && !IsService(task) && !IsGang(task)) {
+      return own_end{kTaskTime, run_end::kDone};
+    }
+    return found;
+  }
+
   void Report(const std::string& name, simulated_executor& executor) {
     worker_report report = MakeReport(name);
     report.worker.boot.started_ms = executor.boot;
     report.has_runs = true;
     for (auto run = executor.runs.begin(); run != executor.runs.end();) {
-      if (!IsService(run->first.first) && !IsGang(run->first.first) &&
-          run->second + kTaskTime <= now) {
-        executor.ends.push_back({++executor.last_end, run->first.first,
-                                 run->first.second, run_end::kDone, ""});
+      const task_name& task = run->first.first;
+      const auto ending = EndOf(name, task);
+      if (ending && run->second + ending->delay <= now) {
+        executor.ends.push_back(
+            {++executor.last_end, task, run->first.second, ending->end, ""});
         run = executor.runs.erase(run);
         continue;
       }
       run_status status;
-      status.task = run->first.first;
+      status.task = task;
       status.run = run->first.second;
+      if (service_startup > 0 && IsService(task) &&
+          run->second + service_startup <= now) {
+        status.percent = 100;
+      }
       report.runs.push_back(status);
       ++run;
     }
--- a/src/libkernel/job.cpp
+++ b/src/libkernel/job.cpp
@@ -355,9 +355,12 @@
       });
 }
 
+std::string step_name::ToString() const {
+  return job + "." + std::to_string(occurrence) + "." + std::to_string(step);
+}
+
 std::string task_name::ToString() const {
-  return job + "." + std::to_string(occurrence) + "." + std::to_string(step) +
-         "." + std::to_string(index);
+  return Step().ToString() + "." + std::to_string(index);
 }
 
 bool ParseTaskName(std::string_view text, task_name& out) {
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -584,6 +584,7 @@
   const bool scan_due = now >= next_scan_;
   if (scan_due) {
     next_scan_ = now + kScanInterval;
+    JudgeFailures(now);
     MoveStuckTasks(now);
     MoveThrottledTasks(now);
   }
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -247,7 +247,8 @@
   return RemainingWork(job, occurrence) / std::max(value, 1.0);
 }
 
-std::vector<job_scheduler::waiting_step> job_scheduler::WaitingSteps() {
+std::vector<job_scheduler::waiting_step> job_scheduler::WaitingSteps(
+    millis now) {
   std::vector<waiting_step> waiting;
   for (const std::string& id : active_jobs_) {
     scheduled_job& job = jobs_.at(id);
@@ -283,7 +284,8 @@
             continue;
           }
           job.has_waiting_tasks = true;
-          if (!task.possibly_running || unreported_members_.empty()) {
+          if (now >= task.restart_at &&
+              (!task.possibly_running || unreported_members_.empty())) {
             entry.tasks.push_back(i);
             waiting_suspects_[job.policy.service] += task.is_suspect ? 1 : 0;
           }
@@ -317,7 +319,7 @@
   waiting_suspects_.clear();
   const bool places_best_effort = now >= next_best_effort_placement_;
   bool is_crowded = false;
-  std::vector<waiting_step> steps = WaitingSteps();
+  std::vector<waiting_step> steps = WaitingSteps(now);
   std::erase_if(steps, [&](const waiting_step& waiting) {
     return !places_best_effort &&
            waiting.job->record.spec.steps[waiting.step_index].filler;
@@ -387,7 +389,7 @@
       job.occurrences.at(waiting.occurrence).steps[waiting.step_index];
   std::uint64_t run = 0;
   for (const scheduled_task& task : step.tasks) {
-    if (!task.runs.empty()) {
+    if (!task.runs.empty() || now < task.restart_at) {
       return;
     }
     run = std::max(run, NextRunNumber(task));
@@ -455,7 +457,10 @@
   if (now < worker.start_backoff_until) {
     return start_obstacle::kBackOff;
   }
-  if (!worker.health.MayStart(now)) {
+  const scheduled_step& state =
+      job.occurrences.at(key.occurrence).steps[key.step];
+  if (worker.health.IsSuspect() &&
+      !worker.health.MayStart(now, MostRunsFail(state, now))) {
     return start_obstacle::kUnhealthy;
   }
   if (!step.required_label.empty() &&
--- a/src/libkernel/job_scheduler_reports.cpp
+++ b/src/libkernel/job_scheduler_reports.cpp
@@ -1,5 +1,7 @@
 // What operators are told of stalled work: orders whose outcome is not known,
 // and jobs that wait without runs.
+#include <algorithm>
+
 #include "chervilkeel/job_scheduler.h"
 
 #include "chervilkeel/name_table.h"
@@ -81,6 +83,7 @@
   found.is_suspect = task.is_suspect;
   found.awaits_former_workers =
       task.possibly_running && !unreported_members_.empty();
+  found.restart_in = std::max<millis>(task.restart_at - now, 0);
   for (auto& [agent, worker] : workers_) {
     std::optional<start_obstacle> obstacle =
         FindObstacle(worker, job, key, now);
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -427,6 +427,8 @@
       });
   const bool was_stopping = tracked_run != task->runs.end() &&
                             tracked_run->phase == run_phase::kStopping;
+  const millis worked =
+      tracked_run != task->runs.end() ? now - tracked_run->active_since : 0;
   task->highest_run = std::max(task->highest_run, ended.run);
   RemoveRun(ended.task, worker.agent, ended.run, now);
   Emit("run_ended", ended.task.ToString(), worker.agent,
@@ -441,7 +443,7 @@
   }
   switch (ended.end) {
     case run_end::kDone:
-      worker.health.OnSuccess(now);
+      worker.health.OnSuccess(ended.task.Step(), now);
       ++job.started_tasks;
       if (step.gang) {
         for (std::uint32_t i = 0; i < step.tasks; ++i) {
@@ -454,8 +456,9 @@
       }
       return;
     case run_end::kFailed:
-      worker.health.OnFailure(now);
+      NoteFailure(worker, ended.task.Step(), worked, now);
       if (step.service) {
+        DelayRestart(ended.task, *task, worked, now);
         return;
       }
       task->failed_runs.insert(ended.run);
--- a/src/libkernel/job_test.cpp
+++ b/src/libkernel/job_test.cpp
@@ -106,25 +106,25 @@
 BOOST_AUTO_TEST_CASE(worker_that_fails_most_runs_gets_one_probe_at_a_time) {
   worker_health health;
   for (int i = 0; i < 3; ++i) {
-    health.OnFailure(0);
+    health.OnFailure({"j", 0, 0}, 0);
   }
   BOOST_TEST(health.IsSuspect());
-  BOOST_TEST(!health.MayStart(100));
-  BOOST_TEST(health.MayStart(1'000));
+  BOOST_TEST(!health.MayStart(100, false));
+  BOOST_TEST(health.MayStart(1'000, false));
   health.OnProbe(1'000);
-  BOOST_TEST(!health.MayStart(1'001));
-  health.OnSuccess(1'500);
-  BOOST_TEST(health.MayStart(1'501));
+  BOOST_TEST(!health.MayStart(1'001, false));
+  health.OnSuccess({"j", 0, 0}, 1'500);
+  BOOST_TEST(health.MayStart(1'501, false));
 }
 
 BOOST_AUTO_TEST_CASE(
     worker_with_a_few_failures_among_successes_is_not_suspect) {
   worker_health health;
   for (int i = 0; i < 4; ++i) {
-    health.OnSuccess(0);
+    health.OnSuccess({"j", 0, 0}, 0);
   }
   for (int i = 0; i < 3; ++i) {
-    health.OnFailure(0);
+    health.OnFailure({"j", 0, 0}, 0);
   }
   BOOST_TEST(!health.IsSuspect());
 }
--- a/src/libkernel/worker_health.cpp
+++ b/src/libkernel/worker_health.cpp
@@ -4,19 +4,24 @@
 
 namespace chervilkeel {
 
-void worker_health::RecordOutcome(bool failed, millis now) {
-  recent_failures_.push_back(failed);
-  if (recent_failures_.size() > kMaxOutcomes) {
-    recent_failures_.pop_front();
+void worker_health::RecordOutcome(const step_name& step,
+                                  bool failed,
+                                  millis now) {
+  outcomes_.push_back({step, failed, true});
+  if (outcomes_.size() > kMaxOutcomes) {
+    outcomes_.pop_front();
   }
-  const auto failures = static_cast<std::size_t>(
-      std::count(recent_failures_.begin(), recent_failures_.end(), true));
-  if (!IsSuspect() && failures >= kMinFailuresForSuspect &&
-      2 * failures > recent_failures_.size()) {
+  if (!IsSuspect() && MostRunsFail()) {
     BecomeSuspect(suspicion::kFailures, now);
   }
 }
 
+bool worker_health::MostRunsFail() const {
+  const tally counted = CountOutcomes();
+  return counted.failures >= kMinFailuresForSuspect &&
+         counted.failures > counted.successes;
+}
+
 void worker_health::BecomeSuspect(suspicion reason, millis now) {
   suspicion_ = reason;
   suspect_since_ = now;
@@ -24,16 +29,41 @@
   next_probe_ = now + probe_interval_;
 }
 
-void worker_health::OnSuccess(millis now) {
+void worker_health::OnSuccess(const step_name& step, millis now) {
   if (IsSuspect()) {
     suspicion_ = suspicion::kNone;
-    recent_failures_.clear();
+    outcomes_.clear();
+  }
+  RecordOutcome(step, false, now);
+}
+
+void worker_health::OnFailure(const step_name& step, millis now) {
+  RecordOutcome(step, true, now);
+}
+
+void worker_health::SetFailuresCount(const step_name& step,
+                                     bool count,
+                                     millis now) {
+  for (outcome& entry : outcomes_) {
+    if (entry.failed && entry.step == step) {
+      entry.counts = count;
+    }
+  }
+  if (suspicion_ == suspicion::kFailures && !MostRunsFail()) {
+    suspicion_ = suspicion::kNone;
+  } else if (!IsSuspect() && MostRunsFail()) {
+    BecomeSuspect(suspicion::kFailures, now);
   }
-  RecordOutcome(false, now);
 }
 
-void worker_health::OnFailure(millis now) {
-  RecordOutcome(true, now);
+worker_health::tally worker_health::CountOutcomes() const {
+  tally counted;
+  for (const outcome& entry : outcomes_) {
+    if (entry.counts) {
+      ++(entry.failed ? counted.failures : counted.successes);
+    }
+  }
+  return counted;
 }
 
 void worker_health::OnUnresponsive(millis now) {
@@ -51,7 +81,7 @@
 void worker_health::OnServiceAtWork(millis run_started) {
   if (IsSuspect() && run_started > suspect_since_) {
     suspicion_ = suspicion::kNone;
-    recent_failures_.clear();
+    outcomes_.clear();
   }
 }
 
@@ -61,12 +91,11 @@
 }
 
 double worker_health::FailureRatio() const {
-  if (recent_failures_.empty()) {
-    return 0;
-  }
-  return static_cast<double>(std::count(recent_failures_.begin(),
-                                        recent_failures_.end(), true)) /
-         static_cast<double>(recent_failures_.size());
+  const tally counted = CountOutcomes();
+  const std::size_t all = counted.failures + counted.successes;
+  return all == 0
+             ? 0
+             : static_cast<double>(counted.failures) / static_cast<double>(all);
 }
 
 }  // namespace chervilkeel
