Restart services that end as done

Cause: ProcessRunEnd marked any task done whose run ended so, whatever its step. A service runs until its job is cancelled and is restarted however it ends.

Change: such an end counts as a success of the worker and restarts the task, with the delay of services that end early. Related path: a task that a former release has stored as done is started again as well.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -134,9 +134,9 @@
   std::vector<task_run> runs;
   std::vector<std::string> failed_on;  // Agents.
   millis ready_since = 0;
-  // Runs of a service that failed early, one after the other, and until when
-  // it is not started again.
-  std::uint32_t early_failures = 0;
+  // Runs of a service that ended early, one after the other, and until when it
+  // is not started again.
+  std::uint32_t early_ends = 0;
   millis restart_at = 0;
 };
 
@@ -259,7 +259,7 @@
   bool is_suspect = false;  // The task starts only as a trial.
   // The task waits until all workers of the former scheduler have reported.
   bool awaits_former_workers = false;
-  millis restart_in = 0;  // The rest of a delay after early failures.
+  millis restart_in = 0;  // The rest of a delay after early ends.
   std::uint64_t startable_workers = 0;
   std::map<start_obstacle, std::uint64_t> obstacles;  // To numbers of workers.
 };
@@ -557,7 +557,7 @@
   // workers are.
   void JudgeFailures(millis now);
   bool IsAtFault(const step_name& name, millis now);
-  // Delays the next start of a service that has failed early, the longer the
+  // Delays the next start of a service that has ended early, the longer the
   // more often it did so on end.
   void DelayRestart(const task_name& key,
                     scheduled_task& task,
@@ -898,8 +898,8 @@
 
   // A service that has been at work for so long has started well.
   static constexpr millis kSettledTime = 5'000;
-  // The second early failure on end delays the next start by the first of
-  // these; each one after it doubles the delay.
+  // The second early end in a row delays the next start by the first of these;
+  // each one after it doubles the delay.
   static constexpr millis kFirstRestartDelay = 250;
   static constexpr millis kMaxRestartDelay = 2'000;
 
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -83,7 +83,7 @@
     scheduled_step& step = occurrence.steps[saved.step];
     const std::size_t tasks = std::min(saved.done.size(), step.tasks.size());
     for (std::size_t i = 0; i < tasks; ++i) {
-      if (saved.done[i] == '1') {
+      if (saved.done[i] == '1' && !job.record.spec.steps[saved.step].service) {
         step.tasks[i].done = true;
         ++step.done;
         ++job.done_tasks;
--- a/src/libkernel/job_scheduler_failures.cpp
+++ b/src/libkernel/job_scheduler_failures.cpp
@@ -26,8 +26,7 @@
       step.tasks.begin(), step.tasks.end(), [&](const scheduled_task& task) {
         return std::any_of(task.runs.begin(), task.runs.end(), has_outlived);
       });
-  return step.failures.size() >
-         step.done + static_cast<std::size_t>(outliving);
+  return step.failures.size() > step.done + static_cast<std::size_t>(outliving);
 }
 
 void job_scheduler::NoteFailure(scheduled_worker& worker,
@@ -52,8 +51,8 @@
     return false;
   }
   const std::string& service = jobs_.at(name.job).policy.service;
-  const auto usable = static_cast<std::size_t>(std::count_if(
-      workers_.begin(), workers_.end(), [&](const auto& entry) {
+  const auto usable = static_cast<std::size_t>(
+      std::count_if(workers_.begin(), workers_.end(), [&](const auto& entry) {
         return entry.second.runs_known &&
                entry.second.description.service == service;
       }));
@@ -121,22 +120,21 @@
                                  millis worked,
                                  millis now) {
   if (worked >= kSettledTime) {
-    task.early_failures = 0;
+    task.early_ends = 0;
     return;
   }
-  ++task.early_failures;
-  if (task.early_failures < 2) {
+  ++task.early_ends;
+  if (task.early_ends < 2) {
     return;
   }
   constexpr std::uint32_t kMaxDoublings = 3;
-  const millis delay =
-      std::min(kFirstRestartDelay
-                   << std::min(task.early_failures - 2, kMaxDoublings),
-               kMaxRestartDelay);
+  const millis delay = std::min(
+      kFirstRestartDelay << std::min(task.early_ends - 2, kMaxDoublings),
+      kMaxRestartDelay);
   task.restart_at = now + delay;
   Emit("restart_delayed", key.ToString(), "",
        "delay_ms=" + std::to_string(delay) +
-           " early_failures=" + std::to_string(task.early_failures));
+           " early_ends=" + std::to_string(task.early_ends));
 }
 
 }  // namespace chervilkeel
--- a/src/libkernel/job_scheduler_failures_test.cpp
+++ b/src/libkernel/job_scheduler_failures_test.cpp
@@ -12,6 +12,7 @@
 struct failures_fixture : crash_fixture {
   std::set<std::string> faulty_jobs;
   std::set<std::string> faulty_workers;
+  std::set<std::string> ends_as_done;  // Jobs.
   millis failure_delay = 200;
 
   failures_fixture() {
@@ -22,6 +23,9 @@
           faulty_workers.count(worker) != 0) {
         return own_end{failure_delay, run_end::kFailed};
       }
+      if (ends_as_done.count(task.job) != 0) {
+        return own_end{failure_delay, run_end::kDone};
+      }
       return std::nullopt;
     };
     AddExecutors("abcd");
@@ -107,7 +111,8 @@
 }
 
 // Guards against starts without a pause, once failures keep no worker away.
-BOOST_AUTO_TEST_CASE(service_that_fails_early_is_restarted_at_longer_intervals) {
+BOOST_AUTO_TEST_CASE(
+    service_that_fails_early_is_restarted_at_longer_intervals) {
   Submit(MakeJob("before", 8));
   PassFleetTime(2'000);
   faulty_jobs = {"bad"};
@@ -156,6 +161,43 @@
   BOOST_TEST(SuspectWorkers() == 3);
 }
 
+// Guards against LOST of review/5: a service whose tasks end as done was not
+// started again, and its job was shown as completed.
+BOOST_AUTO_TEST_CASE(service_whose_tasks_end_as_done_is_restarted) {
+  ends_as_done = {"service"};
+  failure_delay = 4'000;
+  Submit(MakeService("service", 3));
+  PassFleetTime(4'500);
+  ends_as_done.clear();
+  PassFleetTime(6'000);
+  BOOST_TEST(StartsOf("service") == 6);
+  BOOST_TEST((scheduler.StateOf("service") == job_state::kRunning));
+}
+
+// Guards against a former release that has stored the tasks as done.
+BOOST_AUTO_TEST_CASE(service_task_that_is_stored_as_done_is_started) {
+  records["service"] = MakeService("service", 2);
+  job_progress& saved = progress["service"];
+  saved.id = "service";
+  saved.state = job_state::kRunning;
+  saved.steps.push_back({});
+  saved.steps[0].done = "10";
+  TakeOver();
+  PassFleetTime(3'000);
+  BOOST_TEST(StartsOf("service") == 2);
+}
+
+// Guards against services that end as done at once and are restarted without a
+// pause.
+BOOST_AUTO_TEST_CASE(service_that_ends_early_is_restarted_at_longer_intervals) {
+  ends_as_done = {"service"};
+  Submit(MakeService("service", 1));
+  PassFleetTime(5'000);
+  const int starts_before = StartsOf("service");
+  PassFleetTime(20'000);
+  BOOST_TEST(StartsOf("service") - starts_before <= 10);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -445,7 +445,9 @@
     case run_end::kDone:
       worker.health.OnSuccess(ended.task.Step(), now);
       ++job.started_tasks;
-      if (step.gang) {
+      if (step.service) {
+        DelayRestart(ended.task, *task, worked, now);
+      } else if (step.gang) {
         for (std::uint32_t i = 0; i < step.tasks; ++i) {
           MarkDone(job,
                    {ended.task.job, ended.task.occurrence, ended.task.step, i},
