Start no speculative copies of services

Found while looking for other ends of services that are judged like those of batch tasks: a service in a step that allows speculative copies got a second run once it had run for 1.3 times its estimate, as if it were late, and kept both. service_that_allows_speculative_copies_has_one_run failed before (2 starts).

--- a/src/libkernel/job_scheduler_failures_test.cpp
+++ b/src/libkernel/job_scheduler_failures_test.cpp
@@ -187,6 +187,16 @@
   BOOST_TEST(StartsOf("service") == 2);
 }
 
+// Guards against a second run of a service whose step allows copies of tasks
+// that are late: it is never late.
+BOOST_AUTO_TEST_CASE(service_that_allows_speculative_copies_has_one_run) {
+  job_record record = MakeService("service", 1);
+  record.spec.steps[0].speculative = true;
+  Submit(record);
+  PassFleetTime(6'000);
+  BOOST_TEST(StartsOf("service") == 1);
+}
+
 // Guards against services that end as done at once and are restarted without a
 // pause.
 BOOST_AUTO_TEST_CASE(service_that_ends_early_is_restarted_at_longer_intervals) {
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -597,7 +597,7 @@
       for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
         const job_step& spec = job.record.spec.steps[s];
         scheduled_step& step = occurrence.steps[s];
-        if (!spec.speculative || !step.ready) {
+        if (!spec.speculative || spec.service || !step.ready) {
           continue;
         }
         const millis limit =
