Judge a failing step by all its failures

A service of many tasks fails faster than the last failures that were kept reach back, so it was never found at fault; and a step that was at fault was judged anew as its failures were forgotten worker by worker. Failures are now counted by worker, and what has been judged holds until runs succeed or the failures are forgotten. Found by reading; large_service_that_fails_leaves_no_worker_suspect guards the first.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -134,26 +134,29 @@
   std::vector<task_run> runs;
   std::vector<std::string> failed_on;  // Agents.
   millis ready_since = 0;
-  // Runs of a service that ended early, one after the other, and until when it
-  // is not started again.
+  // Number of runs in a row of a service that ended early, and until when it is
+  // not started again.
   std::uint32_t early_ends = 0;
   millis restart_at = 0;
 };
 
-// A run that failed.
-struct failed_run {
-  std::string agent;
-  millis at = 0;
-  millis worked = 0;  // Since the start of the run.
+// The failed runs of a step on one worker.
+struct worker_failures {
+  std::size_t runs = 0;
+  millis first_at = 0;
+  millis last_at = 0;
+  millis longest = 0;  // Working time of the longest of them.
 };
 
 struct scheduled_step {
   std::vector<scheduled_task> tasks;
   std::uint32_t done = 0;
   bool ready = false;
-  // The latest failures of its runs, oldest first.
-  std::deque<failed_run> failures;
-  // Set while these are put down to the step and not to its workers.
+  std::map<std::string, worker_failures> failures;  // By agent.
+  // Whether more runs have failed lately than have succeeded or have been at
+  // work for longer than any of those.
+  bool most_runs_fail = false;
+  // Whether failures are put down to the step and not to its workers.
   bool is_at_fault = false;
 };
 
@@ -543,27 +546,6 @@
                         const run_status& status,
                         millis listed_before,
                         millis now);
-  // job_scheduler_failures.cpp: runs that fail.
-  // Counts a failure against the worker, unless its step is at fault.
-  void NoteFailure(scheduled_worker& worker,
-                   const step_name& name,
-                   millis worked,
-                   millis now);
-  scheduled_step& StepOf(const step_name& name);
-  // Whether more runs of a step have failed lately than have succeeded or have
-  // been at work for longer than any of those.
-  static bool MostRunsFail(const scheduled_step& step, millis now);
-  // Decides for each step with failures whether the step is at fault or its
-  // workers are.
-  void JudgeFailures(millis now);
-  bool IsAtFault(const step_name& name, millis now);
-  // Delays the next start of a service that has ended early, the longer the
-  // more often it did so on end.
-  void DelayRestart(const task_name& key,
-                    scheduled_task& task,
-                    millis worked,
-                    millis now);
-
   // Tells the worker's health what the progress of a run means for it.
   void NoteProgress(scheduled_worker& worker,
                     const run_status& status,
@@ -655,6 +637,25 @@
                       std::size_t trial_size,
                       millis now);
 
+  // job_scheduler_failures.cpp: runs that fail.
+  // Counts a failure against the worker, unless its step is at fault.
+  void NoteFailure(scheduled_worker& worker,
+                   const step_name& name,
+                   millis worked,
+                   millis now);
+  scheduled_step& StepOf(const step_name& name);
+  static bool MostRunsFail(const scheduled_step& step, millis now);
+  // Decides for each step with failures whether the step is at fault or its
+  // workers are.
+  void JudgeFailures(millis now);
+  bool IsAtFault(const step_name& name, millis now);
+  // Delays the next start of a service that has ended early, the longer the
+  // more often it did so in a row.
+  void DelayRestart(const task_name& key,
+                    scheduled_task& task,
+                    millis worked,
+                    millis now);
+
   // job_scheduler_placement.cpp: choice of workers, and orders.
   std::vector<waiting_step> WaitingSteps(millis now);
   // Returns the estimated work left of an occurrence, in milli-processor ms.
@@ -886,15 +887,14 @@
   // With so many doubtful runs a task waits until one of them is settled.
   static constexpr std::size_t kMaxDoubtfulRuns = 2;
 
-  // A step whose runs have failed on so many workers may be at fault; on two,
-  // if its service has no more. Until its first failure is so old, its other
-  // runs are given time to last longer.
+  // A step whose runs have failed on so many workers may be at fault; on fewer,
+  // if its service has no more. From the first failure on, other runs of the
+  // step have kMinFaultTime to last longer.
   static constexpr std::size_t kMinWorkersOfFault = 2;
   static constexpr std::size_t kMaxWorkersOfFault = 3;
   static constexpr millis kMinFaultTime = 500;
-  // Failures of a step count for so long, and at most so many of them.
+  // The failures of a step on a worker count for so long after the last one.
   static constexpr millis kFailureMemory = 30'000;
-  static constexpr std::size_t kMaxKnownFailures = 64;
 
   // A service that has been at work for so long has started well.
   static constexpr millis kSettledTime = 5'000;
--- a/src/include/chervilkeel/worker_health.h
+++ b/src/include/chervilkeel/worker_health.h
@@ -35,11 +35,11 @@
 
   bool IsSuspect() const { return suspicion_ != suspicion::kNone; }
 
-  // Returns whether the worker may get a task now. A step that fails elsewhere,
-  // too, leaves the probe to other steps for kProbeGrace.
-  bool MayStart(millis now, bool step_is_failing) const {
+  // Returns whether the worker may get a task now. A step most of whose runs
+  // fail leaves the probe to other steps for kProbeGrace.
+  bool MayStart(millis now, bool most_runs_fail) const {
     return !IsSuspect() ||
-           now >= next_probe_ + (step_is_failing ? kProbeGrace : 0);
+           now >= next_probe_ + (most_runs_fail ? kProbeGrace : 0);
   }
 
   // Records that a suspect worker got a task.
--- a/src/libkernel/job_scheduler_failures.cpp
+++ b/src/libkernel/job_scheduler_failures.cpp
@@ -12,12 +12,11 @@
 }
 
 bool job_scheduler::MostRunsFail(const scheduled_step& step, millis now) {
-  if (step.failures.empty()) {
-    return false;
-  }
+  std::size_t failed = 0;
   millis longest = 0;
-  for (const failed_run& failure : step.failures) {
-    longest = std::max(longest, failure.worked);
+  for (const auto& [agent, failures] : step.failures) {
+    failed += failures.runs;
+    longest = std::max(longest, failures.longest);
   }
   const auto has_outlived = [&](const task_run& run) {
     return run.phase == run_phase::kRunning && now - run.active_since > longest;
@@ -26,7 +25,7 @@
       step.tasks.begin(), step.tasks.end(), [&](const scheduled_task& task) {
         return std::any_of(task.runs.begin(), task.runs.end(), has_outlived);
       });
-  return step.failures.size() > step.done + static_cast<std::size_t>(outliving);
+  return failed > step.done + static_cast<std::size_t>(outliving);
 }
 
 void job_scheduler::NoteFailure(scheduled_worker& worker,
@@ -34,10 +33,12 @@
                                 millis worked,
                                 millis now) {
   scheduled_step& step = StepOf(name);
-  step.failures.push_back({worker.agent, now, worked});
-  if (step.failures.size() > kMaxKnownFailures) {
-    step.failures.pop_front();
+  worker_failures& failures = step.failures[worker.agent];
+  if (failures.runs++ == 0) {
+    failures.first_at = now;
   }
+  failures.last_at = now;
+  failures.longest = std::max(failures.longest, worked);
   failing_steps_.insert(name);
   if (!step.is_at_fault) {
     worker.health.OnFailure(name, now);
@@ -46,8 +47,11 @@
 
 bool job_scheduler::IsAtFault(const step_name& name, millis now) {
   const scheduled_step& step = StepOf(name);
-  if (!MostRunsFail(step, now) ||
-      now - step.failures.front().at < kMinFaultTime) {
+  const bool has_failed_for_long = std::any_of(
+      step.failures.begin(), step.failures.end(), [now](const auto& entry) {
+        return now - entry.second.first_at >= kMinFaultTime;
+      });
+  if (!step.most_runs_fail || !has_failed_for_long) {
     return false;
   }
   const std::string& service = jobs_.at(name.job).policy.service;
@@ -56,18 +60,15 @@
         return entry.second.runs_known &&
                entry.second.description.service == service;
       }));
-  std::set<std::string> agents;
-  for (const failed_run& failure : step.failures) {
-    agents.insert(failure.agent);
-  }
-  if (agents.size() <
-      std::clamp(usable, kMinWorkersOfFault, kMaxWorkersOfFault)) {
+  const std::size_t min_workers =
+      std::clamp(usable, kMinWorkersOfFault, kMaxWorkersOfFault);
+  if (!step.is_at_fault && step.failures.size() < min_workers) {
     return false;
   }
   std::set<step_name> failing_there;
   std::size_t failures = 0;
   std::size_t successes = 0;
-  for (const std::string& agent : agents) {
+  for (const auto& [agent, counted] : step.failures) {
     for (const auto& outcome : workers_.at(agent).health.LatestOutcomes()) {
       if (!outcome.counts || outcome.step == name) {
         continue;
@@ -80,7 +81,7 @@
   }
   // Few steps that fail on many workers are at fault; few workers on which
   // many steps fail are faulty themselves.
-  return failures <= successes || failing_there.size() < agents.size();
+  return failures <= successes || failing_there.size() < step.failures.size();
 }
 
 void job_scheduler::JudgeFailures(millis now) {
@@ -92,26 +93,25 @@
       continue;
     }
     scheduled_step& step = StepOf(name);
-    while (!step.failures.empty() &&
-           step.failures.front().at < now - kFailureMemory) {
-      step.failures.pop_front();
-    }
-    if (step.failures.empty()) {
-      step.is_at_fault = false;
-      entry = failing_steps_.erase(entry);
-      continue;
-    }
-    if (IsAtFault(name, now) != step.is_at_fault) {
-      step.is_at_fault = !step.is_at_fault;
+    std::erase_if(step.failures, [now](const auto& failures) {
+      return failures.second.last_at < now - kFailureMemory;
+    });
+    step.most_runs_fail = MostRunsFail(step, now);
+    const bool is_at_fault = IsAtFault(name, now);
+    if (is_at_fault != step.is_at_fault) {
+      step.is_at_fault = is_at_fault;
+      Emit(is_at_fault ? "step_at_fault" : "step_not_at_fault", name.ToString(),
+           "", "workers=" + std::to_string(step.failures.size()));
+      // Failures that are too old to judge the step say nothing of the workers
+      // any more.
       for (auto& [agent, worker] : workers_) {
-        worker.health.SetFailuresCount(name, !step.is_at_fault, now);
+        if (!step.failures.empty()) {
+          worker.health.SetFailuresCount(name, !is_at_fault, now);
+        }
       }
-      placement_requested_ = true;
-      Emit(step.is_at_fault ? "step_at_fault" : "step_not_at_fault",
-           name.ToString(), "",
-           "failures=" + std::to_string(step.failures.size()));
     }
-    ++entry;
+    entry =
+        step.failures.empty() ? failing_steps_.erase(entry) : std::next(entry);
   }
 }
 
--- a/src/libkernel/job_scheduler_failures_test.cpp
+++ b/src/libkernel/job_scheduler_failures_test.cpp
@@ -95,6 +95,18 @@
   BOOST_TEST((scheduler.StateOf("first") == job_state::kCompleted));
 }
 
+// Guards against a judgement by the last few failures only: those of a large
+// step come within milliseconds.
+BOOST_AUTO_TEST_CASE(large_service_that_fails_leaves_no_worker_suspect) {
+  faulty_jobs = {"bad"};
+  job_record record = MakeService("bad", 1'000);
+  record.spec.steps[0].size = {4, 4, 0};
+  Submit(record);
+  PassFleetTime(4'000);
+  BOOST_TEST(StartsOf("bad") >= 1'000);
+  BOOST_TEST(SuspectWorkers() == 0);
+}
+
 // Guards against a probe that goes to the failing service each time, on a
 // service with one worker.
 BOOST_AUTO_TEST_CASE(probe_of_the_only_worker_goes_to_another_step) {
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -460,7 +460,7 @@
   const scheduled_step& state =
       job.occurrences.at(key.occurrence).steps[key.step];
   if (worker.health.IsSuspect() &&
-      !worker.health.MayStart(now, MostRunsFail(state, now))) {
+      !worker.health.MayStart(now, state.most_runs_fail)) {
     return start_obstacle::kUnhealthy;
   }
   if (!step.required_label.empty() &&
