--- a/src/libkernel/job_scheduler_failures_test.cpp
+++ b/src/libkernel/job_scheduler_failures_test.cpp
@@ -47,6 +47,22 @@
     return sum;
   }
 
+  // Submits services that fail on all workers, and lets them do so.
+  void FailServices(const std::set<std::string>& ids) {
+    faulty_jobs = ids;
+    for (const std::string& id : ids) {
+      Submit(MakeService(id, 12));
+    }
+    PassFleetTime(6'000);
+  }
+
+  // Submits a job, which has to be done within that time.
+  void ExpectJobCompletes(millis time) {
+    Submit(MakeJob("first", 8));
+    PassFleetTime(time);
+    BOOST_TEST((scheduler.StateOf("first") == job_state::kCompleted));
+  }
+
   std::size_t SuspectWorkers() const {
     return static_cast<std::size_t>(std::count_if(
         scheduler.Workers().begin(), scheduler.Workers().end(),
@@ -76,23 +92,30 @@
 
 // Guards against the same where nothing has succeeded before.
 BOOST_AUTO_TEST_CASE(first_job_starts_beside_a_service_that_fails) {
-  faulty_jobs = {"bad"};
-  Submit(MakeService("bad", 12));
-  PassFleetTime(6'000);
-  Submit(MakeJob("first", 8));
-  PassFleetTime(3'000);
-  BOOST_TEST((scheduler.StateOf("first") == job_state::kCompleted));
+  FailServices({"bad"});
+  ExpectJobCompletes(3'000);
 }
 
 // Guards against the same with two services at fault.
 BOOST_AUTO_TEST_CASE(jobs_start_beside_two_services_that_fail) {
-  faulty_jobs = {"bad", "worse"};
-  Submit(MakeService("bad", 12));
-  Submit(MakeService("worse", 12));
+  FailServices({"bad", "worse"});
+  ExpectJobCompletes(3'000);
+}
+
+// Guards against the same where the runs are at work before they fail.
+BOOST_AUTO_TEST_CASE(jobs_start_beside_a_service_that_fails_after_its_startup) {
+  failure_delay = 1'500;
+  FailServices({"bad"});
   PassFleetTime(6'000);
-  Submit(MakeJob("first", 8));
+  ExpectJobCompletes(3'000);
+}
+
+// Guards against the same under a new owner, which knows no failures.
+BOOST_AUTO_TEST_CASE(jobs_start_beside_a_failing_service_after_a_takeover) {
+  FailServices({"bad"});
+  TakeOver();
   PassFleetTime(3'000);
-  BOOST_TEST((scheduler.StateOf("first") == job_state::kCompleted));
+  ExpectJobCompletes(3'000);
 }
 
 // Guards against a judgement by the last few failures only: those of a large
@@ -186,6 +209,23 @@
   BOOST_TEST((scheduler.StateOf("service") == job_state::kRunning));
 }
 
+// Guards against a new owner that takes the ended tasks for done.
+BOOST_AUTO_TEST_CASE(service_whose_tasks_end_as_done_runs_after_a_takeover) {
+  ends_as_done = {"service"};
+  failure_delay = 4'000;
+  Submit(MakeService("service", 3));
+  PassFleetTime(4'050);
+  ends_as_done.clear();
+  TakeOver();
+  PassFleetTime(6'000);
+  BOOST_TEST((scheduler.StateOf("service") == job_state::kRunning));
+  std::size_t runs = 0;
+  for (const auto& [name, executor] : executors) {
+    runs += executor.runs.size();
+  }
+  BOOST_TEST(runs == 3);
+}
+
 // Guards against a former release that has stored the tasks as done.
 BOOST_AUTO_TEST_CASE(service_task_that_is_stored_as_done_is_started) {
   records["service"] = MakeService("service", 2);
