Log the ground of an owner's grants, and the end of a new owner's wait

An entry logs each change of the ground on which it grants (lease, outage, none) with what each other entry said and how long ago; an agent logs whose grants extend its executor's lease; a new owner logs each former worker that reports, with the age of its list, and those that it waits for no more. No logic changes.

--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -577,6 +577,7 @@
         return started.number <= last_start;
       });
       if (orders.grant_ms() > 0) {
+        NoteGrantor(address);
         granted_until_ = std::max(granted_until_, asked + orders.grant_ms());
       }
       if (orders.wants_runs()) {
@@ -618,6 +619,24 @@
            true);
 }
 
+// Logs whose grants extend the executor's lease, at a change of the owner or of
+// its epoch and after a lapse.
+void job_agent_process::NoteGrantor(const std::string& address) {
+  const millis left = granted_until_ - BootNow();
+  if (address == grantor_ && epoch_ == granted_epoch_ && left > 0) {
+    return;
+  }
+  LogEvent(kPart, "granted",
+           {{"executor", worker_.boot.id},
+            {"owner", address},
+            {"epoch", epoch_},
+            {"former_owner", std::exchange(grantor_, address)},
+            {"former_epoch", std::exchange(granted_epoch_, epoch_)},
+            {"former_grant_left_ms", left},
+            {"runs", static_cast<std::uint64_t>(runs_.size())}},
+           true);
+}
+
 void job_agent_process::AdoptEpoch(std::uint64_t epoch) {
   LogEvent(kPart, "epoch_adopted", {{"from", epoch_}, {"to", epoch}}, true);
   epoch_ = epoch;
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -118,6 +118,7 @@
   void TakeOrders(const wire::agent_orders& reply,
                   const executor_boot& boot,
                   millis asked);
+  void NoteGrantor(const std::string& address);
   void AdoptEpoch(std::uint64_t epoch);
 
   // Orders.
@@ -182,6 +183,8 @@
   std::uint64_t epoch_ = 0;
   std::uint64_t obeyed_epoch_ = 0;  // The executor obeys it.
   millis granted_until_ = 0;
+  std::string grantor_;  // The owner of the last grant, and its epoch.
+  std::uint64_t granted_epoch_ = 0;
   millis owner_heard_ = 0;   // When a call that it has answered was sent.
   millis clock_offset_ = 0;  // The executor's clock less this VM's.
   bool clock_known_ = false;
--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -5,6 +5,7 @@
 
 #include "chervilkeel/event_log.h"
 #include "chervilkeel/http_drain.h"
+#include "chervilkeel/name_table.h"
 
 namespace chervilkeel {
 
@@ -37,6 +38,10 @@
 
 }  // namespace
 
+const char* NameOf(grant_basis basis) {
+  return NameIn(kGrantBasisNames, basis);
+}
+
 // Takes calls on gRPC's threads and hands them to the io_context's thread.
 class job_entry_process::rpc_server
     : public wire::job_owner_service::CallbackService {
@@ -101,6 +106,8 @@
                        settings_.processors},
       [this](const ownership& won) {
         owner_since_ = BootNow();
+        basis_ = grant_basis::kNone;
+        basis_since_ = owner_since_;
         handing_over_ = false;
         owner_->Begin(won);
       },
@@ -443,14 +450,20 @@
   return live;
 }
 
+bool job_entry_process::MayGrant() {
+  const grant_basis basis = FindGrantBasis();
+  NoteGrantBasis(basis);
+  return basis != grant_basis::kNone;
+}
+
 // While the store answers no entry, no other owner can be elected: the jobs go
 // on. An entry that can't tell lets its grants lapse.
-bool job_entry_process::MayGrant() {
+grant_basis job_entry_process::FindGrantBasis() const {
   if (election_->IsLeaseValid()) {
-    return true;
+    return grant_basis::kLease;
   }
   if (!election_->IsOwner()) {
-    return false;
+    return grant_basis::kNone;
   }
   std::size_t others = 0;
   for (const auto& [address, entry] : entries_) {
@@ -460,11 +473,40 @@
     }
     const bool lost_store = silent < kPeerFresh && entry.store_silent > 0;
     if (!lost_store) {
-      return false;
+      return grant_basis::kNone;
     }
     ++others;
   }
-  return others > 0;
+  return others > 0 ? grant_basis::kOutage : grant_basis::kNone;
+}
+
+void job_entry_process::NoteGrantBasis(grant_basis basis) {
+  const millis now = BootNow();
+  const grant_basis former = std::exchange(basis_, basis);
+  if (former == basis) {
+    return;
+  }
+  LogEvent(kPart, "grant_basis",
+           {{"epoch", election_->View().epoch},
+            {"from", NameOf(former)},
+            {"to", NameOf(basis)},
+            {"lasted_ms", now - std::exchange(basis_since_, now)},
+            {"store_silent_ms", store_.Silent()},
+            {"entries", DescribeEntries()}},
+           true);
+  metrics_.CountEvent(std::string("grant_basis_") + NameOf(basis));
+}
+
+std::string job_entry_process::DescribeEntries() const {
+  std::string text;
+  for (const auto& [address, entry] : entries_) {
+    text += (text.empty() ? "" : ",") + address;
+    text += entry.answered == 0
+                ? "=never"
+                : "=" + std::to_string(BootNow() - entry.answered) + "ms" +
+                      (entry.store_silent > 0 ? ":lost" : ":up");
+  }
+  return text;
 }
 
 void job_entry_process::Ask(
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -31,6 +31,26 @@
   bool leaving = false;
 };
 
+// On what an owner's right to grant rests.
+enum class grant_basis {
+  kNone,    // Another entry may own the jobs.
+  kLease,   // The lease in the store is valid.
+  kOutage,  // The other entries have lost the store, too.
+};
+
+struct grant_basis_name {
+  grant_basis basis;
+  const char* name;
+};
+
+inline constexpr grant_basis_name kGrantBasisNames[] = {
+    {grant_basis::kNone, "none"},
+    {grant_basis::kLease, "lease"},
+    {grant_basis::kOutage, "outage"},
+};
+
+const char* NameOf(grant_basis basis);
+
 class job_entry_process {
  public:
   job_entry_process(boost::asio::io_context& context,
@@ -80,6 +100,10 @@
            millis timeout,
            std::function<void(result<wire::job_reply>)> callback);
   bool MayGrant();
+  grant_basis FindGrantBasis() const;
+  void NoteGrantBasis(grant_basis basis);
+  // What the other entries have said of the store, and how long ago.
+  std::string DescribeEntries() const;
   bool IsReady() const;
   std::vector<std::string> LiveEntries() const;
   std::string Address() const;
@@ -111,6 +135,8 @@
   bool was_ready_ = false;
   bool handing_over_ = false;
   millis owner_since_ = 0;
+  grant_basis basis_ = grant_basis::kNone;  // As last logged ...
+  millis basis_since_ = 0;                  // ... and since when.
 };
 
 }  // namespace chervilkeel
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -115,10 +115,16 @@
     }
     placement_requested_ = placement_requested_ || !worker.runs_known;
     worker.runs_known = true;
-    if (unreported_members_.erase(report.agent) != 0 &&
-        unreported_members_.empty()) {
-      placement_requested_ = true;
-      Emit("recovered", "all former workers", "", "");
+    if (unreported_members_.erase(report.agent) != 0) {
+      Emit("former_worker_reported", report.worker.boot.id, report.agent,
+           ReportDetail(report) +
+               " runs=" + std::to_string(report.runs.size()) +
+               " ends=" + std::to_string(report.ends.size()) +
+               " unreported=" + std::to_string(unreported_members_.size()));
+      if (unreported_members_.empty()) {
+        placement_requested_ = true;
+        Emit("recovered", "all former workers", "", "");
+      }
     }
   }
 }
@@ -637,7 +643,10 @@
       ++entry;
       continue;
     }
-    Emit("former_worker_silent", entry->first, "", "");
+    Emit("former_worker_silent", entry->first, entry->first,
+         "epoch=" + std::to_string(options_.epoch) +
+             " overdue_ms=" + std::to_string(now - entry->second) +
+             " unreported=" + std::to_string(unreported_members_.size() - 1));
     if (workers_.count(entry->first) == 0) {
       wanted_members_.erase(entry->first);
     }
