Test an owner that has lost the store (failing)

Three of the four cases fail on this code, as on: cut off from an entry that has the store, the owner grants again about 4 s later; it grants again in the outage after its right has lapsed; and a question by an entry makes its old answer count as fresh.

--- /dev/null
+++ b/src/chervilkeeld/job_entry_outage_test.cpp
@@ -0,0 +1,155 @@
+// An owner that has lost the store: it goes on granting only while no other
+// entry can own the jobs.
+#include "job_entry_fixture.h"
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr const char* kOtherPeerAddress = "127.0.0.3";
+
+struct outage_fixture : ownership_fixture {
+  outage_fixture() {
+    settings.seeds = {{kAddress, 1}, {kPeerAddress, 1}, {kOtherPeerAddress, 1}};
+  }
+
+  std::string OwnerAddress() const {
+    return endpoint{kAddress, settings.rpc_port}.ToString();
+  }
+
+  // Whether the owner answers an agent as one that may grant.
+  bool IsGranting() {
+    const auto call = MakeCall<wire::agent_sync, wire::agent_orders>(
+        peers.At(OwnerAddress()), {}, kCallTimeout);
+    call->request.set_agent("agent");
+    call->request.set_incarnation(1);
+    call->request.set_number(++calls_);
+    call->request.set_sent_at_ms(BootNow());
+    const auto is_answered = std::make_shared<std::atomic<bool>>(false);
+    call->peer->jobs->async()->Sync(
+        &call->context, &call->request, &call->reply,
+        [call, is_answered](const grpc::Status& status) {
+          *is_answered = status.ok();
+        });
+    for (millis waited = 0; !*is_answered && waited < kCallTimeout;
+         waited += kPollInterval) {
+      RunFor(kPollInterval);
+    }
+    return *is_answered && call->reply.is_owner();
+  }
+
+  // Returns whether the owner granted at any poll within the time.
+  bool GrantsWithin(millis time) {
+    const millis until = BootNow() + time;
+    while (BootNow() < until) {
+      if (IsGranting()) {
+        return true;
+      }
+      RunFor(kAskInterval);
+    }
+    return false;
+  }
+
+  // Returns whether the owner granted at each poll within the time.
+  bool GrantsThroughout(millis time) {
+    const millis until = BootNow() + time;
+    while (BootNow() < until) {
+      if (!IsGranting()) {
+        return false;
+      }
+      RunFor(kAskInterval);
+    }
+    return true;
+  }
+
+  // Asks the owner what entries ask each other.
+  void AskAsPeer() {
+    const auto call = MakeCall<wire::fleet_question, wire::fleet_reply>(
+        peers.At(OwnerAddress()), {}, kCallTimeout);
+    call->request.set_from(
+        endpoint{kPeerAddress, settings.rpc_port}.ToString());
+    call->request.set_config_version(1);
+    call->peer->jobs->async()->Fleet(&call->context, &call->request,
+                                     &call->reply,
+                                     [call](const grpc::Status&) {});
+    RunFor(kAskInterval);
+  }
+
+  static constexpr millis kPollInterval = 5;
+  static constexpr millis kAskInterval = 200;
+  // From the last answer of the store until the right has lapsed: the lease of
+  // the owner, and what the peers have said before.
+  static constexpr millis kLapsedWithin = 2'500;
+  // Longer than an entry may be silent before it counts as gone.
+  static constexpr millis kLongAfter = 5'000;
+  // A pause in what entries say after which the right can't be resumed.
+  static constexpr millis kLongPause = 3'500;
+
+ private:
+  std::uint64_t calls_ = 0;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(owner_without_the_store, outage_fixture)
+
+// Guards against runs that lapse in an outage of the store.
+BOOST_AUTO_TEST_CASE(owner_grants_while_all_entries_have_lost_the_store) {
+  StartPeer({1, 700});
+  StartPeer({1, 700}, kOtherPeerAddress);
+  StartOwner();
+  RunFor(kHeardWithin);
+  memory.is_silent = true;
+  BOOST_TEST(GrantsThroughout(kLapsedWithin + kLongAfter));
+}
+
+// Guards against an owner that grants again after its right has lapsed (TWICE):
+// the entry that it hears no more may have the store, and own the jobs.
+BOOST_AUTO_TEST_CASE(
+    owner_cut_off_from_an_entry_with_the_store_does_not_grant_again) {
+  StartPeer({});
+  StartPeer({1, 700}, kOtherPeerAddress);
+  StartOwner();
+  RunFor(kHeardWithin);
+  BOOST_TEST(IsGranting());
+  memory.is_silent = true;
+  StopPeer();
+  RunFor(kLapsedWithin);
+  BOOST_TEST(!GrantsWithin(kLongAfter));
+}
+
+// Guards against a right that comes back without the store (TWICE): another
+// entry may have owned the jobs in between.
+BOOST_AUTO_TEST_CASE(right_that_has_lapsed_does_not_return_in_the_outage) {
+  StartPeer({1, 700});
+  StartPeer({1, 700}, kOtherPeerAddress);
+  StartOwner();
+  RunFor(kHeardWithin);
+  memory.is_silent = true;
+  RunFor(kLapsedWithin);
+  StopPeer();
+  RunFor(kLongPause);
+  StartPeer({1, 700});
+  BOOST_TEST(!GrantsWithin(kLongAfter));
+}
+
+// Guards against an old answer that counts as fresh (TWICE): an entry that asks
+// is heard, but what it says of the store may have changed since.
+BOOST_AUTO_TEST_CASE(question_of_an_entry_does_not_refresh_its_last_answer) {
+  constexpr int kAnswers = 3;
+  StartPeer({1, 700, kAnswers});
+  StartOwner();
+  RunFor(kHeardWithin);
+  memory.is_silent = true;
+  bool grants = false;
+  for (millis waited = 0; waited < kLapsedWithin + kLongAfter;
+       waited += kAskInterval) {
+    AskAsPeer();
+    grants = waited > kLapsedWithin && (grants || IsGranting());
+  }
+  BOOST_TEST(!grants);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chervilkeel
