Date what an entry says of the store by when it was asked

An owner without its lease grants while the other entries say that they have lost the store. An answer counted from its arrival, and a question by an entry made its last answer count as fresh: a reply that lay in a socket while the owner was paused, or an entry that no longer answers, kept the right alive, although that entry may have been elected since. Answers now count from the sending of the question, and only they do.

--- /dev/null
+++ b/src/chervilkeeld/grant_right_test.cpp
@@ -0,0 +1,70 @@
+#include "grant_right.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace chervilkeel {
+
+namespace {
+
+constexpr millis kOutage = 10'000;
+constexpr millis kInterval = 400;  // Between two updates.
+
+struct right_fixture {
+  grant_right right;
+  millis now = 100'000;
+
+  candidate_answer Answer(bool has_lost_store, millis age = 100) const {
+    return {now - age, has_lost_store};
+  }
+
+  grant_basis WithoutLease(const std::vector<candidate_answer>& others) {
+    return right.Update(now, false, others);
+  }
+
+  // Lets time pass in an outage that all entries suffer.
+  void PassOutage(millis time) {
+    for (const millis until = now + time; now < until; now += kInterval) {
+      WithoutLease({Answer(true)});
+    }
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(right_to_grant, right_fixture)
+
+BOOST_AUTO_TEST_CASE(valid_lease_suffices) {
+  BOOST_TEST((right.Update(now, true, {Answer(false)}) == grant_basis::kLease));
+}
+
+BOOST_AUTO_TEST_CASE(owner_without_lease_and_other_entries_has_no_right) {
+  BOOST_TEST((WithoutLease({}) == grant_basis::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(right_goes_on_while_all_others_have_lost_the_store) {
+  PassOutage(kOutage);
+  BOOST_TEST(
+      (WithoutLease({Answer(true), Answer(true)}) == grant_basis::kOutage));
+}
+
+BOOST_AUTO_TEST_CASE(one_entry_with_the_store_ends_the_right) {
+  BOOST_TEST(
+      (WithoutLease({Answer(true), Answer(false)}) == grant_basis::kNone));
+}
+
+// Guards against a grant beside a new owner (TWICE): an entry that has not
+// answered may have the store.
+BOOST_AUTO_TEST_CASE(entry_that_never_answered_ends_the_right) {
+  BOOST_TEST((WithoutLease({Answer(true), {}}) == grant_basis::kNone));
+}
+
+// Guards against a reply that lay in a socket while the owner was paused
+// (TWICE): it tells of the time of the question.
+BOOST_AUTO_TEST_CASE(answer_to_an_old_question_ends_the_right) {
+  BOOST_TEST(
+      (WithoutLease({Answer(true, kFreshAnswer + 1)}) == grant_basis::kNone));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chervilkeel
--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -5,7 +5,6 @@
 
 #include "chervilkeel/event_log.h"
 #include "chervilkeel/http_drain.h"
-#include "chervilkeel/name_table.h"
 
 namespace chervilkeel {
 
@@ -38,10 +37,6 @@
 
 }  // namespace
 
-const char* NameOf(grant_basis basis) {
-  return NameIn(kGrantBasisNames, basis);
-}
-
 // Takes calls on gRPC's threads and hands them to the io_context's thread.
 class job_entry_process::rpc_server
     : public wire::job_owner_service::CallbackService {
@@ -362,24 +357,28 @@
   question.set_processors(settings_.processors);
   CallOwnerService<wire::fleet_question, wire::fleet_reply>(
       context_, peers_, address, kFleetMethod, std::move(question),
-      kGossipTimeout, [this, address](const result<wire::fleet_reply>& reply) {
-        OnFleetReply(address, reply);
+      kGossipTimeout,
+      [this, address,
+       asked = BootNow()](const result<wire::fleet_reply>& reply) {
+        OnFleetReply(address, asked, reply);
       });
 }
 
 void job_entry_process::OnFleetReply(const std::string& address,
+                                     millis asked,
                                      const result<wire::fleet_reply>& reply) {
   if (!reply) {
     return;
   }
   known_entry& entry = entries_[address];
   entry.heard = BootNow();
-  entry.answered = entry.heard;
-  entry.store_silent = reply.value().store_silent_ms();
-  entry.epoch = reply.value().epoch();
-  entry.processors = reply.value().processors();
-  entry.config_version = reply.value().config_version();
-  entry.leaving = reply.value().leaving();
+  if (asked > entry.answered) {
+    entry.answered = asked;
+    entry.store_silent = reply.value().store_silent_ms();
+    entry.processors = reply.value().processors();
+    entry.config_version = reply.value().config_version();
+    entry.leaving = reply.value().leaving();
+  }
   election_->Learn(
       {reply.value().owner_address(), reply.value().epoch(), BootNow()});
   for (const std::string& other : reply.value().entries()) {
@@ -456,28 +455,18 @@
   return basis != grant_basis::kNone;
 }
 
-// While the store answers no entry, no other owner can be elected: the jobs go
-// on. An entry that can't tell lets its grants lapse.
+// An entry that is silent for long counts as gone.
 grant_basis job_entry_process::FindGrantBasis() const {
-  if (election_->IsLeaseValid()) {
-    return grant_basis::kLease;
-  }
   if (!election_->IsOwner()) {
     return grant_basis::kNone;
   }
-  std::size_t others = 0;
+  std::vector<candidate_answer> others;
   for (const auto& [address, entry] : entries_) {
-    const millis silent = BootNow() - entry.heard;
-    if (entry.heard == 0 || silent > kEntryForgotten) {
-      continue;
-    }
-    const bool lost_store = silent < kPeerFresh && entry.store_silent > 0;
-    if (!lost_store) {
-      return grant_basis::kNone;
+    if (entry.heard != 0 && BootNow() - entry.heard <= kEntryForgotten) {
+      others.push_back({entry.answered, entry.store_silent > 0});
     }
-    ++others;
   }
-  return others > 0 ? grant_basis::kOutage : grant_basis::kNone;
+  return right_.Update(BootNow(), election_->IsLeaseValid(), others);
 }
 
 void job_entry_process::NoteGrantBasis(grant_basis basis) {
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -13,6 +13,7 @@
 #include "chervilkeel/http_server.h"
 #include "chervilkeel/platform_adapter.h"
 #include "config_follower.h"
+#include "grant_right.h"
 #include "job_front.h"
 #include "job_owner.h"
 #include "owner_election.h"
@@ -23,34 +24,13 @@
 // What is known of another entry.
 struct known_entry {
   millis heard = 0;
-  millis answered = 0;      // When it last told what follows.
-  millis store_silent = 0;  // 0: its store answers.
-  std::uint64_t epoch = 0;
+  millis answered = 0;               // When it was asked what follows.
+  millis store_silent = 0;           // 0: its store answers.
   double processors = 0;             // What it may use, of a core.
   std::uint64_t config_version = 0;  // 0: it has none.
   bool leaving = false;
 };
 
-// On what an owner's right to grant rests.
-enum class grant_basis {
-  kNone,    // Another entry may own the jobs.
-  kLease,   // The lease in the store is valid.
-  kOutage,  // The other entries have lost the store, too.
-};
-
-struct grant_basis_name {
-  grant_basis basis;
-  const char* name;
-};
-
-inline constexpr grant_basis_name kGrantBasisNames[] = {
-    {grant_basis::kNone, "none"},
-    {grant_basis::kLease, "lease"},
-    {grant_basis::kOutage, "outage"},
-};
-
-const char* NameOf(grant_basis basis);
-
 class job_entry_process {
  public:
   job_entry_process(boost::asio::io_context& context,
@@ -93,6 +73,7 @@
   void HandOverIfSlow();
   void AskFleet(const std::string& address);
   void OnFleetReply(const std::string& address,
+                    millis asked,
                     const result<wire::fleet_reply>& reply);
   void AnswerFleet(
       const held_call<wire::fleet_question, wire::fleet_reply>& call);
@@ -115,6 +96,7 @@
   process_metrics metrics_;
   rpc_peers peers_;
   std::unique_ptr<owner_election> election_;
+  grant_right right_;
   std::unique_ptr<job_owner> owner_;
   std::unique_ptr<job_front> front_;
   std::unique_ptr<rpc_server> service_;
