Let a lapsed right to grant return with the lease only

An owner that was cut off from the store and from most entries had no right to grant while those were silent for 1 to 4 s, and had it again when they had been silent for longer, as they were left out. By then another entry owned the jobs; the former owner took all agents that it could not hear for silent, and started their tasks on those that it could. A right that has been in doubt for over 2.5 s now returns with the lease only.

--- a/src/chervilkeeld/grant_right.cpp
+++ b/src/chervilkeeld/grant_right.cpp
@@ -6,15 +6,28 @@
 
 namespace chervilkeel {
 
+namespace {
+
+// A right that did not hold for longer returns with the lease only: another
+// entry may have owned the jobs in between, and have ended. It is less than a
+// new owner waits before it starts tasks of the former one.
+constexpr millis kLongestDoubt = 2'500;
+
+}  // namespace
+
 const char* NameOf(grant_basis basis) {
   return NameIn(kGrantBasisNames, basis);
 }
 
-grant_basis grant_right::Update(
-    millis now,
-    bool is_lease_valid,
-    const std::vector<candidate_answer>& others) const {
+void grant_right::Begin(millis now) {
+  held_at_ = now;
+}
+
+grant_basis grant_right::Update(millis now,
+                                bool is_lease_valid,
+                                const std::vector<candidate_answer>& others) {
   if (is_lease_valid) {
+    held_at_ = now;
     return grant_basis::kLease;
   }
   const bool none_can_be_elected =
@@ -24,7 +37,11 @@
                     return answer.asked != 0 && answer.has_lost_store &&
                            now - answer.asked <= kFreshAnswer;
                   });
-  return none_can_be_elected ? grant_basis::kOutage : grant_basis::kNone;
+  if (!none_can_be_elected || now - held_at_ > kLongestDoubt) {
+    return grant_basis::kNone;
+  }
+  held_at_ = now;
+  return grant_basis::kOutage;
 }
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/grant_right.h
+++ b/src/chervilkeeld/grant_right.h
@@ -42,10 +42,17 @@
 // just said that it has lost the store, too, and thus can't have been elected.
 class grant_right {
  public:
-  // Returns what the right rests on now.
+  // Begins a term of the owner.
+  void Begin(millis now);
+
+  // Returns what the right rests on now. To be called more often than the right
+  // may be in doubt.
   grant_basis Update(millis now,
                      bool is_lease_valid,
-                     const std::vector<candidate_answer>& others) const;
+                     const std::vector<candidate_answer>& others);
+
+ private:
+  millis held_at_ = 0;  // When the right last held.
 };
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/grant_right_test.cpp
+++ b/src/chervilkeeld/grant_right_test.cpp
@@ -13,6 +13,8 @@
   grant_right right;
   millis now = 100'000;
 
+  right_fixture() { right.Begin(now); }
+
   candidate_answer Answer(bool has_lost_store, millis age = 100) const {
     return {now - age, has_lost_store};
   }
@@ -65,6 +67,22 @@
       (WithoutLease({Answer(true, kFreshAnswer + 1)}) == grant_basis::kNone));
 }
 
+BOOST_AUTO_TEST_CASE(short_doubt_does_not_end_the_right) {
+  now += 2'000;
+  BOOST_TEST((WithoutLease({Answer(true)}) == grant_basis::kOutage));
+}
+
+// Guards against a right that returns in the outage (TWICE): another entry may
+// have owned the jobs in between.
+BOOST_AUTO_TEST_CASE(right_in_doubt_for_long_returns_with_the_lease_only) {
+  now += 4'000;
+  BOOST_TEST((WithoutLease({Answer(true)}) == grant_basis::kNone));
+  PassOutage(4'000);
+  BOOST_TEST((WithoutLease({Answer(true)}) == grant_basis::kNone));
+  BOOST_TEST((right.Update(now, true, {}) == grant_basis::kLease));
+  BOOST_TEST((WithoutLease({Answer(true)}) == grant_basis::kOutage));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -104,6 +104,7 @@
         basis_ = grant_basis::kNone;
         basis_since_ = owner_since_;
         handing_over_ = false;
+        right_.Begin(won.lease_requested_at);
         owner_->Begin(won);
       },
       [this](const std::string&) {
@@ -313,6 +314,7 @@
   if (!owner.empty() && owner != Address() && entries_.count(owner) == 0) {
     entries_[owner];
   }
+  MayGrant();  // Notes when the right has held.
   HandOverIfSlow();
   gossip_timer_.expires_after(std::chrono::milliseconds(GossipInterval()));
   gossip_timer_.async_wait([this](boost::system::error_code failure) {
@@ -456,7 +458,7 @@
 }
 
 // An entry that is silent for long counts as gone.
-grant_basis job_entry_process::FindGrantBasis() const {
+grant_basis job_entry_process::FindGrantBasis() {
   if (!election_->IsOwner()) {
     return grant_basis::kNone;
   }
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -81,7 +81,7 @@
            millis timeout,
            std::function<void(result<wire::job_reply>)> callback);
   bool MayGrant();
-  grant_basis FindGrantBasis() const;
+  grant_basis FindGrantBasis();
   void NoteGrantBasis(grant_basis basis);
   // What the other entries have said of the store, and how long ago.
   std::string DescribeEntries() const;
--- a/src/chervilkeeld/owner_election.cpp
+++ b/src/chervilkeeld/owner_election.cpp
@@ -241,6 +241,7 @@
   ownership won;
   won.epoch = epoch;
   won.owner_revision = revision;
+  won.lease_requested_at = lease_requested_at_;
   won.uninterrupted = last_own_epoch_ != 0 && last_own_epoch_ + 1 == epoch;
   last_own_epoch_ = epoch;
   view_ = {options_.address, epoch, BootNow()};
--- a/src/chervilkeeld/owner_election.h
+++ b/src/chervilkeeld/owner_election.h
@@ -38,6 +38,7 @@
   std::uint64_t owner_revision = 0;  // Revision of the owner's key.
   // No other entry has owned the jobs since this entry last did.
   bool uninterrupted = false;
+  millis lease_requested_at = 0;
 };
 
 // A candidate in the election. Used on the io_context's thread only.
