List the entries that can be elected, and ask all of them in an outage

An entry that had been silent for 4 s before the store was lost, or that the owner had never heard of, was left out when the owner judged whether all entries had lost the store. It may have the store, and be elected. Each owner now stores the entries that can be elected, with its claim and as it hears of them. One that is silent for 10 s, or leaves, is struck off by a commit, so only while the owner reaches the store. An entry that is not listed is not elected for outage_grant_ms (60 s) after it finds the key free, and the right to grant in an outage ends as long after the lease was last valid. An owner that has listed only itself has no such right, and one that resigns lists only itself: then nobody waits. A claim is conditional on the list that was read.

--- /dev/null
+++ b/src/chervilkeeld/candidate_list.h
@@ -0,0 +1,52 @@
+// The entries that can be elected, as each owner stores them. An entry that is
+// not listed is not elected while an owner may grant without the store, so that
+// the owner knows whose answers it needs.
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "owner_election.h"
+#include "store_link.h"
+
+namespace chervilkeel {
+
+// Writes the list for the owner. Used on the io_context's thread only.
+class candidate_list {
+ public:
+  candidate_list(store_link& store, std::string address);
+
+  // Takes over the list that was stored at the election.
+  void Begin(const ownership& won);
+  void End();
+
+  // Stores the list, unless it is stored already or a write is under way.
+  void Store(const std::set<std::string>& wanted);
+
+  // Returns all entries that may be listed in the store: also those of writes
+  // whose outcome isn't known.
+  std::set<std::string> Possible() const;
+
+ private:
+  void OnOutcome(const std::set<std::string>& written,
+                 const result<transaction_outcome>& outcome);
+  void TakeStored(const std::string& text, std::uint64_t revision);
+
+  store_link& store_;
+  const std::string address_;
+  std::uint64_t owner_revision_ = 0;
+  std::uint64_t revision_ = 0;
+  std::set<std::string> stored_;
+  // Entries of writes without an answer. They may take effect as long as the
+  // list has the revision on which they were conditional.
+  std::set<std::string> doubtful_;
+  bool is_writing_ = false;
+  // Incremented by Begin() and End(); callbacks of an older term are ignored.
+  std::uint64_t term_ = 0;
+};
+
+}  // namespace chervilkeel
--- a/src/chervilkeeld/grant_right.cpp
+++ b/src/chervilkeeld/grant_right.cpp
@@ -20,6 +20,7 @@
 }
 
 void grant_right::Begin(millis now) {
+  leased_at_ = now;
   held_at_ = now;
 }
 
@@ -27,6 +28,7 @@
                                 bool is_lease_valid,
                                 const std::vector<candidate_answer>& others) {
   if (is_lease_valid) {
+    leased_at_ = now;
     held_at_ = now;
     return grant_basis::kLease;
   }
@@ -37,7 +39,8 @@
                     return answer.asked != 0 && answer.has_lost_store &&
                            now - answer.asked <= kFreshAnswer;
                   });
-  if (!none_can_be_elected || now - held_at_ > kLongestDoubt) {
+  if (!none_can_be_elected || now - held_at_ > kLongestDoubt ||
+      now - leased_at_ > longest_outage_) {
     return grant_basis::kNone;
   }
   held_at_ = now;
--- a/src/chervilkeeld/grant_right.h
+++ b/src/chervilkeeld/grant_right.h
@@ -42,6 +42,10 @@
 // just said that it has lost the store, too, and thus can't have been elected.
 class grant_right {
  public:
+  // In an outage the right goes on for that long, in ms, at most.
+  explicit grant_right(millis longest_outage)
+      : longest_outage_(longest_outage) {}
+
   // Begins a term of the owner.
   void Begin(millis now);
 
@@ -52,7 +56,9 @@
                      const std::vector<candidate_answer>& others);
 
  private:
-  millis held_at_ = 0;  // When the right last held.
+  const millis longest_outage_;
+  millis leased_at_ = 0;  // When the lease was last valid.
+  millis held_at_ = 0;    // When the right last held.
 };
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/grant_right_test.cpp
+++ b/src/chervilkeeld/grant_right_test.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-constexpr millis kOutage = 10'000;
+constexpr millis kLongestOutage = 20'000;
 constexpr millis kInterval = 400;  // Between two updates.
 
 struct right_fixture {
-  grant_right right;
+  grant_right right{kLongestOutage};
   millis now = 100'000;
 
   right_fixture() { right.Begin(now); }
@@ -44,7 +44,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(right_goes_on_while_all_others_have_lost_the_store) {
-  PassOutage(kOutage);
+  PassOutage(kLongestOutage / 2);
   BOOST_TEST(
       (WithoutLease({Answer(true), Answer(true)}) == grant_basis::kOutage));
 }
@@ -83,6 +83,13 @@
   BOOST_TEST((WithoutLease({Answer(true)}) == grant_basis::kOutage));
 }
 
+BOOST_AUTO_TEST_CASE(right_ends_with_the_longest_outage) {
+  PassOutage(kLongestOutage);
+  BOOST_TEST((WithoutLease({Answer(true)}) == grant_basis::kOutage));
+  PassOutage(kInterval);
+  BOOST_TEST((WithoutLease({Answer(true)}) == grant_basis::kNone));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_entry_outage_test.cpp
+++ b/src/chervilkeeld/job_entry_outage_test.cpp
@@ -150,6 +150,31 @@
   BOOST_TEST(!grants);
 }
 
+// Guards against an election that the owner doesn't hear of (TWICE): a former
+// owner has listed an entry that this one has never reached.
+BOOST_AUTO_TEST_CASE(candidate_that_was_never_heard_ends_the_right) {
+  memory.Put(kCandidatesKey,
+             EncodeCandidates("127.0.0.9:1", {OwnerAddress(), "127.0.0.9:1"}));
+  StartPeer({1, 700});
+  StartOwner();
+  RunFor(kHeardWithin);
+  memory.is_silent = true;
+  RunFor(kLapsedWithin);
+  BOOST_TEST(!GrantsWithin(kLongAfter));
+}
+
+// Guards against a right that an entry ends which the owner can't yet need: it
+// is elected only after it has been listed.
+BOOST_AUTO_TEST_CASE(entry_that_came_in_the_outage_does_not_end_the_right) {
+  StartPeer({1, 700});
+  StartOwner();
+  RunFor(kHeardWithin);
+  memory.is_silent = true;
+  RunFor(kLapsedWithin);
+  StartPeer({}, kOtherPeerAddress);
+  BOOST_TEST(GrantsThroughout(kLongAfter));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -20,8 +20,9 @@
 constexpr millis kLeastTerm = 1'000;  // Of a slow owner, before it hands over.
 constexpr double kMuchFaster = 2.0;   // Worth a change of owner.
 constexpr millis kEntryGone = 3'000;  // An entry not heard is left out.
-constexpr millis kEntryForgotten = 4'000;  // One silent for so long is gone.
-constexpr millis kPeerFresh = 1'000;       // What a peer said of itself.
+// An entry silent for so long is a candidate no more: longer than most cuts.
+constexpr millis kCandidateGone = 10'000;
+constexpr millis kPeerFresh = 1'000;  // What a peer said of itself.
 constexpr millis kProbeTimeout = 400;
 constexpr millis kDrainCheckInterval = 10;
 // Part of kLastWriteTime: an owner that can't commit by then resigns all the
@@ -88,6 +89,8 @@
       settings_(settings),
       adapter_(std::move(adapter)),
       store_(adapter_->MakeStore(context, settings_.store)),
+      candidates_(store_, Address()),
+      right_(static_cast<millis>(settings.outage_grant)),
       config_(context, store_, *adapter_),
       gossip_timer_(context),
       stop_timer_(context) {
@@ -96,19 +99,26 @@
       [this](const std::string& reason) { election_->NoteLost(reason); });
   election_ = std::make_unique<owner_election>(
       context_, store_,
-      election_options{settings_.name, Address(),
-                       static_cast<millis>(settings_.owner_ttl),
-                       settings_.processors},
+      election_options{
+          settings_.name, Address(), static_cast<millis>(settings_.owner_ttl),
+          settings_.processors, static_cast<millis>(settings_.outage_grant)},
       [this](const ownership& won) {
         owner_since_ = BootNow();
         basis_ = grant_basis::kNone;
         basis_since_ = owner_since_;
         handing_over_ = false;
         right_.Begin(won.lease_requested_at);
+        candidates_.Begin(won);
+        for (const std::string& candidate : won.candidates) {
+          if (candidate != Address()) {
+            entries_[candidate];
+          }
+        }
         owner_->Begin(won);
       },
       [this](const std::string&) {
         owner_->End();
+        candidates_.End();
         if (leaving_) {
           election_->Resign();  // It must not be elected again.
         }
@@ -314,7 +324,7 @@
   if (!owner.empty() && owner != Address() && entries_.count(owner) == 0) {
     entries_[owner];
   }
-  MayGrant();  // Notes when the right has held.
+  UpdateCandidates();
   HandOverIfSlow();
   gossip_timer_.expires_after(std::chrono::milliseconds(GossipInterval()));
   gossip_timer_.async_wait([this](boost::system::error_code failure) {
@@ -451,21 +461,52 @@
   return live;
 }
 
+// Lists an entry as soon as it is heard, and strikes one off that leaves or has
+// been silent for long. Only an owner that reaches the store can do either.
+void job_entry_process::UpdateCandidates() {
+  const std::vector<std::string> live = LiveEntries();
+  election_->SetKnownEntries({live.begin(), live.end()});
+  if (!election_->IsOwner()) {
+    return;
+  }
+  MayGrant();
+  if (election_->IsLeaseValid()) {
+    candidates_.Store(LastingCandidates());
+  }
+}
+
+std::set<std::string> job_entry_process::LastingCandidates() const {
+  const std::set<std::string> listed = candidates_.Possible();
+  std::set<std::string> lasting{Address()};
+  for (const auto& [address, entry] : entries_) {
+    const bool is_listed = listed.count(address) != 0;
+    const millis heard =
+        is_listed ? std::max(entry.heard, owner_since_) : entry.heard;
+    const millis longest_silence = is_listed ? kCandidateGone : kEntryGone;
+    if (heard != 0 && !entry.leaving && BootNow() - heard < longest_silence) {
+      lasting.insert(address);
+    }
+  }
+  return lasting;
+}
+
 bool job_entry_process::MayGrant() {
   const grant_basis basis = FindGrantBasis();
   NoteGrantBasis(basis);
   return basis != grant_basis::kNone;
 }
 
-// An entry that is silent for long counts as gone.
 grant_basis job_entry_process::FindGrantBasis() {
   if (!election_->IsOwner()) {
     return grant_basis::kNone;
   }
   std::vector<candidate_answer> others;
-  for (const auto& [address, entry] : entries_) {
-    if (entry.heard != 0 && BootNow() - entry.heard <= kEntryForgotten) {
-      others.push_back({entry.answered, entry.store_silent > 0});
+  for (const std::string& address : candidates_.Possible()) {
+    if (address != Address()) {
+      const known_entry& entry = entries_[address];
+      // An entry that leaves is not elected.
+      others.push_back(
+          {entry.answered, entry.store_silent > 0 || entry.leaving});
     }
   }
   return right_.Update(BootNow(), election_->IsLeaseValid(), others);
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -4,12 +4,14 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <grpcpp/grpcpp.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "candidate_list.h"
 #include "chervilkeel/http_server.h"
 #include "chervilkeel/platform_adapter.h"
 #include "config_follower.h"
@@ -80,6 +82,9 @@
   void Ask(const wire::job_question& question,
            millis timeout,
            std::function<void(result<wire::job_reply>)> callback);
+  // Stores which entries can be elected.
+  void UpdateCandidates();
+  std::set<std::string> LastingCandidates() const;
   bool MayGrant();
   grant_basis FindGrantBasis();
   void NoteGrantBasis(grant_basis basis);
@@ -96,6 +101,7 @@
   process_metrics metrics_;
   rpc_peers peers_;
   std::unique_ptr<owner_election> election_;
+  candidate_list candidates_;
   grant_right right_;
   std::unique_ptr<job_owner> owner_;
   std::unique_ptr<job_front> front_;
--- a/src/chervilkeeld/job_keys.h
+++ b/src/chervilkeeld/job_keys.h
@@ -7,6 +7,8 @@
 
 inline constexpr const char* kOwnerKey = "chervilkeel/owner";
 inline constexpr const char* kEpochKey = "chervilkeel/epoch";
+// The entries that can be elected.
+inline constexpr const char* kCandidatesKey = "chervilkeel/candidates";
 inline constexpr const char* kMembersKey = "chervilkeel/members";
 // What owners have learned of images; worth having, never needed.
 inline constexpr const char* kPressureKey = "chervilkeel/pressure";
--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "chervilkeel/event_log.h"
+#include "grant_right.h"
 #include "job_keys.h"
 #include "job_owner.h"
 
@@ -255,10 +256,11 @@
 void job_owner::FinishRecovery() {
   scheduler_options options;
   options.grant = grant_;
-  // A former owner that lost contact with the store may issue grants until its
-  // lease expires by its own clock.
+  // A former owner may issue grants until its lease expires by its own clock,
+  // and in an outage as long as it goes by answers of the other entries.
   options.longest_lease =
-      options.grant + static_cast<millis>(settings_.owner_ttl);
+      options.grant +
+      std::max(static_cast<millis>(settings_.owner_ttl), kFreshAnswer);
   options.retention = static_cast<millis>(settings_.job_retention) * 1'000;
   options.epoch = ownership_.epoch;
   const millis now = BootNow();
--- a/src/chervilkeeld/owner_election.cpp
+++ b/src/chervilkeeld/owner_election.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <functional>
+#include <sstream>
 
 #include "chervilkeel/event_log.h"
 #include "job_keys.h"
@@ -42,6 +43,29 @@
 
 }  // namespace
 
+std::string EncodeCandidates(const std::string& owner,
+                             const std::set<std::string>& entries) {
+  std::string text = owner + "\n";
+  for (const std::string& entry : entries) {
+    if (entry != owner) {
+      text += entry + "\n";
+    }
+  }
+  return text;
+}
+
+candidate_names DecodeCandidates(const std::string& text) {
+  candidate_names names;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    if (names.owner.empty()) {
+      names.owner = line;
+    }
+    names.entries.insert(line);
+  }
+  return names;
+}
+
 owner_election::owner_election(boost::asio::io_context& context,
                                store_link& store,
                                election_options options,
@@ -124,7 +148,49 @@
           : kReturnDelay / 4 +
                 static_cast<millis>(std::hash<std::string>()(options_.name) %
                                     kCandidacySpread);
-  RunAfter(delay + (was_owner ? 0 : LowCpuDelay()), &owner_election::Campaign);
+  RunAfter(delay + (was_owner ? 0 : LowCpuDelay()),
+           &owner_election::ReadCandidates);
+}
+
+void owner_election::ReadCandidates() {
+  store_.Client().Read(kCandidatesKey, kCallTimeout,
+                       [this](const result<std::optional<stored_item>>& list) {
+                         store_.Note(list);
+                         if (resigned_) {
+                           return;
+                         }
+                         if (list && MayBeElected(list.value())) {
+                           Campaign();
+                         } else {
+                           RunAfter(kRetry, &owner_election::ReadOwner);
+                         }
+                       });
+}
+
+// The last owner may still grant without the store, as long as the entries that
+// it has listed have lost the store, too. It can't if it has listed none but
+// itself. Each owner stores a list of its own revision, so the time of the last
+// one begins when this entry first reads it beside a free key.
+bool owner_election::MayBeElected(const std::optional<stored_item>& list) {
+  candidates_ = DecodeCandidates(list ? list->value : "");
+  candidates_revision_ = list ? list->revision : 0;
+  if (candidates_.entries.size() <= 1 ||
+      candidates_.entries.count(options_.address) != 0) {
+    return true;
+  }
+  const millis now = BootNow();
+  if (unlisted_revision_ != candidates_revision_) {
+    unlisted_revision_ = candidates_revision_;
+    unlisted_since_ = now;
+    LogEvent(
+        kPart, "not_listed",
+        {{"owner", candidates_.owner},
+         {"candidates", static_cast<std::uint64_t>(candidates_.entries.size())},
+         {"revision", candidates_revision_},
+         {"waits_ms", options_.longest_outage}},
+        true);
+  }
+  return now - unlisted_since_ >= options_.longest_outage;
 }
 
 millis owner_election::LowCpuDelay() const {
@@ -190,11 +256,18 @@
 void owner_election::TakeOwnership(const std::optional<stored_item>& epoch) {
   const std::uint64_t next = (epoch ? ParseEpoch(epoch->value) : 0) + 1;
   claim_ = options_.address + " " + std::to_string(next);
+  claimed_candidates_ = candidates_.entries;
+  claimed_candidates_.insert(known_entries_.begin(), known_entries_.end());
+  claimed_candidates_.insert(options_.address);
   store_transaction transaction;
   transaction.conditions = {{kOwnerKey, 0},
-                            {kEpochKey, epoch ? epoch->revision : 0}};
-  transaction.writes = {{kOwnerKey, claim_, lease_},
-                        {kEpochKey, std::to_string(next), 0}};
+                            {kEpochKey, epoch ? epoch->revision : 0},
+                            {kCandidatesKey, candidates_revision_}};
+  transaction.writes = {
+      {kOwnerKey, claim_, lease_},
+      {kEpochKey, std::to_string(next), 0},
+      {kCandidatesKey, EncodeCandidates(options_.address, claimed_candidates_),
+       0}};
   store_.Client().Commit(
       transaction, kCallTimeout,
       [this, next](const result<transaction_outcome>& taken) {
@@ -242,6 +315,8 @@
   won.epoch = epoch;
   won.owner_revision = revision;
   won.lease_requested_at = lease_requested_at_;
+  won.candidates = claimed_candidates_;
+  owner_revision_ = revision;
   won.uninterrupted = last_own_epoch_ != 0 && last_own_epoch_ + 1 == epoch;
   last_own_epoch_ = epoch;
   view_ = {options_.address, epoch, BootNow()};
@@ -298,11 +373,21 @@
   LogEvent(kPart, "handed_over",
            {{"epoch", last_own_epoch_}, {"reason", reason}}, true);
   lost_(reason);
-  EndLease();
+  EndTerm();
   RunAfter(kHandOverPause, &owner_election::ReadOwner);
 }
 
-void owner_election::EndLease() {
+// An owner that ends its term grants no more, so its successor need not be
+// listed. The lease ends whether or not that can be stored.
+void owner_election::EndTerm() {
+  store_transaction transaction;
+  transaction.conditions = {{kOwnerKey, owner_revision_}};
+  transaction.writes = {
+      {kCandidatesKey, EncodeCandidates(options_.address, {}), 0}};
+  store_.Client().Commit(transaction, kCallTimeout,
+                         [this](const result<transaction_outcome>& outcome) {
+                           store_.Note(outcome);
+                         });
   is_ending_lease_ = true;
   store_.Client().EndLease(lease_, kCallTimeout,
                            [this](const result<bool>& ended) {
@@ -320,7 +405,7 @@
   if (is_owner_) {
     is_owner_ = false;
     LogEvent(kPart, "resigned", {{"epoch", last_own_epoch_}}, true);
-    EndLease();
+    EndTerm();
   }
 }
 
--- a/src/chervilkeeld/owner_election.h
+++ b/src/chervilkeeld/owner_election.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -27,11 +28,25 @@
   // The CPU limit of this process, in cores. Entries with little CPU delay
   // their candidacy, since the owner's work grows with the number of workers.
   double processors = 1.0;
+  // How long an owner may grant without the store, in ms. An entry that the
+  // last owner did not list waits as long before it is elected.
+  millis longest_outage = 60'000;
 };
 
 // Cores that suffice for an owner of some 60 workers (docs/CAPACITY.md).
 inline constexpr double kOwnerProcessors = 0.25;
 
+// The entries that can be elected, and the owner that listed them.
+struct candidate_names {
+  std::string owner;              // Address; empty if there is no list.
+  std::set<std::string> entries;  // Addresses, also the owner's.
+};
+
+// The list in the store: one address a line, the owner's first.
+std::string EncodeCandidates(const std::string& owner,
+                             const std::set<std::string>& entries);
+candidate_names DecodeCandidates(const std::string& text);
+
 // A won election.
 struct ownership {
   std::uint64_t epoch = 0;
@@ -39,6 +54,8 @@
   // No other entry has owned the jobs since this entry last did.
   bool uninterrupted = false;
   millis lease_requested_at = 0;
+  // The entries that were listed as candidates with the claim.
+  std::set<std::string> candidates;
 };
 
 // A candidate in the election. Used on the io_context's thread only.
@@ -87,12 +104,20 @@
   // or is shutting down may not.
   void SetReady(bool ready) { ready_ = ready; }
 
+  // Sets the entries that a claim lists as candidates, beside those listed
+  // already.
+  void SetKnownEntries(std::set<std::string> entries) {
+    known_entries_ = std::move(entries);
+  }
+
  private:
   void RunAfter(millis delay, void (owner_election::*step)());
   millis LowCpuDelay() const;
   void ReadOwner();
   void OnOwnerRead(const result<std::optional<stored_item>>& found);
   void WatchOwner();
+  void ReadCandidates();
+  bool MayBeElected(const std::optional<stored_item>& list);
   void Campaign();
   void ReadEpoch();
   void TakeOwnership(const std::optional<stored_item>& epoch);
@@ -100,7 +125,7 @@
   void CheckTaken(std::uint64_t epoch);
   void Won(std::uint64_t epoch, std::uint64_t revision);
   void Renew();
-  void EndLease();
+  void EndTerm();
 
   boost::asio::io_context& context_;
   store_link& store_;
@@ -113,6 +138,15 @@
   std::uint64_t lease_ = 0;
   std::uint64_t last_own_epoch_ = 0;
   std::string claim_;  // The value that this entry writes to the owner's key.
+  std::set<std::string> known_entries_;
+  // The list as read before the claim, and what the claim makes of it.
+  candidate_names candidates_;
+  std::uint64_t candidates_revision_ = 0;
+  std::set<std::string> claimed_candidates_;
+  // The list that lacks this entry, and since when it has been read.
+  std::uint64_t unlisted_revision_ = 0;
+  millis unlisted_since_ = 0;
+  std::uint64_t owner_revision_ = 0;
   millis lease_requested_at_ = 0;
   millis lease_valid_until_ = 0;
   bool is_owner_ = false;
--- a/src/chervilkeeld/owner_election_test.cpp
+++ b/src/chervilkeeld/owner_election_test.cpp
@@ -12,17 +12,20 @@
 
 namespace {
 
+constexpr millis kLongestOutage = 700;
+
 struct election_fixture {
   boost::asio::io_context context;
   store_in_memory* memory = new store_in_memory(context);
   store_link link{std::unique_ptr<coordination_store>(memory)};
   std::optional<ownership> won;
   int lost = 0;
-  owner_election election{context,
-                          link,
-                          {"entry-1", "127.0.0.1:1", 1'000},
-                          [this](const ownership& value) { won = value; },
-                          [this](const std::string&) { ++lost; }};
+  owner_election election{
+      context,
+      link,
+      {"entry-1", "127.0.0.1:1", 1'000, 1.0, kLongestOutage},
+      [this](const ownership& value) { won = value; },
+      [this](const std::string&) { ++lost; }};
 
   // Runs handlers until the condition holds or no work is left.
   template <class condition_type>
@@ -38,6 +41,15 @@
   }
 };
 
+constexpr const char* kFormerOwner = "127.0.0.1:2";
+
+struct candidate_fixture : election_fixture {
+  // Stores a list of candidates as the former owner would.
+  void StoreList(const std::set<std::string>& entries) {
+    memory->Put(kCandidatesKey, EncodeCandidates(kFormerOwner, entries));
+  }
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(owner_election_steps, election_fixture)
@@ -121,6 +133,71 @@
   BOOST_TEST(!slow_won.has_value());
 }
 
+// Guards against an owner beside one that grants in an outage of the store
+// (TWICE): that one does not wait for the answers of entries that it has not
+// listed.
+BOOST_FIXTURE_TEST_CASE(entry_that_is_not_listed_waits_for_the_longest_outage,
+                        candidate_fixture) {
+  StoreList({kFormerOwner, "127.0.0.1:3"});
+  const millis began = BootNow();
+  Win();
+  BOOST_REQUIRE(won);
+  BOOST_TEST(BootNow() - began >= kLongestOutage);
+}
+
+BOOST_FIXTURE_TEST_CASE(listed_entry_is_elected_at_once, candidate_fixture) {
+  StoreList({kFormerOwner, "127.0.0.1:1", "127.0.0.1:3"});
+  const millis began = BootNow();
+  Win();
+  BOOST_TEST(BootNow() - began < kLongestOutage);
+}
+
+// Guards against a cell that waits for nothing: an owner that has listed only
+// itself does not grant without its lease.
+BOOST_FIXTURE_TEST_CASE(successor_of_an_owner_without_peers_is_elected_at_once,
+                        candidate_fixture) {
+  StoreList({kFormerOwner});
+  const millis began = BootNow();
+  Win();
+  BOOST_TEST(BootNow() - began < kLongestOutage);
+}
+
+BOOST_FIXTURE_TEST_CASE(claim_lists_all_known_entries, candidate_fixture) {
+  StoreList({kFormerOwner, "127.0.0.1:1"});
+  election.SetKnownEntries({"127.0.0.1:4"});
+  Win();
+  BOOST_REQUIRE(won);
+  const std::set<std::string> all{"127.0.0.1:1", kFormerOwner, "127.0.0.1:4"};
+  BOOST_TEST((won->candidates == all));
+  const candidate_names stored =
+      DecodeCandidates(memory->items.at(kCandidatesKey).value);
+  BOOST_TEST(stored.owner == "127.0.0.1:1");
+  BOOST_TEST((stored.entries == all));
+}
+
+// Guards against a claim on a list that another owner has replaced since.
+BOOST_FIXTURE_TEST_CASE(claim_on_an_outdated_list_has_no_effect,
+                        candidate_fixture) {
+  StoreList({kFormerOwner, "127.0.0.1:1"});
+  election.SetReady(true);
+  election.Start();
+  RunUntil([this] { return memory->leases > 0; });
+  StoreList({kFormerOwner, "127.0.0.1:3"});
+  const millis began = BootNow();
+  RunUntil([this] { return won.has_value(); });
+  BOOST_TEST(BootNow() - began >= kLongestOutage);
+}
+
+BOOST_FIXTURE_TEST_CASE(owner_that_resigns_lists_nobody_else,
+                        candidate_fixture) {
+  StoreList({kFormerOwner, "127.0.0.1:1"});
+  Win();
+  election.Resign();
+  const candidate_names stored =
+      DecodeCandidates(memory->items.at(kCandidatesKey).value);
+  BOOST_TEST((stored.entries == std::set<std::string>{"127.0.0.1:1"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/store_in_memory.h
+++ b/src/chervilkeeld/store_in_memory.h
@@ -129,6 +129,7 @@
       Post(std::move(callback), Fail(error_code::kConflict, "no lease"));
       return;
     }
+    ++leases;
     Answer<store_lease>(std::move(callback), {++lease_, duration});
   }
 
@@ -158,6 +159,7 @@
   int refused_reads = 0;  // And of watches that do not wait.
   int reads = 0;
   int failed_watches = 0;
+  int leases = 0;                     // Granted.
   int watches = 0;                    // That did not wait.
   std::uint64_t oldest_revision = 0;  // Changes before it are forgotten.
   int refused_commits = 0;            // The next ones have no effect.
--- a/src/include/chervilkeel/settings.h
+++ b/src/include/chervilkeel/settings.h
@@ -85,6 +85,7 @@
   std::uint64_t longest_lease = 6'000;
   std::uint64_t grant = 2'600;
   std::uint64_t owner_ttl = 1'000;
+  std::uint64_t outage_grant = 60'000;
   std::uint64_t job_retention = 180;
   std::uint64_t shutdown_time = 3'500;
   std::uint64_t answer_time = 1'000;
--- a/src/libshell/settings.cpp
+++ b/src/libshell/settings.cpp
@@ -348,6 +348,10 @@
           "most the longest lease."),
       Number("jobs", "owner_ttl_ms", &settings::owner_ttl, 1'000, 60'000, "ms",
              "The lease in the store by which an entry owns the jobs."),
+      Number("jobs", "outage_grant_ms", &settings::outage_grant, 0, 3'600'000,
+             "ms",
+             "How long the owner keeps runs alive in an outage of the store, "
+             "and how long an entry waits that the last owner did not list."),
       Number("jobs", "retention_s", &settings::job_retention, 1, 86'400, "s",
              "How long ended jobs are remembered."),
       Number("jobs", "shutdown_ms", &settings::shutdown_time, 100, 600'000,
