Take a claim for the present one by its lease, too

Two campaigns of an entry write the same text to the owner's key. A first claim without an answer that takes effect late was taken for the second one: the entry owned the jobs by a lease that the key did not hang on, so the key was gone with the first lease while the second was renewed, and another entry could be elected beside it. claim_of_a_former_campaign_is_not_taken_for_a_later_one failed before.

--- a/src/chervilkeeld/owner_election.cpp
+++ b/src/chervilkeeld/owner_election.cpp
@@ -299,7 +299,9 @@
         if (resigned_) {
           return;
         }
+        // An earlier claim of this entry has the same text.
         if (found && found.value() && found.value()->value == claim_ &&
+            found.value()->lease == lease_ &&
             BootNow() < lease_requested_at_ + options_.ttl) {
           Won(epoch, found.value()->revision);
         } else {
--- a/src/chervilkeeld/owner_election_test.cpp
+++ b/src/chervilkeeld/owner_election_test.cpp
@@ -114,6 +114,18 @@
   BOOST_TEST(memory->items.count(kOwnerKey) == 0);
 }
 
+// Guards against an owner by another lease than its key's: the key is removed
+// with that one, and the next owner is elected beside it.
+BOOST_AUTO_TEST_CASE(claim_of_a_former_campaign_is_not_taken_for_a_later_one) {
+  memory->late_commits = 2;
+  election.SetReady(true);
+  election.Start();
+  RunUntil([this] { return memory->late_commits == 0; });
+  memory->ApplyLateCommits();
+  RunUntil([this] { return won || memory->watches > 0; });
+  BOOST_TEST(!won.has_value());
+}
+
 // Guards against an entry with little CPU winning the election. Two entries see
 // the key free at the same time; the one with a full core has to win, whatever
 // delay the hash of its name gives.
--- a/src/chervilkeeld/store_in_memory.h
+++ b/src/chervilkeeld/store_in_memory.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -92,28 +93,13 @@
       Post(std::move(callback), Fail(error_code::kUnavailable, "refused"));
       return;
     }
-    transaction_outcome outcome;
-    outcome.applied = true;
-    for (const store_condition& condition : transaction.conditions) {
-      const auto found = items.find(condition.key);
-      const std::uint64_t revision =
-          found == items.end() ? 0 : found->second.revision;
-      outcome.applied = outcome.applied && revision == condition.revision;
-      outcome.conflicts.push_back(found == items.end()
-                                      ? stored_item{condition.key, "", 0, 0}
-                                      : found->second);
-    }
-    if (!outcome.applied) {
-      for (const stored_item& item : outcome.conflicts) {
-        conflict_bytes += item.value.size();
-      }
-    }
-    if (outcome.applied) {
-      outcome.revision = ++revision_;
-      for (const store_write& write : transaction.writes) {
-        items[write.key] = {write.key, write.value, revision_, write.lease};
-      }
+    if (late_commits > 0) {
+      --late_commits;
+      held_commits_.push_back(transaction);
+      Post(std::move(callback), Fail(error_code::kUnknown, "no answer"));
+      return;
     }
+    const transaction_outcome outcome = Apply(transaction);
     if (lost_answers > 0) {
       --lost_answers;
       Post(std::move(callback), Fail(error_code::kUnknown, "no answer"));
@@ -150,6 +136,15 @@
     Answer<bool>(std::move(callback), true);
   }
 
+  // Lets the commits take effect that were not answered, as far as their
+  // conditions still hold.
+  void ApplyLateCommits() {
+    for (const store_transaction& transaction :
+         std::exchange(held_commits_, {})) {
+      Apply(transaction);
+    }
+  }
+
   // Writes an item as another process would.
   void Put(const std::string& key, const std::string& value) {
     items[key] = {key, value, ++revision_, 0};
@@ -164,13 +159,44 @@
   std::uint64_t oldest_revision = 0;  // Changes before it are forgotten.
   int refused_commits = 0;            // The next ones have no effect.
   std::size_t conflict_bytes = 0;     // Of the values that conflicts returned.
-  int lost_answers = 0;         // Of the next commits that have an effect.
+  int lost_answers = 0;  // Of the next commits that have an effect.
+  // The next commits are not answered, and have an effect when it is ordered.
+  int late_commits = 0;
   bool refuses_leases = false;  // So no entry is elected.
   bool is_silent = false;       // Calls have no effect and no answer.
 
  private:
   static constexpr millis kShortestWait = 1;
 
+  transaction_outcome Apply(const store_transaction& transaction) {
+    transaction_outcome outcome;
+    outcome.applied = true;
+    for (const store_condition& condition : transaction.conditions) {
+      const auto found = items.find(condition.key);
+      const std::uint64_t revision =
+          found == items.end() ? 0 : found->second.revision;
+      outcome.applied = outcome.applied && revision == condition.revision;
+      outcome.conflicts.push_back(found == items.end()
+                                      ? stored_item{condition.key, "", 0, 0}
+                                      : found->second);
+    }
+    if (!outcome.applied) {
+      for (const stored_item& item : outcome.conflicts) {
+        conflict_bytes += item.value.size();
+      }
+    }
+    if (outcome.applied) {
+      outcome.revision = ++revision_;
+      for (const store_write& write : transaction.writes) {
+        items[write.key] = {write.key, write.value, revision_, write.lease};
+      }
+      for (const std::string& key : transaction.removals) {
+        items.erase(key);
+      }
+    }
+    return outcome;
+  }
+
   template <class value_type, class failure_type>
   void Post(store_callback<value_type> callback, failure_type failure) {
     if (is_silent) {
@@ -195,6 +221,7 @@
   boost::asio::io_context& context_;
   std::uint64_t revision_ = 0;
   std::uint64_t lease_ = 0;
+  std::vector<store_transaction> held_commits_;
 };
 
 }  // namespace chervilkeel
