--- a/src/chervilkeeld/candidate_list.cpp
+++ b/src/chervilkeeld/candidate_list.cpp
@@ -1,5 +1,6 @@
 #include "candidate_list.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "chervilkeel/event_log.h"
@@ -14,8 +15,12 @@
 
 }  // namespace
 
-candidate_list::candidate_list(store_link& store, std::string address)
-    : store_(store), address_(std::move(address)) {}
+candidate_list::candidate_list(store_link& store,
+                               std::string address,
+                               deposed_function deposed)
+    : store_(store),
+      address_(std::move(address)),
+      deposed_(std::move(deposed)) {}
 
 void candidate_list::Begin(const ownership& won) {
   ++term_;
@@ -34,16 +39,24 @@
 
 std::set<std::string> candidate_list::Possible() const {
   std::set<std::string> all = stored_;
-  all.insert(doubtful_.begin(), doubtful_.end());
+  for (const std::set<std::string>& list : doubtful_) {
+    all.insert(list.begin(), list.end());
+  }
   return all;
 }
 
+bool candidate_list::MayBeOpen() const {
+  return stored_.size() <= 1 ||
+         std::any_of(doubtful_.begin(), doubtful_.end(),
+                     [](const auto& list) { return list.size() <= 1; });
+}
+
 void candidate_list::Store(const std::set<std::string>& wanted) {
   if (is_writing_ || (wanted == stored_ && doubtful_.empty())) {
     return;
   }
   is_writing_ = true;
-  doubtful_.insert(wanted.begin(), wanted.end());
+  doubtful_.push_back(wanted);
   store_transaction transaction;
   transaction.conditions = {{kOwnerKey, owner_revision_},
                             {kCandidatesKey, revision_}};
@@ -64,12 +77,23 @@
                                const result<transaction_outcome>& outcome) {
   if (!outcome) {
     LogEvent(kPart, "list_unanswered", {{"error", ToString(outcome.error())}});
+    if (outcome.error().code == error_code::kUnavailable) {
+      doubtful_.pop_back();  // It had no effect.
+    }
     return;
   }
   if (outcome.value().applied) {
     TakeStored(EncodeCandidates(address_, written), outcome.value().revision);
     return;
   }
+  for (const stored_item& item : outcome.value().conflicts) {
+    if (item.key == kOwnerKey && item.revision != owner_revision_) {
+      deposed_(
+          "the list of candidates was rejected: the owner's key has "
+          "changed or expired");
+      return;
+    }
+  }
   for (const stored_item& item : outcome.value().conflicts) {
     if (item.key == kCandidatesKey && item.revision != 0) {
       TakeStored(item.value, item.revision);
--- a/src/chervilkeeld/candidate_list.h
+++ b/src/chervilkeeld/candidate_list.h
@@ -1,9 +1,11 @@
-// The entries that can be elected, as each owner stores them. An entry that is
-// not listed is not elected while an owner may grant without the store, so that
-// the owner knows whose answers it needs.
+// The entries that can be elected, as each owner stores them. While a list
+// names others than its owner, an entry that it lacks is not elected as long as
+// the owner may grant without the store: so the owner knows whose answers it
+// needs.
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,7 +20,12 @@
 // Writes the list for the owner. Used on the io_context's thread only.
 class candidate_list {
  public:
-  candidate_list(store_link& store, std::string address);
+  using deposed_function = std::function<void(const std::string& reason)>;
+
+  // `deposed` is called when another entry owns the jobs.
+  candidate_list(store_link& store,
+                 std::string address,
+                 deposed_function deposed);
 
   // Takes over the list that was stored at the election.
   void Begin(const ownership& won);
@@ -31,6 +38,10 @@
   // whose outcome isn't known.
   std::set<std::string> Possible() const;
 
+  // Returns whether a list that may be stored names the owner alone, so that
+  // any entry can be elected.
+  bool MayBeOpen() const;
+
  private:
   void OnOutcome(const std::set<std::string>& written,
                  const result<transaction_outcome>& outcome);
@@ -38,12 +49,13 @@
 
   store_link& store_;
   const std::string address_;
+  const deposed_function deposed_;
   std::uint64_t owner_revision_ = 0;
   std::uint64_t revision_ = 0;
   std::set<std::string> stored_;
-  // Entries of writes without an answer. They may take effect as long as the
-  // list has the revision on which they were conditional.
-  std::set<std::string> doubtful_;
+  // Lists of writes without an answer. They may take effect as long as the list
+  // has the revision on which they were conditional.
+  std::vector<std::set<std::string>> doubtful_;
   bool is_writing_ = false;
   // Incremented by Begin() and End(); callbacks of an older term are ignored.
   std::uint64_t term_ = 0;
--- a/src/chervilkeeld/grant_right.cpp
+++ b/src/chervilkeeld/grant_right.cpp
@@ -9,8 +9,7 @@
 namespace {
 
 // A right that did not hold for longer returns with the lease only: another
-// entry may have owned the jobs in between, and have ended. It is less than a
-// new owner waits before it starts tasks of the former one.
+// entry may have owned the jobs in between, and have ended.
 constexpr millis kLongestDoubt = 2'500;
 
 }  // namespace
--- a/src/chervilkeeld/job_entry_outage_test.cpp
+++ b/src/chervilkeeld/job_entry_outage_test.cpp
@@ -163,6 +163,18 @@
   BOOST_TEST(!GrantsWithin(kLongAfter));
 }
 
+// Guards against a right to grant while any entry can be elected (TWICE): the
+// stored list names the owner alone, and the answers to longer ones are lost.
+BOOST_AUTO_TEST_CASE(owner_whose_list_may_still_be_open_does_not_grant) {
+  StartOwner();
+  memory.late_commits = 1'000;
+  StartPeer({1, 700});
+  RunFor(kHeardWithin);
+  memory.is_silent = true;
+  RunFor(kLapsedWithin);
+  BOOST_TEST(!GrantsWithin(kLongAfter / 2));
+}
+
 // Guards against a right that an entry ends which the owner can't yet need: it
 // is elected only after it has been listed.
 BOOST_AUTO_TEST_CASE(entry_that_came_in_the_outage_does_not_end_the_right) {
--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -89,11 +89,15 @@
       settings_(settings),
       adapter_(std::move(adapter)),
       store_(adapter_->MakeStore(context, settings_.store)),
-      candidates_(store_, Address()),
+      candidates_(
+          store_,
+          Address(),
+          [this](const std::string& reason) { election_->NoteLost(reason); }),
       right_(static_cast<millis>(settings.outage_grant)),
       config_(context, store_, *adapter_),
       gossip_timer_(context),
-      stop_timer_(context) {
+      stop_timer_(context),
+      started_at_(BootNow()) {
   owner_ = std::make_unique<job_owner>(
       context_, store_, metrics_, settings_, [this] { return MayGrant(); },
       [this](const std::string& reason) { election_->NoteLost(reason); });
@@ -336,7 +340,9 @@
 
 // An entry that has lost the store needs fresh news of all others.
 millis job_entry_process::GossipInterval() const {
-  const std::size_t asked = store_.IsLost() ? 0 : entries_.size();
+  const bool has_lost_store =
+      store_.IsLost() || (election_->IsOwner() && !election_->IsLeaseValid());
+  const std::size_t asked = has_lost_store ? 0 : entries_.size();
   return kGossipInterval * static_cast<millis>(std::max<std::size_t>(
                                1, (asked + kAskedAtOnce - 1) / kAskedAtOnce));
 }
@@ -410,8 +416,9 @@
   const owner_view& view = election_->View();
   call.reply->set_owner_address(view.address);
   call.reply->set_epoch(view.epoch);
+  const bool has_store = !store_.IsLost() && store_.Silent() >= 0;
   call.reply->set_store_silent_ms(
-      store_.IsLost() ? std::max<millis>(store_.Silent(), 1) : 0);
+      has_store ? 0 : std::max<millis>(store_.Silent(), 1));
   if (call.request->store_lost()) {
     ProbeStore();
   }
@@ -481,7 +488,7 @@
   for (const auto& [address, entry] : entries_) {
     const bool is_listed = listed.count(address) != 0;
     const millis heard =
-        is_listed ? std::max(entry.heard, owner_since_) : entry.heard;
+        is_listed ? std::max(entry.heard, started_at_) : entry.heard;
     const millis longest_silence = is_listed ? kCandidateGone : kEntryGone;
     if (heard != 0 && !entry.leaving && BootNow() - heard < longest_silence) {
       lasting.insert(address);
@@ -500,16 +507,17 @@
   if (!election_->IsOwner()) {
     return grant_basis::kNone;
   }
+  const millis now = BootNow();  // Before the lease is judged.
   std::vector<candidate_answer> others;
   for (const std::string& address : candidates_.Possible()) {
-    if (address != Address()) {
+    if (address != Address() && !candidates_.MayBeOpen()) {
       const known_entry& entry = entries_[address];
       // An entry that leaves is not elected.
       others.push_back(
           {entry.answered, entry.store_silent > 0 || entry.leaving});
     }
   }
-  return right_.Update(BootNow(), election_->IsLeaseValid(), others);
+  return right_.Update(now, election_->IsLeaseValid(), others);
 }
 
 void job_entry_process::NoteGrantBasis(grant_basis basis) {
@@ -524,19 +532,27 @@
             {"to", NameOf(basis)},
             {"lasted_ms", now - std::exchange(basis_since_, now)},
             {"store_silent_ms", store_.Silent()},
-            {"entries", DescribeEntries()}},
+            {"open_list", candidates_.MayBeOpen()},
+            {"candidates", DescribeCandidates()}},
            true);
   metrics_.CountEvent(std::string("grant_basis_") + NameOf(basis));
 }
 
-std::string job_entry_process::DescribeEntries() const {
+std::string job_entry_process::DescribeCandidates() const {
   std::string text;
-  for (const auto& [address, entry] : entries_) {
+  for (const std::string& address : candidates_.Possible()) {
+    const auto entry = entries_.find(address);
+    if (entry == entries_.end()) {
+      continue;  // This entry.
+    }
+    const known_entry& known = entry->second;
     text += (text.empty() ? "" : ",") + address;
-    text += entry.answered == 0
+    text += known.answered == 0
                 ? "=never"
-                : "=" + std::to_string(BootNow() - entry.answered) + "ms" +
-                      (entry.store_silent > 0 ? ":lost" : ":up");
+                : "=" + std::to_string(BootNow() - known.answered) + "ms" +
+                      (known.leaving            ? ":leaving"
+                       : known.store_silent > 0 ? ":lost"
+                                                : ":up");
   }
   return text;
 }
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -88,8 +88,8 @@
   bool MayGrant();
   grant_basis FindGrantBasis();
   void NoteGrantBasis(grant_basis basis);
-  // What the other entries have said of the store, and how long ago.
-  std::string DescribeEntries() const;
+  // What the other candidates have said of the store, and how long ago.
+  std::string DescribeCandidates() const;
   bool IsReady() const;
   std::vector<std::string> LiveEntries() const;
   std::string Address() const;
@@ -122,6 +122,7 @@
   bool probing_ = false;
   bool was_ready_ = false;
   bool handing_over_ = false;
+  const millis started_at_;
   millis owner_since_ = 0;
   grant_basis basis_ = grant_basis::kNone;  // As last logged ...
   millis basis_since_ = 0;                  // ... and since when.
--- a/src/chervilkeeld/owner_election.cpp
+++ b/src/chervilkeeld/owner_election.cpp
@@ -131,10 +131,12 @@
     }
     view_ = seen;
     view_revision_ = item->revision;
+    unlisted_since_ = 0;
     WatchOwner();
     return;
   }
   view_.address.clear();
+  key_free_at_ = BootNow();
   if (!ready_) {
     RunAfter(kRetry, &owner_election::ReadOwner);
     return;
@@ -169,8 +171,7 @@
 
 // The last owner may still grant without the store, as long as the entries that
 // it has listed have lost the store, too. It can't if it has listed none but
-// itself. Each owner stores a list of its own revision, so the time of the last
-// one begins when this entry first reads it beside a free key.
+// itself.
 bool owner_election::MayBeElected(const std::optional<stored_item>& list) {
   candidates_ = DecodeCandidates(list ? list->value : "");
   candidates_revision_ = list ? list->revision : 0;
@@ -178,10 +179,11 @@
       candidates_.entries.count(options_.address) != 0) {
     return true;
   }
-  const millis now = BootNow();
+  // Each claim changes the list. So the owner of this list has lost the key if
+  // that was free between two reads of the same list.
   if (unlisted_revision_ != candidates_revision_) {
     unlisted_revision_ = candidates_revision_;
-    unlisted_since_ = now;
+    unlisted_since_ = 0;
     LogEvent(
         kPart, "not_listed",
         {{"owner", candidates_.owner},
@@ -189,8 +191,12 @@
          {"revision", candidates_revision_},
          {"waits_ms", options_.longest_outage}},
         true);
+    return false;
   }
-  return now - unlisted_since_ >= options_.longest_outage;
+  if (unlisted_since_ == 0) {
+    unlisted_since_ = key_free_at_;
+  }
+  return BootNow() - unlisted_since_ >= options_.longest_outage;
 }
 
 millis owner_election::LowCpuDelay() const {
@@ -380,17 +386,23 @@
 }
 
 // An owner that ends its term grants no more, so its successor need not be
-// listed. The lease ends whether or not that can be stored.
+// listed: the list and the key change together. The lease ends whether or not
+// that can be stored.
 void owner_election::EndTerm() {
+  is_ending_lease_ = true;
   store_transaction transaction;
   transaction.conditions = {{kOwnerKey, owner_revision_}};
   transaction.writes = {
       {kCandidatesKey, EncodeCandidates(options_.address, {}), 0}};
+  transaction.removals = {kOwnerKey};
   store_.Client().Commit(transaction, kCallTimeout,
                          [this](const result<transaction_outcome>& outcome) {
                            store_.Note(outcome);
+                           EndLease();
                          });
-  is_ending_lease_ = true;
+}
+
+void owner_election::EndLease() {
   store_.Client().EndLease(lease_, kCallTimeout,
                            [this](const result<bool>& ended) {
                              is_ending_lease_ = false;
--- a/src/chervilkeeld/owner_election.h
+++ b/src/chervilkeeld/owner_election.h
@@ -126,6 +126,7 @@
   void Won(std::uint64_t epoch, std::uint64_t revision);
   void Renew();
   void EndTerm();
+  void EndLease();
 
   boost::asio::io_context& context_;
   store_link& store_;
@@ -143,7 +144,9 @@
   candidate_names candidates_;
   std::uint64_t candidates_revision_ = 0;
   std::set<std::string> claimed_candidates_;
-  // The list that lacks this entry, and since when it has been read.
+  millis key_free_at_ = 0;  // When the owner's key was last read as free.
+  // The list that lacks this entry, and since when it is that of a former
+  // owner; 0 until that is known.
   std::uint64_t unlisted_revision_ = 0;
   millis unlisted_since_ = 0;
   std::uint64_t owner_revision_ = 0;
--- a/src/chervilkeeld/owner_election_test.cpp
+++ b/src/chervilkeeld/owner_election_test.cpp
@@ -157,6 +157,24 @@
   BOOST_TEST(BootNow() - began >= kLongestOutage);
 }
 
+// Guards against a wait that has passed under a living owner (TWICE): the list
+// of that owner was read while it held the key.
+BOOST_FIXTURE_TEST_CASE(wait_of_an_entry_begins_when_the_key_is_free,
+                        candidate_fixture) {
+  StoreList({kFormerOwner, "127.0.0.1:3"});
+  election.SetReady(true);
+  election.Start();
+  RunUntil([this] { return memory->reads >= 2; });
+  memory->Put(kOwnerKey, std::string(kFormerOwner) + " 1");
+  memory->failed_watches = 1'000;
+  const millis held_until = BootNow() + 2 * kLongestOutage;
+  RunUntil([&] { return BootNow() >= held_until; });
+  memory->items.erase(kOwnerKey);
+  const millis began = BootNow();
+  RunUntil([this] { return won.has_value(); });
+  BOOST_TEST(BootNow() - began >= kLongestOutage);
+}
+
 BOOST_FIXTURE_TEST_CASE(listed_entry_is_elected_at_once, candidate_fixture) {
   StoreList({kFormerOwner, "127.0.0.1:1", "127.0.0.1:3"});
   const millis began = BootNow();
