Take ends as recorded only by replies to calls that told the boot

An executor starts anew, and its agent calls the owner before the first list of the new boot. Such a call names no boot, so the reply acknowledges ends of the former boot as the owner knows it. If it came late, the agent took it for the ends of the new boot, which count from 1 again, and the executor forgot ends that the owner had not stored. The agent now goes by the boot whose runs the call has told, if the owner has read them.

--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -522,10 +522,10 @@
   }
   const std::uint64_t last_start = obeys ? last_start_ : 0;
   const std::uint64_t crashes = obeys ? history_.CrashCount() : 0;
+  const executor_boot told_boot = obeys ? worker_.boot : executor_boot();
   CallOwnerService<wire::agent_sync, wire::agent_orders>(
       context_, peers_, address, kSyncMethod, std::move(sync), kSyncTimeout,
-      [this, address, now, last_start, crashes, wait, epoch = epoch_,
-       boot = worker_.boot,
+      [this, address, now, last_start, crashes, wait, told_boot, epoch = epoch_,
        gone = gone_](const result<wire::agent_orders>& reply) {
         (wait ? syncing_ : news_open_) = false;
         if (reply && reply.value().is_owner() && gone == gone_) {
@@ -533,14 +533,14 @@
         }
         // An owner of another epoch has left the report aside.
         const bool was_read = reply && reply.value().epoch() == epoch;
-        OnReply(reply, address, boot, now, was_read ? last_start : 0,
-                was_read ? crashes : 0, wait);
+        OnReply(reply, address, was_read ? told_boot : executor_boot(), now,
+                was_read ? last_start : 0, was_read ? crashes : 0, wait);
       });
 }
 
 void job_agent_process::OnReply(const result<wire::agent_orders>& reply,
                                 const std::string& address,
-                                const executor_boot& boot,
+                                const executor_boot& told_boot,
                                 millis asked,
                                 std::uint64_t last_start,
                                 std::uint64_t crashes,
@@ -585,7 +585,7 @@
       }
       locator_.Learn(address,
                      {orders.entries().begin(), orders.entries().end()});
-      TakeOrders(orders, boot, asked);
+      TakeOrders(orders, told_boot, asked);
       ResumeStarts();
     } else {
       pause = kSyncRetry;
@@ -655,11 +655,11 @@
 }
 
 void job_agent_process::TakeOrders(const wire::agent_orders& reply,
-                                   const executor_boot& boot,
+                                   const executor_boot& told_boot,
                                    millis asked) {
-  // Each boot numbers its ends from 1: a late reply for a former boot says
-  // nothing about the ends of this one.
-  if (boot == worker_.boot && reply.recorded_end() > recorded_end_ &&
+  // Each boot numbers its ends from 1: a reply to a call that told a former
+  // boot, or none, says nothing about the ends of this one.
+  if (told_boot == worker_.boot && reply.recorded_end() > recorded_end_ &&
       obeyed_epoch_ == epoch_) {
     std::uint64_t listed = recorded_end_;
     for (const ended_run& ended : ends_) {
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -105,7 +105,7 @@
   void Sync(bool wait);
   void OnReply(const result<wire::agent_orders>& reply,
                const std::string& address,
-               const executor_boot& boot,
+               const executor_boot& told_boot,
                millis asked,
                // The highest number of a result that the call has told.
                std::uint64_t last_start,
@@ -114,9 +114,10 @@
   void NoteOwner(bool answers,
                  const std::string& address,
                  const std::string& cause);
-  // `boot` is the executor's boot when the owner was called at `asked`.
+  // `told_boot` is the executor's boot whose runs the call of `asked` has told;
+  // empty if it has told none, or the owner has left them aside.
   void TakeOrders(const wire::agent_orders& reply,
-                  const executor_boot& boot,
+                  const executor_boot& told_boot,
                   millis asked);
   void NoteGrantor(const std::string& address);
   void AdoptEpoch(std::uint64_t epoch);
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -76,6 +76,33 @@
   BOOST_TEST(script.highest_recorded == 0);
 }
 
+// Guards against an end that is lost: a call that was sent before the first
+// list of a boot names no boot to the owner, so that its reply acknowledged
+// ends of the former boot, and the agent took that for ends of the present one.
+BOOST_AUTO_TEST_CASE(reply_to_a_call_without_a_report_records_no_end) {
+  script.listings = 1'000'000;
+  owner->acknowledged_end = 9;
+  owner->holds = [](const wire::agent_sync& sync) {
+    return sync.epoch() != 0 && !sync.obeys();
+  };
+  Announce();
+  RunForUntil([this] { return owner->HeldCalls() > 0; });
+  owner->acknowledged_end = 0;
+  ended_run ended;
+  ended.number = 1;
+  ended.task = {"job", 0, 0, 0};
+  ended.run = 1;
+  script.ends.push_back(ended);
+  RunForUntil([this] { return script.lists > 3; });
+  BOOST_REQUIRE_EQUAL(owner->HeldCalls(), 1);
+  owner->Answer(0);
+  RunForUntil([this] { return !last_report.ends.empty(); });
+  const int lists_before = script.lists;
+  RunForUntil([&] { return script.lists > lists_before + 5; });
+  BOOST_TEST(!last_report.ends.empty());
+  BOOST_TEST(script.highest_recorded == 0);
+}
+
 // The owner changes after the crash: the next one has to learn which task may
 // have been the cause, or each owner starts it anew.
 BOOST_AUTO_TEST_CASE(
--- a/src/libkernel/job_scheduler_books_agent.h
+++ b/src/libkernel/job_scheduler_books_agent.h
@@ -248,13 +248,14 @@
     }
     call(sync, has_failed_,
          Guarded<books_reply>(
-             [this, now, wait, epoch = epoch_, boot = worker_.boot,
+             [this, now, wait, epoch = epoch_,
+              boot = sync.obeys ? worker_.boot : executor_boot(),
               last_start = sync.obeys ? last_start_ : 0,
               crashes = sync.obeys ? crashes_.size() : 0](auto reply) {
                (wait ? syncing_ : news_open_) = false;
                const bool was_read = reply && reply->epoch == epoch;
-               OnReply(reply, boot, now, was_read ? last_start : 0,
-                       was_read ? crashes : 0, wait);
+               OnReply(reply, was_read ? boot : executor_boot(), now,
+                       was_read ? last_start : 0, was_read ? crashes : 0, wait);
              }));
     has_failed_ = false;
   }
