Shorten an agent's hold before its process takes the cell over

What could be seen: two runs of one task of a manifest. A new owner waits one tenure only for the agent of the former owner's process, as an owner grants that agent no hold. But a process that takes a cell over in an outage of the store may have a hold (30 min) of the owner before it. The process now cuts its agent's right to a tenure before its first record, and goes by no longer one until a reply of its own or a later term. Weighed: to wait the hold out for former owners too (each loss of an owner's VM would stall its tasks for 30 minutes). The price: a takeover that fails in an outage costs that one agent its hold. Found by reading, not seen in a run.

--- a/src/chervilkeeld/agent_process.cpp
+++ b/src/chervilkeeld/agent_process.cpp
@@ -32,7 +32,7 @@
                              boost::asio::io_context& context)
     : core_(core),
       context_(context),
-      seat_(core),
+      seat_(core, [this] { ShortenRight(); }),
       runner_(core, context),
       peer_(core,
             [this](wire::manifest_reply& reply) { seat_.Locate(reply); }) {}
@@ -203,6 +203,14 @@
   AskEntries();
 }
 
+// The owner after this one waits one tenure for this agent, so it must not go
+// on under a hold of the owner before.
+void agent_process::ShortenRight() {
+  const std::lock_guard lock(mutex_);
+  tasks_->ShortenRight(static_cast<millis>(core_.settings.tenure),
+                       MonotonicNow());
+}
+
 // Learns the manifest and the owner from entries, which may know them while
 // the store is down.
 void agent_process::AskEntries() {
--- a/src/chervilkeeld/agent_process.h
+++ b/src/chervilkeeld/agent_process.h
@@ -42,6 +42,7 @@
                  const std::string& owner,
                  millis sent_at);
   void OnOwnerSilent();
+  void ShortenRight();
   void AskEntries();
   bool Drained();
   std::string Dump();
--- a/src/chervilkeeld/owner_seat.cpp
+++ b/src/chervilkeeld/owner_seat.cpp
@@ -27,8 +27,9 @@
 
 }  // namespace
 
-owner_seat::owner_seat(process_core& core)
+owner_seat::owner_seat(process_core& core, before_term_function before_term)
     : core_(core),
+      before_term_(std::move(before_term)),
       cell_(core.settings.cell),
       journal_(*core.store, core.settings.cell) {}
 
@@ -165,6 +166,7 @@
     }
     return;
   }
+  before_term_();
   std::string former_owner;
   auto state = RecoverAndFence(former_owner);
   if (!state) {
--- a/src/chervilkeeld/owner_seat.h
+++ b/src/chervilkeeld/owner_seat.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -23,7 +24,10 @@
 // One agent's seat as the possible owner of its cell.
 class owner_seat : public wire::owner_service::CallbackService {
  public:
-  explicit owner_seat(process_core& core);
+  // Called, on the seat's thread, before this process becomes the owner.
+  using before_term_function = std::function<void()>;
+
+  owner_seat(process_core& core, before_term_function before_term);
 
   void Start();
 
@@ -90,6 +94,7 @@
   owner_options Options() const;
 
   process_core& core_;
+  const before_term_function before_term_;
   const std::string cell_;
   cell_journal<key_value_store> journal_;
   periodic_loop loop_;
--- a/src/include/chervilkeel/agent_core.h
+++ b/src/include/chervilkeel/agent_core.h
@@ -125,6 +125,12 @@
   // out of order are ignored.
   void OnReply(const wire::owner_reply& reply, millis sent_at, millis now);
 
+  // Ends the present right a tenure from now at the latest, also if former
+  // owners go on giving longer ones. To be called before this process becomes
+  // the cell's owner: the owner after it waits no longer for this agent,
+  // whatever a former one has granted.
+  void ShortenRight(millis tenure, millis now);
+
   // Handles the complete task list of the worker, requested at `asked_at`.
   void OnWorkerTasks(const std::vector<worker_task>& tasks, millis asked_at);
 
@@ -245,6 +251,8 @@
   std::uint64_t last_sequence_ = 0;
   std::uint64_t grant_sequence_ = 0;
   millis grant_expires_at_ = 0;
+  // The longest right that replies of the present epoch may give; 0: any.
+  millis longest_right_ = 0;
   millis latest_lease_end_ = 0;  // Over all leases that were requested.
   std::uint32_t granted_slots_ = 0;
   std::uint32_t planned_slots_ = 0;
--- a/src/libkernel/agent_core.cpp
+++ b/src/libkernel/agent_core.cpp
@@ -51,14 +51,18 @@
     epoch_ = reply.epoch();
     last_sequence_ = 0;
     grant_sequence_ = 0;
+    longest_right_ = 0;
   }
   if (reply.sequence() <= last_sequence_) {
     return;
   }
   last_sequence_ = reply.sequence();
   colocation_.UpdateEffects(reply);
-  const auto granted = static_cast<millis>(
-      reply.hold_ms() > 0 ? reply.hold_ms() : reply.tenure_ms());
+  auto granted = static_cast<millis>(reply.hold_ms() > 0 ? reply.hold_ms()
+                                                         : reply.tenure_ms());
+  if (longest_right_ > 0) {
+    granted = std::min(granted, longest_right_);
+  }
   // A shorter grant is accepted, and thereby confirmed to the owner, only if
   // no lease on the worker ends after it.
   if (granted > 0 && sent_at + granted > now &&
@@ -80,6 +84,12 @@
   }
 }
 
+// Leases on the worker are shorter than a tenure, so none ends later.
+void agent_core::ShortenRight(millis tenure, millis now) {
+  longest_right_ = tenure;
+  grant_expires_at_ = std::min(grant_expires_at_, now + tenure);
+}
+
 void agent_core::HandleStart(const wire::assignment& assignment) {
   const auto [at, added] = tasks_.try_emplace(NameOf(assignment.id()));
   local_task& task = at->second;
--- a/src/libkernel/agent_core_test.cpp
+++ b/src/libkernel/agent_core_test.cpp
@@ -147,6 +147,31 @@
   BOOST_TEST(core->GrantExpiry() == now + kTenure);
 }
 
+// Guards against two runs of one task: an agent whose process took the cell
+// over ran on under the hold of the owner before it, and the owner after it
+// waits one tenure only for the agent of a former owner.
+BOOST_AUTO_TEST_CASE(hold_ends_within_a_tenure_when_its_process_takes_over) {
+  wire::owner_reply reply = MakeReply(kTenure, kHold);
+  AddStart(reply, 0);
+  core->OnReply(reply, now, now);
+  Step(1);
+  core->ShortenRight(kTenure, now);
+  BOOST_TEST(core->GrantExpiry() == now + kTenure);
+  // A late reply of the owner before.
+  core->OnReply(MakeReply(kTenure, kHold), now, now);
+  BOOST_TEST(core->GrantExpiry() == now + kTenure);
+  now += kTenure - 500;
+  BOOST_TEST(Count(Step(1), worker_action_kind::kEvict) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(hold_of_a_later_owner_is_not_shortened) {
+  core->OnReply(MakeReply(kTenure), now, now);
+  core->ShortenRight(kTenure, now);
+  epoch = 3;
+  core->OnReply(MakeReply(kTenure, kHold), now, now);
+  BOOST_TEST(core->GrantExpiry() == now + kHold);
+}
+
 BOOST_AUTO_TEST_CASE(task_is_evicted_before_the_grant_expires) {
   wire::owner_reply reply = MakeReply(kTenure);
   AddStart(reply, 0);
