Test that a list from before a change of owner is not reported

No fault was found: a list counts only if its call carried the new epoch, and an executor that has answered such a call refuses the former one. list_asked_for_under_a_former_epoch_is_not_reported holds a list back until the agent has adopted the next epoch.

--- a/src/chervilkeeld/job_agent_fixture.h
+++ b/src/chervilkeeld/job_agent_fixture.h
@@ -40,6 +40,8 @@
   millis start_delay = 0;    // Of starts that are not answered.
   bool holds_start = false;  // The next one is answered by the test.
   std::function<void()> answer_start;
+  bool holds_list = false;  // The next one is sent by the test.
+  std::function<void()> answer_list;
   int unanswered_stops = 0;  // Before the first that is accepted.
   int starts = 0;            // Calls that the executor has read.
   int stops = 0;
@@ -127,7 +129,7 @@
       });
       return;
     }
-    boost::asio::post(context_, [this, callback = std::move(callback)] {
+    auto answer = [this, callback = std::move(callback)] {
       if (script_.listings == 0) {
         callback(Fail(error_code::kUnknown, "no answer"));
         return;
@@ -145,7 +147,12 @@
         listing.running.push_back(run_);
       }
       callback(listing);
-    });
+    };
+    if (std::exchange(script_.holds_list, false)) {
+      script_.answer_list = std::move(answer);
+    } else {
+      boost::asio::post(context_, std::move(answer));
+    }
   }
 
  private:
@@ -382,7 +389,8 @@
   std::unique_ptr<grpc::Server> server;
   std::optional<job_agent_process> agent;
   int calls = 0;
-  int obeying = 0;      // Calls that vouch for the executor.
+  int obeying = 0;  // Calls that vouch for the executor.
+  std::map<std::uint64_t, int> obeying_in_epoch;
   int not_obeying = 0;  // Calls after the first of those that don't.
   executor_script script;
   std::optional<start_outcome> outcome;  // Of the task that was started.
@@ -405,6 +413,7 @@
       const worker_report report = FromWire(sync);
       if (sync.obeys()) {
         last_report = report;
+        ++obeying_in_epoch[sync.epoch()];
         complete_lists += report.has_runs ? 1 : 0;
       }
       for (const crashed_executor& crashed : report.crashes) {
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -103,6 +103,29 @@
   BOOST_TEST(script.highest_recorded == 0);
 }
 
+// Guards against an agent that counts as having reported to a new owner by a
+// list from before (TWICE): the executor may carry out a start of the former
+// owner until it has seen the new epoch.
+BOOST_AUTO_TEST_CASE(list_asked_for_under_a_former_epoch_is_not_reported) {
+  script.listings = 1'000'000;
+  Announce();
+  RunForUntil([this] { return obeying_in_epoch[1] > 0; });
+  script.holds_list = true;
+  RunForUntil([this] { return script.answer_list != nullptr; });
+  owner->epoch = 2;
+  int calls_before = calls;
+  RunForUntil([&] { return calls > calls_before + 2; });
+  script.answer_list();
+  script.listings = 0;
+  calls_before = calls;
+  RunForUntil([&] { return calls > calls_before + 20; });
+  BOOST_TEST(obeying_in_epoch[1] > 0);
+  BOOST_TEST(obeying_in_epoch[2] == 0);
+  script.listings = 1'000'000;
+  RunForUntil([this] { return obeying_in_epoch[2] > 0; });
+  BOOST_TEST(obeying_in_epoch[2] > 0);
+}
+
 // The owner changes after the crash: the next one has to learn which task may
 // have been the cause, or each owner starts it anew.
 BOOST_AUTO_TEST_CASE(
