Confirm a configuration for no time to come

A watch without changes was taken to have lasted its whole wait of 1.4 s. If it was ended early, the entry took its configuration for confirmed up to 1.4 s too long, and could store a job for a queue that had been removed (CONFIG). The confirmation now dates from the answer, if that comes before the end of the wait. An early answer that is read late, after a pause, still counts for the wait. watch_that_ends_early_confirms_no_later_time failed before. No store is known to end a watch early with an empty answer; found by reading.

--- a/src/chervilkeeld/config_follower.cpp
+++ b/src/chervilkeeld/config_follower.cpp
@@ -1,5 +1,6 @@
 #include "config_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "chervilkeel/event_log.h"
@@ -73,10 +74,12 @@
           return;
         }
         OfferAll(changes.value().items);
-        // A watch without changes was answered after its whole wait.
+        // A watch without changes says so of the end of its wait, but of no
+        // time to come if it was ended early.
         const bool quiet = changes.value().items.empty();
         confirmed_at_ =
-            std::max(confirmed_at_, quiet ? asked + kWatchWait : asked);
+            std::max(confirmed_at_,
+                     quiet ? std::min(BootNow(), asked + kWatchWait) : asked);
         watched_revision_ =
             std::max(watched_revision_, changes.value().revision);
         Watch();
--- a/src/chervilkeeld/config_follower_test.cpp
+++ b/src/chervilkeeld/config_follower_test.cpp
@@ -1,5 +1,8 @@
 #include "config_follower.h"
 
+#include <chrono>
+#include <thread>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -120,6 +123,20 @@
   BOOST_TEST(memory->reads == 1);
 }
 
+// Guards against a removed queue that takes jobs (CONFIG): a watch that ended
+// early without changes confirmed the configuration for times to come.
+BOOST_AUTO_TEST_CASE(watch_that_ends_early_confirms_no_later_time) {
+  constexpr auto kLongerThanAConfirmation = std::chrono::milliseconds(1'700);
+  memory->Put("config", "5 /paths/ paths");
+  memory->failed_watches = 1;  // Answered at once; the next is not answered.
+  Start();
+  BOOST_TEST(follower.IsConfirmed());
+  context.restart();
+  context.poll();
+  std::this_thread::sleep_for(kLongerThanAConfirmation);
+  BOOST_TEST(!follower.IsConfirmed());
+}
+
 BOOST_AUTO_TEST_CASE(confirmations_at_the_same_time_share_one_read) {
   memory->Put("config", "5 /paths/ paths");
   int answers = 0;
