--- a/soak/executor.cpp
+++ b/soak/executor.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "platform_words.h"
 
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -7,11 +7,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <algorithm>
-#include <filesystem>
 #include <fstream>
 #include <random>
-#include <thread>
 
 #include "chervilkeeld/job_keys.h"
 #include "load.h"
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -4,7 +4,6 @@
 #include <sys/types.h>
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
--- a/soak/load.h
+++ b/soak/load.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
--- a/soak/preload.cpp
+++ b/soak/preload.cpp
@@ -35,14 +35,21 @@
 }
 
 const link_settings& Settings() {
-  static const link_settings settings = ReadSettings();
+  static link_settings settings = ReadSettings();
   return settings;
 }
 
+// A connection that can't be bound has no known end, so the relay closes it.
+void Bind(int fd, const sockaddr* here, socklen_t size) {
+  if (bind(fd, here, size) != 0) {
+    std::perror("soak_preload: bind");
+  }
+}
+
 }  // namespace
 
 extern "C" int connect(int fd, const sockaddr* to, socklen_t size) {
-  static const auto next =
+  static auto* next =
       reinterpret_cast<connect_function>(dlsym(RTLD_NEXT, "connect"));
   const link_settings& settings = Settings();
   const auto port = htons(static_cast<std::uint16_t>(settings.entries_port));
@@ -55,7 +62,7 @@
       sockaddr_in here{};
       here.sin_family = AF_INET;
       here.sin_addr = settings.source;
-      bind(fd, reinterpret_cast<const sockaddr*>(&here), sizeof(here));
+      Bind(fd, reinterpret_cast<const sockaddr*>(&here), sizeof(here));
       return next(fd, reinterpret_cast<const sockaddr*>(&there), sizeof(there));
     }
   }
@@ -67,7 +74,7 @@
       sockaddr_in6 here = there;
       here.sin6_port = 0;
       std::memcpy(here.sin6_addr.s6_addr + 12, &settings.source, 4);
-      bind(fd, reinterpret_cast<const sockaddr*>(&here), sizeof(here));
+      Bind(fd, reinterpret_cast<const sockaddr*>(&here), sizeof(here));
       return next(fd, reinterpret_cast<const sockaddr*>(&there), sizeof(there));
     }
   }
--- a/soak/store.cpp
+++ b/soak/store.cpp
@@ -53,8 +53,8 @@
   servers_.push_back(std::make_shared<http_server>(
       context_, options,
       [this, process](const http_request& request, http_responder respond) {
-        auto answer = [this, process,
-                       respond = std::move(respond)](http_response response) {
+        auto answer = [this, process, respond = std::move(respond)](
+                          const http_response& response) {
           links_.WhenOpen(self_, process,
                           [respond, response] { respond(response); });
         };
