--- /dev/null
+++ b/review/standin-2/case.cpp
@@ -0,0 +1,200 @@
+// The cases of the second review that are scripts. Exit codes: 0 the rule held,
+// 1 it was broken, 2 the case could not run.
+#include <boost/json/src.hpp>
+#include <random>
+
+#include "fleet.h"
+
+namespace review {
+
+namespace {
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kCannotRun = 2;
+
+constexpr std::int64_t kCancelMs = 3'000;  // The site's cancel_ms.
+constexpr std::int64_t kFinishMs = 14'000;  // The site's finish_s.
+
+// Hands in a job and waits for its end: the deployment works.
+bool Warm(Fleet& fleet, Record& record, std::uint64_t number) {
+  const std::string id = JobId(number);
+  const std::string body = JobBody(fleet.GetLedger(), id, {{3, 1000, 300}});
+  for (const std::int64_t until = NowMs() + 25'000; NowMs() < until; SleepMs(200)) {
+    const int status = fleet.Ask(0, "POST", id, body, 3'000).status;
+    record.Say("warm-up: POST %s -> %d", id.c_str(), status);
+    if (status != 200) {
+      continue;
+    }
+    while (NowMs() < until) {
+      if (StateIn(fleet.Ask(0, "GET", id, "", 3'000)) == "completed") {
+        record.Say("warm-up: completed");
+        return true;
+      }
+      SleepMs(100);
+    }
+  }
+  return false;
+}
+
+// A client hands a job in, the store loses the answer to that write and carries
+// it out late, the client gives up and cancels.
+int CancelLost(Fleet& fleet, Record& record, bool trouble) {
+  const std::string id = JobId(10);
+  const std::string body = JobBody(fleet.GetLedger(), id, {{6, 1000, 1'500}});
+  const std::string key = "chervilkeel/inbox/job/" + id;
+  constexpr std::int64_t kLateMs = 5'500;
+  auto armed = std::make_shared<std::atomic<bool>>(trouble);
+  fleet.GetStore().SetLate([armed, key](const json::object& write) {
+    const json::value* rows = write.if_contains("writes");
+    if (rows == nullptr) {
+      return std::int64_t{-1};
+    }
+    for (const json::value& row : rows->as_array()) {
+      if (String(row.as_object(), "key") == key && armed->exchange(false)) {
+        return kLateMs;
+      }
+    }
+    return std::int64_t{-1};
+  });
+  const Message handed_in = fleet.Ask(0, "POST", id, body, 700);
+  record.Say("client: POST %s to front-1 with 700 ms to go -> %d (0: no answer)",
+             id.c_str(), handed_in.status);
+  SleepMs(50);
+  const Message cancelled = fleet.Ask(1, "DELETE", id, "", 3'000);
+  const std::int64_t acked = NowMs();
+  record.Say("client: DELETE %s to front-2 -> %d %s", id.c_str(),
+             cancelled.status, cancelled.body.c_str());
+  if (cancelled.status / 100 != 2 && cancelled.status != 410) {
+    record.Say("the cancelling was not acknowledged");
+    return kCannotRun;
+  }
+  SleepMs(12'000);
+  const Message state = fleet.Ask(1, "GET", id, "", 3'000);
+  record.Say("client: GET %s -> %d %s", id.c_str(), state.status,
+             state.body.c_str());
+  int late = 0;
+  for (const Start& start : fleet.GetLedger().StartsOf(id)) {
+    const std::int64_t after = start.at - acked;
+    record.Say("executor %s began %s run %llu, %lld ms after the ack of DELETE",
+               start.executor.c_str(), start.task.c_str(),
+               static_cast<unsigned long long>(start.run),
+               static_cast<long long>(after));
+    late += after > kCancelMs ? 1 : 0;
+  }
+  record.Say("starts later than cancel_ms (%lld) after the ack: %d",
+             static_cast<long long>(kCancelMs), late);
+  return late > 0 ? kBroken : kHeld;
+}
+
+// Many small jobs, none of whose tasks ever fails, while executors crash one
+// after the other and come back.
+int Crashes(Fleet& fleet, Record& record, bool trouble) {
+  constexpr std::int64_t kTraffic = 62'000;
+  constexpr std::int64_t kPerJob = 160;    // ms between two jobs.
+  constexpr std::int64_t kCrashEach = 1'300;
+  constexpr std::int64_t kDown = 1'000;
+  std::atomic<bool> over = false;
+  std::thread crasher([&] {
+    std::mt19937 random(static_cast<unsigned>(::getpid()));
+    std::int64_t next = NowMs() + 3'000;
+    while (trouble && !over) {
+      SleepMs(10);
+      if (NowMs() < next) {
+        continue;
+      }
+      next += kCrashEach;
+      Executor& hit = *fleet.Agents()[random() % kAgents].executor;
+      record.Say("executor %s crashes with %zu tasks", hit.Name().c_str(),
+                 hit.Running());
+      hit.Crash();
+      SleepMs(kDown);
+      hit.Boot();
+    }
+  });
+  std::mt19937 random(7);
+  std::vector<std::string> accepted;
+  const std::int64_t began = NowMs();
+  for (int i = 0; NowMs() - began < kTraffic; ++i) {
+    const std::string id = JobId(static_cast<std::uint64_t>(100 + i));
+    std::vector<StepSpec> steps;
+    for (unsigned step = 0; step < 1 + random() % 2; ++step) {
+      steps.push_back({static_cast<int>(3 + random() % 6), 960,
+                       static_cast<std::int64_t>(250 + random() % 600)});
+    }
+    const std::string body = JobBody(fleet.GetLedger(), id, steps);
+    if (fleet.Ask(i % kEntries, "POST", id, body, 3'000).status == 200) {
+      accepted.push_back(id);
+    }
+    SleepMs(std::max<std::int64_t>(0, began + (i + 1) * kPerJob - NowMs()));
+  }
+  over = true;
+  crasher.join();
+  record.Say("end of the traffic, %zu jobs accepted", accepted.size());
+  SleepMs(kFinishMs);
+  int failed = 0;
+  int unfinished = 0;
+  for (const std::string& id : accepted) {
+    const std::string state = StateIn(fleet.Ask(0, "GET", id, "", 3'000));
+    const auto ends = fleet.GetLedger().EndsOf(id);
+    const auto count = [&](const char* how) {
+      const auto found = ends.find(how);
+      return found == ends.end() ? 0 : found->second;
+    };
+    if (state == "failed") {
+      ++failed;
+      record.Say("job %s is shown as failed; its runs: %d done, %d failed, %d "
+                 "stopped, %d lapsed, %d lost with their executor",
+                 id.c_str(), count("done"), count("failed"), count("stopped"),
+                 count("lapsed"), count("lost"));
+    } else if (state != "completed") {
+      ++unfinished;
+      record.Say("job %s is shown as '%s'", id.c_str(), state.c_str());
+    }
+  }
+  record.Say("jobs accepted: %zu, shown as failed without one failed run: %d, "
+             "not completed otherwise: %d",
+             accepted.size(), failed, unfinished);
+  return failed > 0 ? kBroken : kHeld;
+}
+
+int Play(const std::string& name, Fleet& fleet, Record& record, bool trouble) {
+  if (!fleet.Start() || !Warm(fleet, record, 1) || !Warm(fleet, record, 2)) {
+    record.Say("the deployment did not start");
+    return kCannotRun;
+  }
+  SleepMs(1'000);
+  if (name == "cancel-lost") {
+    return CancelLost(fleet, record, trouble);
+  }
+  if (name == "crashes") {
+    return Crashes(fleet, record, trouble);
+  }
+  return kCannotRun;
+}
+
+}  // namespace
+
+}  // namespace review
+
+// Arguments: case, daemon, folder of templates, temporary folder, record.
+int main(int argc, char** argv) {
+  if (argc != 6) {
+    return review::kCannotRun;
+  }
+  const char* wanted = std::getenv("TROUBLE");
+  const bool trouble = wanted == nullptr || std::string(wanted) != "0";
+  review::Record record(argv[5]);
+  record.Say("case %s, %s the disruption", argv[1], trouble ? "with" : "without");
+  int code = review::kCannotRun;
+  try {
+    review::Fleet fleet(record, argv[2], argv[3], argv[4]);
+    code = review::Play(argv[1], fleet, record, trouble);
+  } catch (const std::exception& failure) {
+    record.Say("could not run: %s", failure.what());
+  }
+  record.Say("%s", code == 0 ? "the rule held"
+                   : code == 1 ? "the rule was broken"
+                               : "the case could not run");
+  return code;
+}
