--- a/review/standin-2/case.cpp
+++ b/review/standin-2/case.cpp
@@ -13,6 +13,8 @@
 constexpr int kCannotRun = 2;
 
 constexpr std::int64_t kCancelMs = 3'000;   // The site's cancel_ms.
+constexpr std::int64_t kFinishMs = 14'000;  // finish_s
+constexpr std::int64_t kIdleMs = 3'000;     // Of LOST.
 constexpr std::int64_t kVisibleMs = 3'000;  // visible_ms
 
 // Hands in a job and waits for its end: the deployment works.
@@ -159,6 +161,50 @@
   return wrong > 0 ? kBroken : kHeld;
 }
 
+// All entries are replaced at once, then a client hands a job in.
+int AllReplaced(Fleet& fleet, Record& record, bool trouble) {
+  if (trouble) {
+    record.Say("all entries are killed; new ones come at other addresses");
+    if (!fleet.ReplaceEntries(2'000)) {
+      record.Say("the new entries are not ready");
+      return kCannotRun;
+    }
+    record.Say("the new entries are ready");
+  }
+  const std::string id = JobId(30);
+  const std::string body = JobBody(fleet.GetLedger(), id, {{6, 1'000, 500}});
+  const int status = fleet.Ask(0, "POST", id, body, 3'000).status;
+  record.Say("client: POST %s -> %d", id.c_str(), status);
+  if (status != 200) {
+    return kCannotRun;
+  }
+  const std::int64_t accepted = NowMs();
+  std::int64_t began = 0;
+  std::string state;
+  while (NowMs() - accepted < 75'000 && state != "completed") {
+    SleepMs(500);
+    const auto starts = fleet.GetLedger().StartsOf(id);
+    if (began == 0 && !starts.empty()) {
+      began = starts.front().at - accepted;
+      record.Say("executor %s began %s, %lld ms after the ack of POST",
+                 starts.front().executor.c_str(), starts.front().task.c_str(),
+                 static_cast<long long>(began));
+    }
+    const Message answer = fleet.Ask(1, "GET", id, "", 3'000);
+    const std::string seen = StateIn(answer);
+    if (seen != state) {
+      state = seen;
+      record.Say("client: GET %s -> %d %s", id.c_str(), answer.status,
+                 state.c_str());
+    }
+  }
+  const bool is_late = began == 0 || began > kFinishMs + kIdleMs;
+  record.Say(
+      "first start %s than finish_s and 3 s after the end of the traffic",
+      is_late ? "later" : "no later");
+  return is_late ? kBroken : kHeld;
+}
+
 int Play(const std::string& name, Fleet& fleet, Record& record, bool trouble) {
   if (!fleet.Start() || !Warm(fleet, record, 1) || !Warm(fleet, record, 2)) {
     record.Say("the deployment did not start");
@@ -168,6 +214,9 @@
   if (name == "cancel-lost") {
     return CancelLost(fleet, record, trouble);
   }
+  if (name == "all-replaced") {
+    return AllReplaced(fleet, record, trouble);
+  }
   if (name == "wrong-count") {
     return WrongCount(fleet, record, trouble);
   }
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -128,6 +128,21 @@
         Make("front-" + std::to_string(entries_.size() + 1), ip, "entry.ini"));
   }
 
+  // Ends all entries for good, and starts as many empty ones at other addresses
+  // `later` ms after that.
+  bool ReplaceEntries(std::int64_t later) {
+    for (Machine& entry : entries_) {
+      entry.process->End(SIGKILL);
+    }
+    SleepMs(later);
+    entries_.clear();
+    for (int i = 1; i <= kEntries; ++i) {
+      AddEntry(net_ + "3." + std::to_string(i));
+      entries_.back().process->Start();
+    }
+    return AwaitReady(20'000);
+  }
+
   Store& GetStore() { return store_; }
   Ledger& GetLedger() { return ledger_; }
   std::vector<Machine>& Entries() { return entries_; }
@@ -225,6 +240,7 @@
   Ledger ledger_;
   Store store_;
   std::vector<Machine> entries_;
+  int entries_made_ = 0;
   std::vector<Machine> agents_;
 };
 
