--- a/review/standin-2/case.cpp
+++ b/review/standin-2/case.cpp
@@ -14,6 +14,7 @@
 constexpr int kCannotRun = 2;
 
 constexpr std::int64_t kCancelMs = 3'000;  // The site's cancel_ms.
+constexpr std::int64_t kVisibleMs = 3'000;  // visible_ms
 constexpr std::int64_t kFinishMs = 14'000;  // The site's finish_s.
 
 // Hands in a job and waits for its end: the deployment works.
@@ -158,6 +159,77 @@
   return failed > 0 ? kBroken : kHeld;
 }
 
+// Jobs that only one executor can run, while that one rejects all starts.
+int WrongCount(Fleet& fleet, Record& record, bool trouble) {
+  constexpr std::uint64_t kJobs = 6;
+  constexpr std::int64_t kBusyMs = 6'500;
+  Executor& special = *fleet.Agents()[kSpecial - 1].executor;
+  special.SetBusy(trouble);
+  const std::int64_t began = NowMs();
+  std::map<std::string, std::int64_t> accepted;
+  std::mutex mutex;
+  std::vector<std::thread> clients;
+  for (std::uint64_t i = 0; i < kJobs; ++i) {
+    clients.emplace_back([&, i] {
+      const std::string id = JobId(20 + i);
+      const std::string body =
+          JobBody(fleet.GetLedger(), id, {{1, 1'000, 500, kSpecialKind}});
+      const int status =
+          fleet.Ask(static_cast<int>(i) % kEntries, "POST", id, body, 3'000)
+              .status;
+      record.Say("client: POST %s -> %d", id.c_str(), status);
+      const std::lock_guard lock(mutex);
+      if (status == 200) {
+        accepted[id] = NowMs();
+      }
+    });
+  }
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  int wrong = 0;
+  for (int turn = 0; NowMs() - began < 12'000; ++turn) {
+    if (NowMs() - began > kBusyMs) {
+      special.SetBusy(false);
+    }
+    SleepMs(250);
+    const std::int64_t asked = NowMs();
+    int waiting = 0;
+    for (const auto& [id, at] : accepted) {
+      waiting += asked - at > kVisibleMs + 2'000 &&
+                         fleet.GetLedger().StartsOf(id).empty()
+                     ? 1
+                     : 0;
+    }
+    const Message answer = fleet.Ask(turn % kEntries, "GET", "", "", 3'000);
+    if (answer.status != 200) {
+      record.Say("client: GET /work/ -> %d", answer.status);
+      continue;
+    }
+    const std::uint64_t pending =
+        Number(json::parse(answer.body).as_object(), "pending");
+    const bool is_wrong = 2 * pending < static_cast<std::uint64_t>(waiting);
+    wrong += is_wrong ? 1 : 0;
+    record.Say("client: GET /work/ -> pending %llu; %d jobs have waited for over "
+               "%lld ms without a start%s",
+               static_cast<unsigned long long>(pending), waiting,
+               static_cast<long long>(kVisibleMs + 2'000),
+               is_wrong ? ": wrong" : "");
+  }
+  for (const auto& [id, at] : accepted) {
+    for (const Start& start : fleet.GetLedger().StartsOf(id)) {
+      record.Say("executor %s began %s, %lld ms after the ack of POST",
+                 start.executor.c_str(), start.task.c_str(),
+                 static_cast<long long>(start.at - at));
+    }
+  }
+  record.Say("wrong counts: %d", wrong);
+  if (accepted.size() != kJobs) {
+    return kCannotRun;
+  }
+  return wrong > 0 ? kBroken : kHeld;
+}
+
 int Play(const std::string& name, Fleet& fleet, Record& record, bool trouble) {
   if (!fleet.Start() || !Warm(fleet, record, 1) || !Warm(fleet, record, 2)) {
     record.Say("the deployment did not start");
@@ -167,6 +239,9 @@
   if (name == "cancel-lost") {
     return CancelLost(fleet, record, trouble);
   }
+  if (name == "wrong-count") {
+    return WrongCount(fleet, record, trouble);
+  }
   if (name == "crashes") {
     return Crashes(fleet, record, trouble);
   }
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -11,6 +11,9 @@
 constexpr int kEntries = 3;
 constexpr int kAgents = 11;
 constexpr std::int64_t kExecutorCpu = 64'000;
+// The only executor of its kind.
+constexpr int kSpecial = 11;
+constexpr const char* kSpecialKind = "b";
 
 struct Ports {
   int front = 0;
@@ -197,7 +200,9 @@
     machine.executor = std::make_unique<Executor>(
         record_, ledger_, Address{ip, ports_.app}, Address{ip, ports_.control},
         "i-" + std::to_string(number), "shop",
-        "r-" + std::to_string((number + 2) / 3), kExecutorCpu);
+        std::vector<std::string>{number == kSpecial ? kSpecialKind : "a",
+                                 "r-" + std::to_string((number + 2) / 3)},
+        kExecutorCpu);
     return machine;
   }
 
@@ -218,6 +223,7 @@
   int count = 1;
   std::int64_t cpu = 1000;
   std::int64_t takes = 500;
+  std::string label = {};  // That the executor must have.
 };
 
 inline std::string JobBody(Ledger& ledger, const std::string& id,
@@ -229,6 +235,9 @@
                      {"cpu", steps[i].cpu},
                      {"mem_mb", 500},
                      {"estimate_ms", steps[i].takes}};
+    if (!steps[i].label.empty()) {
+      row["requires"] = steps[i].label;
+    }
     if (i > 0) {
       row["after"] = json::array{i - 1};
     }
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -414,15 +414,15 @@
 class Executor {
  public:
   Executor(Record& record, Ledger& ledger, Address app, Address agent,
-           std::string name, std::string service, std::string rack,
-           std::int64_t cpu)
+           std::string name, std::string service,
+           std::vector<std::string> labels, std::int64_t cpu)
       : record_(record),
         ledger_(ledger),
         app_(std::move(app)),
         agent_(std::move(agent)),
         name_(std::move(name)),
         service_(std::move(service)),
-        rack_(std::move(rack)),
+        labels_(std::move(labels)),
         cpu_(cpu) {}
 
   ~Executor() { Crash(); }
@@ -468,6 +468,10 @@
     beats_.join();
   }
 
+  // While busy it rejects all starts with 429, after a while, and has done
+  // nothing.
+  void SetBusy(bool is_busy) { busy_ = is_busy; }
+
   std::size_t Running() {
     const std::lock_guard lock(mutex_);
     return running_.size();
@@ -537,7 +541,7 @@
           {"cold_remaining_ms", 0},
           {"capacity",
            json::object{{"cpu", cpu_}, {"mem_mb", 250'000}, {"gpu", 0}}},
-          {"labels", json::array{"a", json::value(rack_)}},
+          {"labels", json::array(labels_.begin(), labels_.end())},
           {"clock_ms", ClockMs()},
           {"born", born_},
           {"sequence", ++sequence_}};
@@ -572,6 +576,11 @@
     const std::string task = String(body, "task");
     const std::uint64_t number = Number(body, "run");
     const json::object accepted{{"clock_ms", ClockMs()}};
+    if (path == "/run-start" && busy_) {
+      lock.unlock();
+      SleepMs(200);
+      return {429, json::serialize(accepted)};
+    }
     if (path == "/run-start") {
       const auto present = running_.find(task);
       if (present != running_.end() && present->second.number == number) {
@@ -646,12 +655,13 @@
   const Address agent_;
   const std::string name_;
   const std::string service_;
-  const std::string rack_;
+  const std::vector<std::string> labels_;
   const std::int64_t cpu_;
   std::mutex life_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::atomic<bool> up_ = false;
+  std::atomic<bool> busy_ = false;
   std::unique_ptr<Server> server_;
   std::thread worker_;
   std::thread beats_;
