--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case "crashes" of the second review. Exit codes: 0 the rule held,
+# Plays the case "wrong-count" of the second review. Exit codes: 0 the rule held,
 # 1 it was broken, 2 the case could not run. TROUBLE=0: without the disruption.
 set -u
 cd "$(dirname "$0")/../.."
@@ -8,7 +8,7 @@
 [ -x "$daemon" ] && [ -x "$standin" ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 2 112 "$standin" crashes "$daemon" platform "$folder" review/8/record.txt
+timeout -k 2 112 "$standin" wrong-count "$daemon" platform "$folder" review/8/record.txt
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
