--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -117,7 +117,7 @@
               const std::string& body,
               std::int64_t deadline) {
     const Machine& to = entries_[static_cast<std::size_t>(entry)];
-    return Call({to.ip, ports_.front}, method, "/work/" + id,
+    return Call({to.ip, ports_.front}, method, "/queue/" + id,
                 "Host: jobs.example\r\nX-Deadline-Remaining: " +
                     std::to_string(deadline) + "\r\n",
                 body, deadline);
@@ -154,7 +154,7 @@
         {"version", 3},
         {"routes", json::array{json::object{{"name", "r-work"},
                                             {"host", "jobs.example"},
-                                            {"prefix", "/work/"},
+                                            {"prefix", "/queue/"},
                                             {"service", "shop"},
                                             {"priority", 0},
                                             {"max_attempts", 3},
