Keep room for runs of an ended repeating job until they have stopped

A worker could get more tasks than it has room for, for some 200 ms: a new owner that restored a repeating job as ended did not open its occurrences, so a run that an executor listed of one was told to stop as that of an unknown job, and reserved nothing.

Change: the occurrence of such a run is opened, so that the run is in the books until it has stopped. run_of_a_cancelled_repeating_job_keeps_its_room failed before (0 of 1,000 milli-cores reserved) and passes.

--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -269,7 +269,7 @@
 scheduled_task* job_scheduler::FindOrOpenTask(const task_name& key,
                                               millis now) {
   const auto found = jobs_.find(key.job);
-  if (found != jobs_.end() && !IsFinal(found->second.state) &&
+  if (found != jobs_.end() &&
       key.occurrence < found->second.record.spec.repeats) {
     scheduled_job& job = found->second;
     const std::uint32_t first = job.next_occurrence;
--- a/src/libkernel/job_scheduler_test.cpp
+++ b/src/libkernel/job_scheduler_test.cpp
@@ -267,6 +267,30 @@
   BOOST_TEST(orders[0].run == 7);
 }
 
+// Guards against more tasks than a worker has room for (LIMIT): a run of a
+// cancelled job goes on until it has stopped, also in an occurrence that the new
+// owner has not opened.
+BOOST_AUTO_TEST_CASE(run_of_a_cancelled_repeating_job_keeps_its_room) {
+  job_record record = MakeJob("j", 1);
+  record.spec.repeats = 2;
+  record.spec.first_due_ms = kWallMs;
+  record.spec.repeat_interval = 1'000;
+  scheduler.Restore({record}, {}, {"j"}, {"a"}, now);
+  worker_report report = MakeReport("a");
+  report.has_runs = true;
+  run_status status;
+  status.task = {"j", 1, 0, 0};
+  status.run = 7;
+  report.runs.push_back(status);
+  scheduler.OnReport(report, now);
+  BOOST_TEST(scheduler.Workers().at("a").used.milli_processors ==
+             record.spec.steps[0].size.milli_processors);
+  Commit();
+  const auto orders = TakeOrders("a");
+  BOOST_REQUIRE_EQUAL(orders.size(), 1);
+  BOOST_CHECK(orders[0].kind == order_kind::kStop);
+}
+
 // A surge: there is room for one task, and a job of two steps is in its second
 // one while a job of one step of the same size has just come.
 BOOST_AUTO_TEST_CASE(surge_gives_room_to_the_job_with_less_left_to_do) {
