Make the answer that a cancelled job doesn't exist true before it is given

Cause: the entry asked the owner and the store, neither knew the job, and 410 went out. Nothing stopped the job's write, which took effect seconds later. New owners dropped stored cancellations of jobs that came later.

Change: before a 410 the cancellation is stored on condition that the job isn't; a job is stored on condition that its cancellation is as the entry last saw it. A later try of the id is stored beside the cancellation and ended. Owners keep cancellations whose job hasn't come, and remove them after retention_s.

Why it works: each of the two writes has the other's key as its condition, so whichever takes effect second fails, and a cancel that fails so is stored for the job that is there. Weighed: a lease for the key; leases may run out in an outage, while the write is still under way.

--- a/src/chervilkeeld/job_entry_ownership_test.cpp
+++ b/src/chervilkeeld/job_entry_ownership_test.cpp
@@ -227,6 +227,30 @@
   BOOST_TEST(IsEndStored(record.id));
 }
 
+// Guards against a cancelled job that runs (UNASKED): it comes after its
+// cancellation, to an owner that was elected in between.
+BOOST_AUTO_TEST_CASE(job_that_comes_after_its_cancellation_is_ended) {
+  const std::string id = "0123456789abcdef";
+  memory.Put(kCancelPrefix + id, "cancelled");
+  StartOwner();
+  BOOST_TEST(owner->Call("POST", kQueuePath + id).find("accepted") !=
+             std::string::npos);
+  RunFor(tested_entry::kAnswerWithin);
+  BOOST_TEST(IsEndStored(id));
+}
+
+// Guards against a store that fills with cancellations of ids without a job.
+BOOST_AUTO_TEST_CASE(cancellation_without_a_job_is_removed_in_the_end) {
+  const std::string id = "0123456789abcdef";
+  settings.job_retention = 1;
+  StartOwner();
+  BOOST_TEST(owner->Call("DELETE", kQueuePath + id).find("no such job") !=
+             std::string::npos);
+  BOOST_TEST(memory.items.count(kCancelPrefix + id) == 1);
+  RunFor(1'500);
+  BOOST_TEST(memory.items.count(kCancelPrefix + id) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_entry_replacement_test.cpp
+++ b/src/chervilkeeld/job_entry_replacement_test.cpp
@@ -38,7 +38,8 @@
 BOOST_FIXTURE_TEST_SUITE(owner_after_all_entries_are_replaced,
                          replacement_fixture)
 
-// Guards against jobs that nobody owns for as long as an outage may last (LOST).
+// Guards against jobs that nobody owns for as long as an outage may last
+// (LOST).
 BOOST_AUTO_TEST_CASE(jobs_have_an_owner_within_two_seconds) {
   LoseAllEntries();
   StartOwner();
--- a/src/chervilkeeld/job_front.cpp
+++ b/src/chervilkeeld/job_front.cpp
@@ -277,8 +277,10 @@
 }
 
 // Stores the job on condition that no other owner has been elected in the
-// meantime. The configuration is no condition: each conflict would return it,
-// and it may be longer than a slow link carries in the time of a request.
+// meantime, and that it hasn't been cancelled since the request came: a try
+// without an answer may take effect seconds later. The configuration is no
+// condition: each conflict would return it, and it may be longer than a slow
+// link carries in the time of a request.
 void job_front::Store(const job_request_ptr& request) {
   if (IsAnswered(request)) {
     return;
@@ -288,7 +290,10 @@
   request->record.epoch = epoch_.number;
   const std::string key = kJobPrefix + request->id;
   store_transaction transaction;
-  transaction.conditions = {{key, 0}, {kEpochKey, epoch_.revision}};
+  transaction.conditions = {
+      {key, 0},
+      {kEpochKey, epoch_.revision},
+      {kCancelPrefix + request->id, request->cancel_revision}};
   transaction.writes = {{key, EncodeJobRecord(request->record), 0}};
   const millis timeout = std::min(kStoreTimeout, request->until - BootNow());
   store_.Client().Commit(
@@ -313,10 +318,15 @@
 void job_front::OnConflict(const job_request_ptr& request,
                            const std::vector<stored_item>& conflicts) {
   known_epoch epoch;
+  request->cancel_revision = 0;
   for (const stored_item& item : conflicts) {
     if (item.revision == 0) {
       continue;
     }
+    // The job is stored beside its cancellation, and shown as cancelled.
+    if (item.key == kCancelPrefix + request->id) {
+      request->cancel_revision = item.revision;
+    }
     if (item.key == kJobPrefix + request->id) {
       Accept(request, item.value, "stored before");
       return;
@@ -436,12 +446,16 @@
           }
           return;
         }
-        if (!item.value()) {
-          Answer(request, Refusal(job_result::kNoJob, "no such job"), "store");
+        if (request->call.kind == job_call_kind::kCancel) {
+          if (item.value()) {
+            StoreCancel(request);
+          } else {
+            StoreEarlyCancel(request);
+          }
           return;
         }
-        if (request->call.kind == job_call_kind::kCancel) {
-          StoreCancel(request);
+        if (!item.value()) {
+          Answer(request, Refusal(job_result::kNoJob, "no such job"), "store");
           return;
         }
         job_answer answer = Success(job_result::kState);
@@ -451,6 +465,10 @@
 }
 
 void job_front::Cancel(const job_request_ptr& request) {
+  if (!IsJobId(request->id)) {
+    Answer(request, Refusal(job_result::kNoJob, "no such job"), "bad id");
+    return;
+  }
   request->waits_for = "owner";
   wire::job_question question;
   question.set_kind(wire::job_question::state);
@@ -484,10 +502,7 @@
             request->may_be_stored ||
             (!outcome && outcome.error().code == error_code::kUnknown);
         if (outcome) {
-          wire::job_question question;
-          question.set_kind(wire::job_question::cancelled);
-          question.set_id(request->id);
-          ask_(question, kAskTimeout, [](const auto&) {});
+          TellCancelled(request);
           Answer(request, Success(job_result::kCancelled), "stored");
         } else if (BootNow() + kPause < request->until) {
           Again(request, [this, request] { StoreCancel(request); });
@@ -499,6 +514,61 @@
       });
 }
 
+void job_front::TellCancelled(const job_request_ptr& request) {
+  wire::job_question question;
+  question.set_kind(wire::job_question::cancelled);
+  question.set_id(request->id);
+  ask_(question, kAskTimeout, [](const auto&) {});
+}
+
+// "No such job" has to stay true: the condition decides whether the job or its
+// cancellation was stored first, and Store() has the opposite one.
+void job_front::StoreEarlyCancel(const job_request_ptr& request) {
+  if (IsAnswered(request)) {
+    return;
+  }
+  request->waits_for = "store";
+  request->is_writing = true;
+  store_transaction transaction;
+  transaction.conditions = {{kJobPrefix + request->id, 0}};
+  transaction.writes = {{kCancelPrefix + request->id, "cancelled", 0}};
+  const millis timeout =
+      std::max<millis>(std::min(kStoreTimeout, request->until - BootNow()), 1);
+  store_.Client().Commit(
+      transaction, timeout,
+      [this, request](const result<transaction_outcome>& outcome) {
+        store_.Note(outcome);
+        request->is_writing = false;
+        OnEarlyCancelStored(request, outcome);
+      });
+}
+
+void job_front::OnEarlyCancelStored(
+    const job_request_ptr& request,
+    const result<transaction_outcome>& outcome) {
+  if (outcome) {
+    if (outcome.value().applied) {
+      TellCancelled(request);
+      Answer(request, Refusal(job_result::kNoJob, "no such job"),
+             "cancelled before it was stored");
+    } else {
+      StoreCancel(request);
+    }
+    return;
+  }
+  request->may_be_stored =
+      request->may_be_stored || outcome.error().code == error_code::kUnknown;
+  if (BootNow() + kPause < request->until) {
+    Again(request, [this, request] { Cancel(request); });
+    return;
+  }
+  Answer(request,
+         Refusal(request->may_be_stored ? job_result::kUnknown
+                                        : job_result::kUnavailable,
+                 "the store did not answer"),
+         ToString(outcome.error()));
+}
+
 void job_front::Count(const job_request_ptr& request) {
   request->waits_for = "owner";
   wire::job_question question;
--- a/src/chervilkeeld/job_front.h
+++ b/src/chervilkeeld/job_front.h
@@ -31,6 +31,9 @@
   bool may_be_stored = false;  // A try without an answer may take effect.
   bool is_writing = false;     // A try has no answer yet.
   int tries = 0;
+  // Revision of the job's cancellation, as the store has shown it; 0: there is
+  // none.
+  std::uint64_t cancel_revision = 0;
   const char* waits_for = "nothing";  // Whose answer the request needs next.
   job_record record;                  // Of a submission.
 };
@@ -102,6 +105,11 @@
   void Cancel(const job_request_ptr& request);
   void CheckStored(const job_request_ptr& request);
   void StoreCancel(const job_request_ptr& request);
+  // Cancels a job that is not stored: its write may be under way.
+  void StoreEarlyCancel(const job_request_ptr& request);
+  void OnEarlyCancelStored(const job_request_ptr& request,
+                           const result<transaction_outcome>& outcome);
+  void TellCancelled(const job_request_ptr& request);
   void Count(const job_request_ptr& request);
   void Again(const job_request_ptr& request, std::function<void()> step);
   void Answer(const job_request_ptr& request,
--- a/src/chervilkeeld/job_front_test.cpp
+++ b/src/chervilkeeld/job_front_test.cpp
@@ -152,6 +152,71 @@
   BOOST_TEST(memory->items.count(kCancelPrefix + id) == 1);
 }
 
+// Guards against a job that runs after its cancel was answered (UNASKED): the
+// write of the job had no answer, and takes effect after the cancel.
+BOOST_AUTO_TEST_CASE(job_whose_write_lands_after_its_cancel_is_not_stored) {
+  memory->late_commits = 1;
+  http_request request;
+  request.method = "POST";
+  request.path = path;
+  std::string answer;
+  front.Handle(request,
+               [&](const http_response& response) { answer = response.body; });
+  context.run_one();
+  front.AnswerAll();
+  BOOST_TEST(answer == "unknown");
+  BOOST_TEST(Call("DELETE", path) == "no such job");
+  memory->ApplyLateCommits();
+  BOOST_TEST(!IsStored());
+}
+
+// The same for a try that follows the cancel: the owner has to find both.
+BOOST_AUTO_TEST_CASE(job_submitted_after_its_cancel_keeps_the_cancellation) {
+  Call("DELETE", path);
+  const auto revision = memory->items.at(kCancelPrefix + id).revision;
+  BOOST_TEST(Call("POST", path) == "accepted");
+  BOOST_TEST(IsStored());
+  BOOST_TEST(memory->items.at(kCancelPrefix + id).revision == revision);
+}
+
+// Guards against a job that is cancelled, and told not to exist: its write
+// takes effect between the look for it and the cancellation.
+BOOST_AUTO_TEST_CASE(job_stored_just_before_its_cancel_is_told_as_cancelled) {
+  memory->late_commits = 1;
+  http_request request;
+  request.path = path;
+  request.method = "POST";
+  front.Handle(request, [](const http_response&) {});
+  context.run_one();
+  front.AnswerAll();
+  std::string answer;
+  request.method = "DELETE";
+  context.restart();
+  front.Handle(request,
+               [&](const http_response& response) { answer = response.body; });
+  memory->ApplyLateCommits();
+  while (answer.empty() && context.run_one() > 0) {
+  }
+  BOOST_TEST(answer == "cancelled");
+  BOOST_TEST(memory->items.count(kCancelPrefix + id) == 1);
+}
+
+// Guards against a cancel that is answered although nothing stops the job.
+BOOST_AUTO_TEST_CASE(cancel_that_the_store_refuses_is_not_acknowledged) {
+  memory->refused_commits = kAlways;
+  BOOST_TEST(Call("DELETE", path) == "unavailable");
+}
+
+// Guards against keys of any length and form in the store.
+BOOST_AUTO_TEST_CASE(cancel_of_an_id_that_no_job_has_is_not_stored) {
+  const std::size_t items = memory->items.size();
+  BOOST_TEST(Call("DELETE", "/paths/") == "no such job");
+  BOOST_TEST(Call("DELETE", "/paths/a/b") == "no such job");
+  BOOST_TEST(Call("DELETE", "/paths/" + std::string(200, 'a')) ==
+             "no such job");
+  BOOST_TEST(memory->items.size() == items);
+}
+
 BOOST_AUTO_TEST_CASE(submitted_job_carries_the_newest_epoch) {
   memory->Put(kEpochKey, "7");
   BOOST_TEST(Call("POST", path) == "accepted");
--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -124,6 +124,7 @@
         Step();
         StorePressureModel();
         SettleFormerGrant();
+        ExpireEarlyCancellations();
         ReportState();
         ScheduleTick();
       });
--- a/src/chervilkeeld/job_owner.h
+++ b/src/chervilkeeld/job_owner.h
@@ -108,6 +108,9 @@
   // Cancels a job, also one that is heard of later. Returns whether the job is
   // known.
   bool CancelJob(const std::string& id);
+  // Removes the cancellations of jobs that have not come for the time that
+  // ended jobs are remembered.
+  void ExpireEarlyCancellations();
   void WatchInbox();
   void RereadInbox(const std::string& after);
 
@@ -158,7 +161,8 @@
   recovered_state recovered_;
   // Stored cancellations of jobs that this process has not heard of yet: lists
   // of the inbox name them before the jobs, and calls overtake each other.
-  std::set<std::string> early_cancellations_;
+  // With the time at which each was heard of.
+  std::map<std::string, millis> early_cancellations_;
   // Incremented by Begin() and End(); callbacks of an older term are ignored.
   std::uint64_t term_ = 0;
   bool active_ = false;
--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -68,11 +68,24 @@
 bool job_owner::CancelJob(const std::string& id) {
   const bool is_known = scheduler_->CancelJob(id);
   if (!is_known) {
-    early_cancellations_.insert(id);
+    early_cancellations_.emplace(id, BootNow());
   }
   return is_known;
 }
 
+void job_owner::ExpireEarlyCancellations() {
+  const millis heard_before =
+      BootNow() - static_cast<millis>(settings_.job_retention) * 1'000;
+  std::erase_if(early_cancellations_, [&](const auto& cancellation) {
+    const auto& [id, heard_at] = cancellation;
+    if (heard_at >= heard_before) {
+      return false;
+    }
+    scheduler_->RemoveUnknownJob(id);
+    return true;
+  });
+}
+
 void job_owner::ApplyInboxItem(const stored_item& item) {
   const std::string cancel_prefix = kCancelPrefix;
   const std::string job_prefix = kJobPrefix;
@@ -337,6 +350,9 @@
             {"took_ms", now - recovery_began_}},
            true);
   scheduler_ = std::move(scheduler);
+  for (const std::string& id : recovered_.cancelled) {
+    CancelJob(id);  // Of a job that comes later, too.
+  }
   inbox_revision_ = recovered_.inbox_revision;
   former_may_grant_ = recovered_.former_may_grant;
   recovered_ = recovered_state();
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -400,6 +400,9 @@
   // Cancels a job. Returns false when there is no such job.
   bool CancelJob(const std::string& id);
 
+  // Removes what is stored under an id, unless there is such a job.
+  void RemoveUnknownJob(const std::string& id);
+
   // Processes an agent's report and extends its grant.
   void OnReport(const worker_report& report, millis now);
 
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -423,6 +423,12 @@
   return true;
 }
 
+void job_scheduler::RemoveUnknownJob(const std::string& id) {
+  if (jobs_.count(id) == 0 && !HasExpired(id)) {
+    expired_jobs_.push_back(id);
+  }
+}
+
 job_progress job_scheduler::ProgressOf(const scheduled_job& job,
                                        std::int64_t wall_ms) const {
   job_progress progress;
--- a/src/libkernel/job_scheduler_consent_test.cpp
+++ b/src/libkernel/job_scheduler_consent_test.cpp
@@ -45,7 +45,8 @@
     }
   }
 
-  // Until when a silent member may be granted by an owner that lacks the others.
+  // Until when a silent member may be granted by an owner that lacks the
+  // others.
   millis SilentMemberWait() const {
     return (options.list_freshness + options.grant) * 102 / 100 +
            options.grant_margin;
