Count a job as pending until one of its tasks has begun

Cause: started_tasks rose when a start was ordered and never fell, and served for whether a task has begun. Evidence: the count is 0 from the first answer on, 0.25 s after the acceptance.

Change: begun_runs counts runs that the agent's answer, a list or an end shows to have begun; the state follows it. Restored jobs have begun if what is stored proves a run. A run that a crash took unseen doesn't count.

Why it works: what ends an order without a start never touches the count.

--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -415,7 +415,7 @@
                                        {"queue", job.record.queue.name},
                                        {"state", NameOf(job.state)},
                                        {"done_tasks", job.done_tasks},
-                                       {"started_tasks", job.started_tasks},
+                                       {"begun_runs", job.begun_runs},
                                        {"end_is_stored", job.end_is_durable}});
   }
   return boost::json::serialize(boost::json::object{
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -72,6 +72,8 @@
   run_phase phase = run_phase::kOrdered;
   // Whether a list or the agent has told that the executor has the run.
   bool is_confirmed = false;
+  // Whether the task has begun, by a list, an end or the answer to the order.
+  bool has_begun = false;
   // The last time, by the agent's clock, at which it knew that the run had been
   // there. A list made before says nothing about what became of the run.
   millis seen_at = 0;
@@ -191,7 +193,8 @@
   // True when the end of the job has been stored.
   bool end_is_durable = false;
   std::uint64_t done_tasks = 0;
-  std::uint64_t started_tasks = 0;
+  // Runs that have begun; an order alone starts nothing.
+  std::uint64_t begun_runs = 0;
   // Sums over all tasks, in ms: time in which they waited for a worker, and
   // working time that their runs lost to paces below 100.
   millis waited = 0;
@@ -454,7 +457,8 @@
   // An end other than by cancellation shows only once it is stored.
   std::optional<job_state> StateOf(const std::string& id) const;
 
-  // Returns the number of accepted jobs of a queue with no started task.
+  // Returns the number of accepted jobs of a queue of which no task is known to
+  // have begun.
   std::uint64_t PendingJobCount(const std::string& queue) const;
 
   // Returns how many seconds the usable workers of a service would take for all
@@ -527,6 +531,8 @@
   // Marks the steps of an occurrence as ready once their predecessors are done.
   void UpdateReadiness(scheduled_job& job, std::uint32_t number, millis now);
   void MarkDone(scheduled_job& job, const task_name& key, millis now);
+  // Takes note that a run has begun, and with it the job.
+  static void NoteBegun(scheduled_job& job, task_run& run);
   void EndJob(scheduled_job& job, job_state state);
   static bool HasRuns(const scheduled_job& job);
   void StopAllRuns(scheduled_job& job, const char* reason);
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -88,36 +88,37 @@
         step.tasks[i].done = true;
         ++step.done;
         ++job.done_tasks;
-        ++job.started_tasks;
+        ++job.begun_runs;
       }
     }
     for (const auto& [index, runs] : saved.failed_runs) {
       if (index < step.tasks.size()) {
         step.tasks[index].failed_runs = runs;
-        ++job.started_tasks;
+        job.begun_runs += runs.size();
       }
     }
     for (const auto& [index, runs] : saved.crashed_runs) {
       if (index < step.tasks.size()) {
         step.tasks[index].crashed_runs = runs;
         step.tasks[index].is_suspect = true;
-        ++job.started_tasks;
       }
     }
     for (const auto& [index, run] : saved.proven_runs) {
       if (index < step.tasks.size()) {
         step.tasks[index].proven_run = run;
+        ++job.begun_runs;
       }
     }
     for (const auto& [index, runs] : saved.late_crashed_runs) {
       if (index < step.tasks.size()) {
         step.tasks[index].late_crashed_runs = runs;
-        ++job.started_tasks;
+        job.begun_runs += runs.size();
       }
     }
     for (const auto& [index, checkpoint] : saved.checkpoints) {
       if (index < step.tasks.size()) {
         step.tasks[index].checkpoint = checkpoint;
+        ++job.begun_runs;
       }
     }
     if (step.done == step.tasks.size()) {
@@ -129,7 +130,7 @@
       ++job.occurrences_done;
     }
   }
-  if (job.started_tasks > 0) {
+  if (job.begun_runs > 0) {
     job.state = job_state::kRunning;
   }
 }
@@ -383,6 +384,16 @@
   }
 }
 
+void job_scheduler::NoteBegun(scheduled_job& job, task_run& run) {
+  if (std::exchange(run.has_begun, true)) {
+    return;
+  }
+  ++job.begun_runs;
+  if (job.state == job_state::kQueued) {
+    job.state = job_state::kRunning;
+  }
+}
+
 void job_scheduler::EndJob(scheduled_job& job, job_state state) {
   job.state = state;
   active_jobs_.erase(job.record.id);
@@ -391,8 +402,8 @@
   StopAllRuns(job, NameOf(state));
   Emit("job_ended", job.record.id, "",
        std::string("state=") + NameOf(state) +
-           " done_tasks=" + std::to_string(job.done_tasks) + " started_tasks=" +
-           std::to_string(job.started_tasks) + " objective_ms=" +
+           " done_tasks=" + std::to_string(job.done_tasks) +
+           " begun_runs=" + std::to_string(job.begun_runs) + " objective_ms=" +
            std::to_string(static_cast<millis>(ObjectiveOf(job))) +
            " waited_ms=" + std::to_string(job.waited) +
            " throttled_ms=" + std::to_string(job.throttled) +
@@ -650,7 +661,7 @@
   return static_cast<std::uint64_t>(std::count_if(
       active_jobs_.begin(), active_jobs_.end(), [&](const auto& id) {
         const scheduled_job& job = jobs_.at(id);
-        return job.record.queue.name == queue && job.started_tasks == 0;
+        return job.record.queue.name == queue && job.begun_runs == 0;
       }));
 }
 
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -114,9 +114,7 @@
   if (worker.health.IsSuspect()) {
     worker.health.OnProbe(now);
   }
-  ++job.started_tasks;
   job.waited += now - task.ready_since;
-  job.state = job_state::kRunning;
   SendStart(job, key, task, run);
   Emit("start_ordered", key.ToString(), worker.agent,
        "run=" + std::to_string(number) +
--- a/src/libkernel/job_scheduler_test.cpp
+++ b/src/libkernel/job_scheduler_test.cpp
@@ -94,9 +94,9 @@
   BOOST_TEST(scheduler.RecordedEnd("a") == 2);
   const scheduled_job& job = scheduler.Jobs().at("j");
   BOOST_TEST(job.done_tasks == 2);
-  const auto started_tasks = job.started_tasks;
+  const auto begun_runs = job.begun_runs;
   report_end(1, orders[0]);
-  BOOST_TEST(job.started_tasks == started_tasks);
+  BOOST_TEST(job.begun_runs == begun_runs);
 }
 
 BOOST_AUTO_TEST_CASE(run_missing_from_a_fresh_list_starts_under_a_higher_run) {
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -361,6 +361,7 @@
           run.phase = run_phase::kRunning;
         }
         run.is_confirmed = true;
+        NoteBegun(job->second, run);
         run.seen_at = listed_before;
         if (!status.checkpoint.empty()) {
           run.checkpoint = status.checkpoint;
@@ -386,6 +387,9 @@
   adopted.percent = status.percent;
   adopted.percent_changed_at = now;
   adopted.load = status.load;
+  if (task != nullptr) {
+    NoteBegun(job->second, adopted);
+  }
   const bool wanted = task != nullptr && !IsFinal(job->second.state) &&
                       !task->done && task->runs.empty();
   if (!wanted) {
@@ -415,8 +419,6 @@
   }
   task->runs.push_back(adopted);
   ReserveResources(worker, job->second, status.task);
-  ++job->second.started_tasks;
-  job->second.state = job_state::kRunning;
   Emit("run_adopted", status.task.ToString(), worker.agent,
        RunDetail(status.run) + " percent=" + std::to_string(status.percent));
 }
@@ -439,6 +441,8 @@
   const millis worked =
       tracked_run != task->runs.end() ? now - tracked_run->active_since : 0;
   task->highest_run = std::max(task->highest_run, ended.run);
+  task_run unknown_run;
+  NoteBegun(job, tracked_run != task->runs.end() ? *tracked_run : unknown_run);
   RemoveRun(ended.task, worker.agent, ended.run, now);
   Emit("run_ended", ended.task.ToString(), worker.agent,
        RunDetail(ended.run) + " end=" + NameOf(ended.end) +
@@ -453,7 +457,6 @@
   switch (ended.end) {
     case run_end::kDone:
       worker.health.OnSuccess(ended.task.Step(), now);
-      ++job.started_tasks;
       if (step.service) {
         DelayRestart(ended.task, *task, worked, now);
       } else if (step.gang) {
@@ -508,6 +511,7 @@
     return;
   }
   if (result.outcome == start_outcome::kStarted) {
+    NoteBegun(jobs_.at(result.task.job), *run);
     if (run->phase == run_phase::kOrdered) {
       run->phase = run_phase::kRunning;
       run->is_confirmed = true;
