Split the consent of agents from the jobs' part of the scheduler, and close a doubt

The part stands in job_scheduler_consent.cpp now.

- The candidates and the agents are looked at only without a valid lease: each call of an agent asks for the right to grant.

--- a/src/chervilkeeld/candidate_list.h
+++ b/src/chervilkeeld/candidate_list.h
@@ -1,7 +1,7 @@
 // The entries that can be elected, as each owner stores them: so an owner that
-// has lost the store knows whose answers it needs to grant. An entry that isn't
-// listed is elected without theirs, if no listed one is; it then counts with
-// grants of the owner that it replaces.
+// has lost the store knows whose answers it needs to grant. If none of them
+// takes the jobs, an entry that isn't listed is elected all the same; it then
+// needs the consent of most agents to act (job_scheduler::FormerMayAct).
 #pragma once
 
 #include <cstdint>
--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -508,6 +508,9 @@
     return grant_basis::kNone;
   }
   const millis now = BootNow();  // Before the lease is judged.
+  if (election_->IsLeaseValid()) {
+    return right_.Update(now, true, {}, true);
+  }
   std::vector<candidate_answer> others;
   for (const std::string& address : candidates_.Possible()) {
     if (address != Address() && !candidates_.MayBeOpen()) {
@@ -517,8 +520,7 @@
           {entry.answered, entry.store_silent > 0 || entry.leaving});
     }
   }
-  return right_.Update(now, election_->IsLeaseValid(), others,
-                       owner_->HearsMostAgents());
+  return right_.Update(now, false, others, owner_->HearsMostAgents());
 }
 
 void job_entry_process::NoteGrantBasis(grant_basis basis) {
--- a/src/chervilkeeld/job_keys.h
+++ b/src/chervilkeeld/job_keys.h
@@ -9,8 +9,9 @@
 inline constexpr const char* kEpochKey = "chervilkeel/epoch";
 // The entries that can be elected.
 inline constexpr const char* kCandidatesKey = "chervilkeel/candidates";
-// Set by an owner that was elected although none of the listed candidates could
-// be. While it is there, a former owner may grant in an outage of the store.
+// Set at the election of an entry that wasn't listed as a candidate. While it
+// is there, a former owner may grant without the store, by the answers of those
+// that are.
 inline constexpr const char* kFormerGrantKey = "chervilkeel/former-grant";
 inline constexpr const char* kMembersKey = "chervilkeel/members";
 // What owners have learned of images; worth having, never needed.
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -33,7 +33,8 @@
   // Whether a former scheduler may go on without a lease. This one then waits
   // for the consent of most members; see FormerMayAct().
   bool former_may_act = false;
-  // How old the lists may be by which a scheduler without a lease goes on.
+  // How old the lists of runs may be by which a scheduler without a lease goes
+  // on. A new scheduler takes the former one to have the same value.
   millis list_freshness = 2'000;
   // How long a job is stored after its end.
   millis retention = 150'000;
@@ -597,12 +598,6 @@
   // Removes the runs of agents whose grants have expired, and stops waiting for
   // former members whose leases have.
   void ExpireSilentWorkers(millis now);
-  // Finds out whether most former members have reported, and whether the former
-  // scheduler knows that it lacks them.
-  void UpdateConsent(millis now);
-  bool HasConsent() const { return !former_may_act_ || consented_at_ != 0; }
-  bool HearsMostOf(const std::set<std::string>& members, millis now) const;
-  void NotifyAllAgents();
   void EvacuateDrainingWorkers();
   // Account for the resources that a task reserves on a worker.
   void ReleaseResources(scheduled_worker& worker,
@@ -612,6 +607,14 @@
                         const scheduled_job& job,
                         const task_name& key);
 
+  // job_scheduler_consent.cpp: two schedulers, of which most members obey one.
+  // Finds out whether most former members have reported, and whether the former
+  // scheduler knows that it lacks them.
+  void UpdateConsent(millis now);
+  bool HasConsent() const { return !former_may_act_ || consented_at_ != 0; }
+  bool HearsMostOf(const std::set<std::string>& members, millis now) const;
+  void NotifyAllAgents();
+
   // job_scheduler_crashes.cpp: executors that crash.
   // See kProvingTime.
   static bool IsProven(const scheduled_worker& worker, const task_run& run);
@@ -1000,6 +1003,7 @@
   // Number and contents of the commit in progress.
   std::optional<std::uint64_t> committing_;
   std::set<std::string> committing_members_;
+  bool is_committing_members_ = false;  // Whether the commit stores them.
   std::map<std::string, committing_end> committing_ends_;      // By agent.
   std::map<std::string, std::int64_t> committing_ended_jobs_;  // To ended_ms.
   millis last_tick_ = 0;
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -150,76 +150,6 @@
   }
 }
 
-void job_scheduler::SetHasLease(bool has_lease) {
-  if (std::exchange(has_lease_, has_lease) || !has_lease) {
-    return;
-  }
-  for (auto& [agent, worker] : workers_) {
-    worker.came_without_lease = false;
-  }
-}
-
-bool job_scheduler::HearsMostOf(const std::set<std::string>& members,
-                                millis now) const {
-  const auto heard = static_cast<std::size_t>(
-      std::count_if(members.begin(), members.end(), [&](const auto& agent) {
-        const auto worker = workers_.find(agent);
-        return worker != workers_.end() && !worker->second.came_without_lease &&
-               worker->second.listed_at > 0 &&
-               now - worker->second.listed_at <= options_.list_freshness;
-      }));
-  return members.empty() || 2 * heard > members.size();
-}
-
-bool job_scheduler::HearsMostMembers(millis now) const {
-  return HearsMostOf(durable_members_, now) &&
-         (!committing_ || HearsMostOf(committing_members_, now)) &&
-         std::all_of(
-             possible_members_.begin(), possible_members_.end(),
-             [&](const auto& members) { return HearsMostOf(members, now); });
-}
-
-void job_scheduler::NotifyAllAgents() {
-  for (const auto& [agent, worker] : workers_) {
-    agents_to_notify_.insert(agent);
-  }
-}
-
-void job_scheduler::UpdateConsent(millis now) {
-  if (!former_may_act_) {
-    return;
-  }
-  const std::size_t reported = former_members_ - unreported_members_.size();
-  const auto notices_after =
-      static_cast<millis>(static_cast<double>(options_.list_freshness) *
-                          (1.0 + options_.clock_drift));
-  const auto granted_after = static_cast<millis>(
-      static_cast<double>(options_.grant) * (1.0 + options_.clock_drift));
-  if (consented_at_ == 0 &&
-      (unreported_members_.empty() || 2 * reported > former_members_)) {
-    consented_at_ = now;
-    placement_requested_ = true;
-    NotifyAllAgents();
-    for (auto& [agent, until] : unreported_members_) {
-      until = std::min(
-          until, now + notices_after + granted_after + options_.grant_margin);
-    }
-    Emit("members_consent", "former members", "",
-         "epoch=" + std::to_string(options_.epoch) +
-             " members=" + std::to_string(former_members_) +
-             " unreported=" + std::to_string(unreported_members_.size()));
-  }
-  if (unreported_members_.empty() ||
-      (consented_at_ != 0 &&
-       now > consented_at_ + notices_after + options_.grant_margin)) {
-    former_may_act_ = false;
-    placement_requested_ = true;
-    NotifyAllAgents();
-    Emit("former_scheduler_settled", "former members", "",
-         "epoch=" + std::to_string(options_.epoch));
-  }
-}
-
 void job_scheduler::AddJob(const job_record& record, millis now) {
   if (jobs_.count(record.id) != 0 || HasExpired(record.id)) {
     return;
@@ -548,7 +478,8 @@
   dirty_.clear();
   changes.expired_jobs = std::exchange(expired_jobs_, {});
   committing_expired_jobs_ = changes.expired_jobs;
-  if (HasNewMembers()) {
+  is_committing_members_ = HasNewMembers();
+  if (is_committing_members_) {
     changes.members = wanted_members_;
     std::set_difference(
         durable_members_.begin(), durable_members_.end(),
@@ -583,7 +514,9 @@
                          !doubtful_members_.empty();
   durable_members_ = committing_members_;
   doubtful_members_.clear();
-  possible_members_.clear();
+  if (is_committing_members_) {
+    possible_members_.clear();
+  }
   std::erase_if(removed_jobs_, [this](const auto& entry) {
     return last_tick_ - entry.second > kRemovedJobMemory;
   });
--- a/src/libkernel/job_scheduler_consent_test.cpp
+++ b/src/libkernel/job_scheduler_consent_test.cpp
@@ -217,6 +217,33 @@
   BOOST_TEST(!scheduler.HearsMostMembers(now));
 }
 
+// The same if the members are then wanted as they were: what is stored last may
+// still be the larger set.
+BOOST_AUTO_TEST_CASE(commit_without_members_settles_no_doubt_about_members) {
+  worker_report report = MakeReport("d");
+  scheduler.OnReport(report, now);
+  const auto changes = scheduler.TakeChanges(kWallMs + now);
+  BOOST_REQUIRE(changes && changes->members);
+  scheduler.CommitFailed(*changes);
+  for (millis passed = 0; passed < options.grant * 2; passed += 500) {
+    PassTime(500);
+    for (const char* agent : {"a", "b", "c"}) {
+      worker_report known = MakeReport(agent);
+      known.has_runs = true;
+      scheduler.OnReport(known, now);
+    }
+  }
+  scheduler.AddJob(MakeJob("j", 1), now);
+  scheduler.CancelJob("j");
+  const auto later = scheduler.TakeChanges(kWallMs + now);
+  BOOST_REQUIRE(later && !later->members);
+  scheduler.Committed(later->number);
+  LetListsAge();
+  ReportIdleWorker("a");
+  ReportIdleWorker("b");
+  BOOST_TEST(!scheduler.HearsMostMembers(now));
+}
+
 // A silent agent may have a new owner, which keeps its runs alive.
 BOOST_AUTO_TEST_CASE(silent_worker_is_given_up_later_without_a_lease) {
   const millis with_lease =
--- a/src/libkernel/job_scheduler_pending_test.cpp
+++ b/src/libkernel/job_scheduler_pending_test.cpp
@@ -1,6 +1,6 @@
 // Which jobs count as pending, and whether their state agrees: a job has begun
-// with its first task, not with the order to start it. All cases guard against a
-// count that leaves out jobs which still wait (MIXED).
+// with its first task, not with the order to start it. All cases guard against
+// a count that leaves out jobs which still wait (MIXED).
 #include <boost/test/unit_test.hpp>
 
 #include "job_scheduler_fixture.h"
