--- a/src/chervilkeeld/job_front.cpp
+++ b/src/chervilkeeld/job_front.cpp
@@ -483,24 +483,36 @@
        });
 }
 
-void job_front::StoreCancel(const job_request_ptr& request) {
+void job_front::CommitCancel(
+    const job_request_ptr& request,
+    std::vector<store_condition> conditions,
+    std::function<void(const result<transaction_outcome>&)> done) {
   if (IsAnswered(request)) {
     return;
   }
   request->waits_for = "store";
   request->is_writing = true;
   store_transaction transaction;
+  transaction.conditions = std::move(conditions);
   transaction.writes = {{kCancelPrefix + request->id, "cancelled", 0}};
   const millis timeout =
       std::max<millis>(std::min(kStoreTimeout, request->until - BootNow()), 1);
   store_.Client().Commit(
       transaction, timeout,
-      [this, request](const result<transaction_outcome>& outcome) {
+      [this, request,
+       done = std::move(done)](const result<transaction_outcome>& outcome) {
         store_.Note(outcome);
         request->is_writing = false;
         request->may_be_stored =
             request->may_be_stored ||
             (!outcome && outcome.error().code == error_code::kUnknown);
+        done(outcome);
+      });
+}
+
+void job_front::StoreCancel(const job_request_ptr& request) {
+  CommitCancel(
+      request, {}, [this, request](const result<transaction_outcome>& outcome) {
         if (outcome) {
           TellCancelled(request);
           Answer(request, Success(job_result::kCancelled), "stored");
@@ -524,23 +536,10 @@
 // "No such job" has to stay true: the condition decides whether the job or its
 // cancellation was stored first, and Store() has the opposite one.
 void job_front::StoreEarlyCancel(const job_request_ptr& request) {
-  if (IsAnswered(request)) {
-    return;
-  }
-  request->waits_for = "store";
-  request->is_writing = true;
-  store_transaction transaction;
-  transaction.conditions = {{kJobPrefix + request->id, 0}};
-  transaction.writes = {{kCancelPrefix + request->id, "cancelled", 0}};
-  const millis timeout =
-      std::max<millis>(std::min(kStoreTimeout, request->until - BootNow()), 1);
-  store_.Client().Commit(
-      transaction, timeout,
-      [this, request](const result<transaction_outcome>& outcome) {
-        store_.Note(outcome);
-        request->is_writing = false;
-        OnEarlyCancelStored(request, outcome);
-      });
+  CommitCancel(request, {{kJobPrefix + request->id, 0}},
+               [this, request](const result<transaction_outcome>& outcome) {
+                 OnEarlyCancelStored(request, outcome);
+               });
 }
 
 void job_front::OnEarlyCancelStored(
@@ -556,8 +555,6 @@
     }
     return;
   }
-  request->may_be_stored =
-      request->may_be_stored || outcome.error().code == error_code::kUnknown;
   if (BootNow() + kPause < request->until) {
     Again(request, [this, request] { Cancel(request); });
     return;
--- a/src/chervilkeeld/job_front.h
+++ b/src/chervilkeeld/job_front.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -28,7 +29,7 @@
   std::string service;
   millis began = 0;
   millis until = 0;            // Answered by then.
-  bool may_be_stored = false;  // A try without an answer may take effect.
+  bool may_be_stored = false;  // A write without an answer may take effect.
   bool is_writing = false;     // A try has no answer yet.
   int tries = 0;
   // Revision of the job's cancellation, as the store has shown it; 0: there is
@@ -104,6 +105,11 @@
   void StateFromStore(const job_request_ptr& request);
   void Cancel(const job_request_ptr& request);
   void CheckStored(const job_request_ptr& request);
+  // Stores the cancellation of the request's job on these conditions.
+  void CommitCancel(
+      const job_request_ptr& request,
+      std::vector<store_condition> conditions,
+      std::function<void(const result<transaction_outcome>&)> done);
   void StoreCancel(const job_request_ptr& request);
   // Cancels a job that is not stored: its write may be under way.
   void StoreEarlyCancel(const job_request_ptr& request);
--- a/src/chervilkeeld/job_front_test.cpp
+++ b/src/chervilkeeld/job_front_test.cpp
@@ -78,6 +78,22 @@
     return answer.value_or("no answer");
   }
 
+  // Submits the job; its write has no answer and may take effect later. Returns
+  // the name of the result.
+  std::string SubmitWithoutAnswer() {
+    memory->late_commits = 1;
+    http_request request;
+    request.method = "POST";
+    request.path = path;
+    std::string answer;
+    front.Handle(request, [&](const http_response& response) {
+      answer = response.body;
+    });
+    context.run_one();
+    front.AnswerAll();
+    return answer;
+  }
+
   bool IsStored() const { return memory->items.count(kJobPrefix + id) != 0; }
 
   const std::string id = "0123456789abcdef";
@@ -155,16 +171,7 @@
 // Guards against a job that runs after its cancel was answered (UNASKED): the
 // write of the job had no answer, and takes effect after the cancel.
 BOOST_AUTO_TEST_CASE(job_whose_write_lands_after_its_cancel_is_not_stored) {
-  memory->late_commits = 1;
-  http_request request;
-  request.method = "POST";
-  request.path = path;
-  std::string answer;
-  front.Handle(request,
-               [&](const http_response& response) { answer = response.body; });
-  context.run_one();
-  front.AnswerAll();
-  BOOST_TEST(answer == "unknown");
+  BOOST_TEST(SubmitWithoutAnswer() == "unknown");
   BOOST_TEST(Call("DELETE", path) == "no such job");
   memory->ApplyLateCommits();
   BOOST_TEST(!IsStored());
@@ -182,15 +189,11 @@
 // Guards against a job that is cancelled, and told not to exist: its write
 // takes effect between the look for it and the cancellation.
 BOOST_AUTO_TEST_CASE(job_stored_just_before_its_cancel_is_told_as_cancelled) {
-  memory->late_commits = 1;
-  http_request request;
-  request.path = path;
-  request.method = "POST";
-  front.Handle(request, [](const http_response&) {});
-  context.run_one();
-  front.AnswerAll();
+  SubmitWithoutAnswer();
   std::string answer;
+  http_request request;
   request.method = "DELETE";
+  request.path = path;
   context.restart();
   front.Handle(request,
                [&](const http_response& response) { answer = response.body; });
