Follow operators' evacuations of data centres

Change: with [jobs] evacuation_ms set, entries follow the requests in the store and tell each other and their agents the newest list by its revision. The scheduler starts nothing in a listed data centre, nor anywhere before a first list; agents refuse such starts as well. Running work goes on.

--- a/src/chervilkeeld/job_agent_fixture.h
+++ b/src/chervilkeeld/job_agent_fixture.h
@@ -190,6 +190,7 @@
     return std::make_unique<mute_executor>(context, script_);
   }
   std::string ConfigKey() const override { return "config"; }
+  std::string EvacuationPrefix() const override { return "evacuations/"; }
   result<deployed_config> DecodeConfig(
       const std::string& /*text*/) const override {
     return deployed_config();
@@ -241,6 +242,12 @@
     reply->set_epoch(epoch);
     reply->set_grant_ms(request->obeys() ? 2'600 : 0);
     reply->set_recorded_end(acknowledged_end);
+    if (evacuation_revision > 0) {
+      reply->mutable_evacuated()->set_revision(evacuation_revision);
+      if (evacuates) {
+        reply->mutable_evacuated()->add_data_centres("north");
+      }
+    }
     const bool starts_now =
         starts_task_early || (starts_task && request->obeys());
     if (starts_now && request->acked_order() == 0) {
@@ -352,6 +359,10 @@
   std::atomic<bool> repeats_start = false;      // Of the first task.
   std::atomic<bool> stops_task = false;  // The first, once it is started.
   std::atomic<bool> stops_task_at_once = false;  // In the reply that starts it.
+  // Revision of the evacuations in replies, and whether they name the agent's
+  // data centre; 0: replies tell none.
+  std::atomic<std::uint64_t> evacuation_revision = 0;
+  std::atomic<bool> evacuates = false;
   std::atomic<std::uint64_t> epoch = 1;
   std::atomic<std::uint64_t> acknowledged_end = 0;
 
@@ -434,6 +445,7 @@
     builder.RegisterService(&*owner);
     server = builder.BuildAndStart();
     settings.name = "agent";
+    settings.data_centre = "north";
     settings.rpc_port = static_cast<std::uint16_t>(port);
     settings.seeds = {{"127.0.0.1", 1}};
     settings.job_executor = {"127.0.0.1", 1};
--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -139,6 +139,16 @@
     GiveUpStart(name);
     return;
   }
+  if (evacuations_.IsEvacuated(settings_.data_centre)) {
+    LogEvent(kPart, "start_refused",
+             {{"id", name.first.ToString()},
+              {"run", name.second},
+              {"cause", "the data centre is evacuated"},
+              {"revision", evacuations_.List().revision},
+              {"tries", open->second.tries}});
+    GiveUpStart(name);
+    return;
+  }
   if (!IsOwnerHeard()) {
     AwaitOwner(name);
     return;
--- a/src/chervilkeeld/job_agent_orders_test.cpp
+++ b/src/chervilkeeld/job_agent_orders_test.cpp
@@ -269,6 +269,37 @@
   BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kWithdrawn));
 }
 
+// Guards against starts in an evacuated data centre (EVAC) by the orders of an
+// owner that lags, whose list of evacuations is older.
+BOOST_AUTO_TEST_CASE(start_in_an_evacuated_data_centre_is_refused) {
+  script.listings = 1'000'000;
+  owner->evacuation_revision = 5;
+  owner->evacuates = true;
+  Announce();
+  RunUntil([this] { return obeying > 0; });
+  owner->evacuation_revision = 4;
+  owner->evacuates = false;
+  owner->starts_task = true;
+  RunUntil([this] { return outcome.has_value(); });
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kRefused));
+  BOOST_TEST(script.starts == 0);
+}
+
+BOOST_AUTO_TEST_CASE(start_after_the_end_of_an_evacuation_is_carried_out) {
+  script.listings = 1'000'000;
+  owner->evacuation_revision = 5;
+  owner->evacuates = true;
+  Announce();
+  RunUntil([this] { return obeying > 0; });
+  owner->evacuation_revision = 6;
+  owner->evacuates = false;
+  owner->starts_task = true;
+  RunUntil([this] { return outcome.has_value(); });
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kStarted));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -556,6 +556,7 @@
     pause = kSyncRetry;
   } else {
     const wire::agent_orders& orders = reply.value();
+    TakeEvacuations(orders);
     if (orders.epoch() > epoch_) {
       AdoptEpoch(orders.epoch());
     }
@@ -637,6 +638,20 @@
            true);
 }
 
+void job_agent_process::TakeEvacuations(const wire::agent_orders& reply) {
+  if (!reply.has_evacuated() ||
+      !evacuations_.Update(FromWire(reply.evacuated()), BootNow())) {
+    return;
+  }
+  LogEvent(kPart, "evacuation_changed",
+           {{"id", settings_.data_centre},
+            {"in_force", evacuations_.IsEvacuated(settings_.data_centre)},
+            {"revision", evacuations_.List().revision},
+            {"epoch", reply.epoch()},
+            {"runs", static_cast<std::uint64_t>(runs_.size())}},
+           true);
+}
+
 void job_agent_process::AdoptEpoch(std::uint64_t epoch) {
   LogEvent(kPart, "epoch_adopted", {{"from", epoch_}, {"to", epoch}}, true);
   epoch_ = epoch;
@@ -714,16 +729,17 @@
                                          {"run", status.run},
                                          {"percent", status.percent}});
     }
-    response.body = boost::json::serialize(
-        boost::json::object{{"name", settings_.name},
-                            {"owner", locator_.Address()},
-                            {"epoch", epoch_},
-                            {"executor", worker_.boot.id},
-                            {"granted_for_ms", granted_until_ - BootNow()},
-                            {"runs", std::move(runs)},
-                            {"unrecorded_ends", ends_.size()},
-                            {"open_starts", open_starts_.size()},
-                            {"open_stops", open_stops_.size()}});
+    response.body = boost::json::serialize(boost::json::object{
+        {"name", settings_.name},
+        {"owner", locator_.Address()},
+        {"epoch", epoch_},
+        {"executor", worker_.boot.id},
+        {"granted_for_ms", granted_until_ - BootNow()},
+        {"evacuated", evacuations_.IsEvacuated(settings_.data_centre)},
+        {"runs", std::move(runs)},
+        {"unrecorded_ends", ends_.size()},
+        {"open_starts", open_starts_.size()},
+        {"open_stops", open_stops_.size()}});
   } else if (request.path == "/healthz") {
     response.status = epoch_ != 0 ? 200 : 503;
   } else {
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "chervilkeel/evacuation_state.h"
 #include "chervilkeel/http_server.h"
 #include "chervilkeel/platform_adapter.h"
 #include "executor_history.h"
@@ -120,6 +121,9 @@
                   const executor_boot& told_boot,
                   millis asked);
   void NoteGrantor(const std::string& address);
+  // Takes the evacuations that an owner tells. They hold whoever orders a
+  // start: an owner that lags may not know of them yet.
+  void TakeEvacuations(const wire::agent_orders& reply);
   void AdoptEpoch(std::uint64_t epoch);
 
   // Orders.
@@ -174,6 +178,7 @@
   boost::asio::steady_timer hold_timer_;
   boost::asio::steady_timer sync_timer_;
 
+  evacuation_state evacuations_;
   executor_description worker_;
   executor_boot unconfirmed_;    // Announced, and its answer is awaited.
   std::uint64_t sequence_ = 0;   // Of the last announcement.
--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -5,6 +5,7 @@
 
 #include "chervilkeel/event_log.h"
 #include "chervilkeel/http_drain.h"
+#include "job_wire.h"
 
 namespace chervilkeel {
 
@@ -29,6 +30,9 @@
 // same, so that the store hears of it before the process ends.
 constexpr millis kLastCommitTime = 100;
 constexpr std::uint64_t kFrontBodyLimit = 4U << 20U;
+// So many times in the time allowed for an evacuation the evacuations are
+// listed anew, so that one that the watch has missed is still in force in time.
+constexpr millis kListsInBound = 2;
 
 // Whether an entry can be elected, by what it has said of itself.
 bool CanOwn(const known_entry& entry) {
@@ -95,6 +99,11 @@
           [this](const std::string& reason) { election_->NoteLost(reason); }),
       right_(static_cast<millis>(settings.outage_grant)),
       config_(context, store_, *adapter_),
+      evacuations_(
+          context,
+          store_,
+          adapter_->EvacuationPrefix(),
+          static_cast<millis>(settings_.evacuation_time) / kListsInBound),
       gossip_timer_(context),
       stop_timer_(context),
       started_at_(BootNow()) {
@@ -132,6 +141,10 @@
       [this](const wire::job_question& question, millis timeout,
              auto callback) { Ask(question, timeout, std::move(callback)); });
   config_.OnChange([this](const auto& config) { OnConfig(config); });
+  if (FollowsEvacuations()) {
+    owner_->SetEvacuations(evacuations_.State());
+    evacuations_.OnChange([this] { owner_->AnnounceEvacuations(); });
+  }
 }
 
 job_entry_process::~job_entry_process() = default;
@@ -191,6 +204,9 @@
   }
   election_->Start();
   config_.Start();
+  if (FollowsEvacuations()) {
+    evacuations_.Start();
+  }
   Gossip();
   return boost::outcome_v2::success();
 }
@@ -373,6 +389,9 @@
   question.set_config_version(config_.Version());
   question.set_store_lost(store_.IsLost());
   question.set_processors(settings_.processors);
+  if (evacuations_.State()->IsKnown()) {
+    *question.mutable_evacuated() = ToWire(evacuations_.State()->List());
+  }
   CallOwnerService<wire::fleet_question, wire::fleet_reply>(
       context_, peers_, address, kFleetMethod, std::move(question),
       kGossipTimeout,
@@ -407,10 +426,19 @@
   if (!reply.value().config().empty()) {
     config_.OfferFromPeer(reply.value().config());
   }
+  if (reply.value().has_evacuated()) {
+    OfferEvacuations(reply.value().evacuated());
+  }
   owner_->SetEntries(LiveEntries());
   ResignIfReplaceable();
 }
 
+void job_entry_process::OfferEvacuations(const wire::evacuations& list) {
+  if (FollowsEvacuations()) {
+    evacuations_.OfferFromPeer(FromWire(list));
+  }
+}
+
 void job_entry_process::AnswerFleet(
     const held_call<wire::fleet_question, wire::fleet_reply>& call) {
   const owner_view& view = election_->View();
@@ -433,6 +461,12 @@
              !call.request->from().empty()) {
     AskFleet(call.request->from());  // Its reply holds the newer one.
   }
+  if (call.request->has_evacuated()) {
+    OfferEvacuations(call.request->evacuated());
+  }
+  if (evacuations_.State()->IsKnown()) {
+    *call.reply->mutable_evacuated() = ToWire(evacuations_.State()->List());
+  }
   for (const std::string& entry : LiveEntries()) {
     call.reply->add_entries(entry);
   }
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -15,6 +15,7 @@
 #include "chervilkeel/http_server.h"
 #include "chervilkeel/platform_adapter.h"
 #include "config_follower.h"
+#include "evacuation_follower.h"
 #include "grant_right.h"
 #include "job_front.h"
 #include "job_owner.h"
@@ -92,6 +93,8 @@
   // What the other candidates have said of the store, and how long ago.
   std::string DescribeCandidates() const;
   bool IsReady() const;
+  bool FollowsEvacuations() const { return settings_.evacuation_time > 0; }
+  void OfferEvacuations(const wire::evacuations& list);
   std::vector<std::string> LiveEntries() const;
   std::string Address() const;
 
@@ -111,6 +114,7 @@
   std::shared_ptr<http_server> front_server_;
   std::shared_ptr<http_server> ready_server_;
   config_follower config_;
+  evacuation_follower evacuations_;
   boost::asio::steady_timer gossip_timer_;
   boost::asio::steady_timer stop_timer_;
   std::map<std::string, known_entry> entries_;  // By address.
--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -149,10 +149,45 @@
   }
   next_state_report_ = now + kReportInterval;
   ReportSharing();
+  ReportEvacuations(now);
   ReportOverdueOrders(now);
   ReportIdleJob(now);
 }
 
+std::map<std::string, std::uint64_t> job_owner::RunsInEvacuatedDataCentres()
+    const {
+  std::map<std::string, std::uint64_t> runs;
+  if (evacuations_ == nullptr || scheduler_ == nullptr) {
+    return runs;
+  }
+  for (const auto& [data_centre, since] : evacuations_->Since()) {
+    runs[data_centre] = 0;
+  }
+  for (const auto& [agent, worker] : scheduler_->Workers()) {
+    const auto found = runs.find(worker.description.data_centre);
+    if (found != runs.end()) {
+      found->second += worker.tasks.size();
+    }
+  }
+  return runs;
+}
+
+void job_owner::ReportEvacuations(millis now) {
+  if (evacuations_ == nullptr) {
+    return;
+  }
+  const auto runs = RunsInEvacuatedDataCentres();
+  metrics_.SetValue("evacuated_data_centres", static_cast<double>(runs.size()));
+  for (const auto& [data_centre, count] : runs) {
+    LogEvent(kPart, "evacuating",
+             {{"id", data_centre},
+              {"since_ms", now - evacuations_->Since().at(data_centre)},
+              {"revision", evacuations_->List().revision},
+              {"runs", count}},
+             true);
+  }
+}
+
 void job_owner::ReportOverdueOrders(millis now) {
   const overdue_orders overdue = scheduler_->FindOverdueOrders(now);
   metrics_.SetValue("overdue_starts", static_cast<double>(overdue.starts));
@@ -240,6 +275,9 @@
                           wire::agent_orders& reply) {
   reply.set_is_owner(true);
   reply.set_epoch(ownership_.epoch);
+  if (evacuations_ != nullptr && evacuations_->IsKnown()) {
+    *reply.mutable_evacuated() = ToWire(evacuations_->List());
+  }
   for (const std::string& entry : entries_) {
     reply.add_entries(entry);
   }
@@ -270,6 +308,16 @@
   waiting.call.Finish();
 }
 
+void job_owner::AnnounceEvacuations() {
+  if (!active_) {
+    return;
+  }
+  for (auto& [agent, waiting] : waiting_) {
+    waiting.until = 0;
+  }
+  ScheduleStep();
+}
+
 void job_owner::AnswerWaitingAgents() {
   for (const std::string& agent : scheduler_->TakeAgentsToNotify()) {
     const auto waiting = waiting_.find(agent);
@@ -403,6 +451,7 @@
         {"executor", worker.description.boot.id},
         {"known", worker.runs_known},
         {"draining", worker.description.draining},
+        {"data_centre", worker.description.data_centre},
         {"suspect", worker.health.IsSuspect()},
         {"used_milli_processors", worker.used.milli_processors},
         {"filler_milli_processors", worker.best_effort_milli_processors},
@@ -418,8 +467,17 @@
                                        {"begun_runs", job.begun_runs},
                                        {"end_is_stored", job.end_is_durable}});
   }
-  return boost::json::serialize(boost::json::object{
-      {"workers", std::move(workers)}, {"jobs", std::move(jobs)}});
+  boost::json::array evacuated;
+  for (const auto& [data_centre, runs] : RunsInEvacuatedDataCentres()) {
+    evacuated.push_back(boost::json::object{
+        {"data_centre", data_centre},
+        {"since_ms", BootNow() - evacuations_->Since().at(data_centre)},
+        {"runs", runs}});
+  }
+  return boost::json::serialize(
+      boost::json::object{{"workers", std::move(workers)},
+                          {"jobs", std::move(jobs)},
+                          {"evacuated", std::move(evacuated)}});
 }
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_owner.h
+++ b/src/chervilkeeld/job_owner.h
@@ -55,6 +55,16 @@
 
   void SetConfig(const scheduling_config& config);
 
+  // Sets where the evacuations of data centres are kept up to date; never set
+  // where operators evacuate none.
+  void SetEvacuations(std::shared_ptr<const evacuation_state> evacuations) {
+    evacuations_ = std::move(evacuations);
+  }
+
+  // Tells the agents that the evacuations have changed, without waiting for
+  // their next calls.
+  void AnnounceEvacuations();
+
   // True once the jobs have been recovered from the store.
   bool IsActive() const { return active_; }
 
@@ -130,6 +140,10 @@
   void ReportState();
   // How services and batch work share workers.
   void ReportSharing();
+  // Which data centres are evacuated, and what still runs there.
+  void ReportEvacuations(millis now);
+  // Returns how many runs each evacuated data centre still has.
+  std::map<std::string, std::uint64_t> RunsInEvacuatedDataCentres() const;
   // Orders to agents without an outcome, with the oldest one.
   void ReportOverdueOrders(millis now);
   // The job that has been without runs for longest, and why it waits.
@@ -157,6 +171,7 @@
   boost::asio::steady_timer inbox_timer_;
   std::unique_ptr<job_scheduler> scheduler_;
   scheduling_config config_;
+  std::shared_ptr<const evacuation_state> evacuations_;
   ownership ownership_;
   recovered_state recovered_;
   // Stored cancellations of jobs that this process has not heard of yet: lists
--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -322,6 +322,7 @@
   options.retention = static_cast<millis>(settings_.job_retention) * 1'000;
   options.former_may_act = recovered_.former_may_grant;
   options.epoch = ownership_.epoch;
+  options.evacuations = evacuations_;
   const millis now = BootNow();
   auto scheduler = std::make_unique<job_scheduler>(options, now);
   scheduler->on_event = [this](const scheduler_event& event) {
--- a/src/chervilkeeld/job_wire.cpp
+++ b/src/chervilkeeld/job_wire.cpp
@@ -122,6 +122,20 @@
   return out;
 }
 
+wire::evacuations ToWire(const evacuation_list& list) {
+  wire::evacuations out;
+  out.set_revision(list.revision);
+  for (const std::string& data_centre : list.data_centres) {
+    out.add_data_centres(data_centre);
+  }
+  return out;
+}
+
+evacuation_list FromWire(const wire::evacuations& list) {
+  return {list.revision(),
+          {list.data_centres().begin(), list.data_centres().end()}};
+}
+
 agent_call CallOf(const wire::agent_sync& sync) {
   return {sync.incarnation(), sync.number(), sync.sent_at_ms()};
 }
--- a/src/chervilkeeld/job_wire.h
+++ b/src/chervilkeeld/job_wire.h
@@ -1,6 +1,7 @@
 // Conversions between the kernel's types and the messages of jobs.proto.
 #pragma once
 
+#include "chervilkeel/evacuation_state.h"
 #include "chervilkeel/result.h"
 #include "chervilkeel/worker_report.h"
 #include "wire/jobs.pb.h"
@@ -16,6 +17,8 @@
 wire::order ToWire(std::uint64_t number, const worker_order& order);
 wire::crashed_boot ToWire(const crashed_executor& crashed);
 crashed_executor FromWire(const wire::crashed_boot& crashed);
+wire::evacuations ToWire(const evacuation_list& list);
+evacuation_list FromWire(const wire::evacuations& list);
 
 agent_call CallOf(const wire::agent_sync& sync);
 
--- a/src/chervilkeeld/versioned_adapter.h
+++ b/src/chervilkeeld/versioned_adapter.h
@@ -24,6 +24,7 @@
     return nullptr;
   }
   std::string ConfigKey() const override { return "config"; }
+  std::string EvacuationPrefix() const override { return "evacuations/"; }
   // Reads "VERSION PREFIX QUEUE".
   result<deployed_config> DecodeConfig(const std::string& text) const override {
     std::istringstream words(text);
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "chervilkeel/evacuation_state.h"
 #include "chervilkeel/job.h"
 #include "chervilkeel/pressure_model.h"
 #include "chervilkeel/worker_health.h"
@@ -44,6 +45,10 @@
   std::uint64_t epoch = 1;
   // Added to due times, since the wall clock may be off by this much.
   millis due_time_tolerance = 0;
+  // The data centres in which nothing is started, kept up to date by the owner.
+  // Null if operators evacuate none; otherwise nothing is started anywhere
+  // before a list of them is known.
+  std::shared_ptr<const evacuation_state> evacuations;
   // Switched off only by bench/sharing, to measure the effect of each.
   bool limits_best_effort_pace = true;
   bool learns_interference = true;
@@ -241,6 +246,8 @@
   kTaskLimit,     // It has as many tasks of the step as may run on one worker.
   kReserved,      // It is kept for trials of suspect tasks.
   kPace,          // Its services leave a best-effort task too little.
+  kEvacuated,     // Its data centre is being evacuated.
+  kEvacuationUnknown,  // Whether it is, has not been read yet.
 };
 
 struct start_obstacle_name {
@@ -261,6 +268,8 @@
     {start_obstacle::kTaskLimit, "task_limit"},
     {start_obstacle::kReserved, "reserved"},
     {start_obstacle::kPace, "pace"},
+    {start_obstacle::kEvacuated, "evacuated"},
+    {start_obstacle::kEvacuationUnknown, "evacuation_unknown"},
 };
 
 const char* NameOf(start_obstacle obstacle);
@@ -741,6 +750,10 @@
   // Returns the cores (in thousandths) that best-effort tasks may use beyond
   // those they have.
   static std::int64_t BestEffortHeadroom(const scheduled_worker& worker);
+  // Returns what the evacuations of data centres say against starts on a
+  // worker, if anything.
+  std::optional<start_obstacle> FindEvacuation(
+      const scheduled_worker& worker) const;
   // Returns what keeps a worker from running a task of a step, if anything
   // does. Reservations and paces are not looked at.
   std::optional<start_obstacle> FindObstacle(const scheduled_worker& worker,
--- a/src/include/chervilkeel/platform_adapter.h
+++ b/src/include/chervilkeel/platform_adapter.h
@@ -110,6 +110,10 @@
   // The key under which operators keep the configuration.
   virtual std::string ConfigKey() const = 0;
 
+  // The prefix of the keys by which operators evacuate data centres; the rest
+  // of a key names one.
+  virtual std::string EvacuationPrefix() const = 0;
+
   // Reads the configuration; kInvalid with the place.
   virtual result<deployed_config> DecodeConfig(
       const std::string& text) const = 0;
--- a/src/include/chervilkeel/settings.h
+++ b/src/include/chervilkeel/settings.h
@@ -90,6 +90,7 @@
   std::uint64_t shutdown_time = 3'500;
   std::uint64_t answer_time = 1'000;
   std::uint64_t job_commit_interval = 20;
+  std::uint64_t evacuation_time = 0;  // 0: no evacuations.
 
   std::string log_level = "info";
 };
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -436,6 +436,21 @@
          worker.best_effort_milli_processors;
 }
 
+std::optional<start_obstacle> job_scheduler::FindEvacuation(
+    const scheduled_worker& worker) const {
+  const evacuation_state* evacuations = options_.evacuations.get();
+  if (evacuations == nullptr) {
+    return std::nullopt;
+  }
+  if (!evacuations->IsKnown()) {
+    return start_obstacle::kEvacuationUnknown;
+  }
+  if (evacuations->IsEvacuated(worker.description.data_centre)) {
+    return start_obstacle::kEvacuated;
+  }
+  return std::nullopt;
+}
+
 std::optional<start_obstacle> job_scheduler::FindObstacle(
     const scheduled_worker& worker,
     const scheduled_job& job,
@@ -452,6 +467,10 @@
   if (description.service != job.policy.service) {
     return start_obstacle::kOtherService;
   }
+  const auto evacuation = FindEvacuation(worker);
+  if (evacuation) {
+    return evacuation;
+  }
   if (now < worker.start_backoff_until) {
     return start_obstacle::kBackOff;
   }
@@ -687,7 +706,7 @@
   double cores = 0;
   for (const auto& [agent, worker] : workers_) {
     if (worker.runs_known && !worker.description.draining &&
-        worker.description.service == service) {
+        worker.description.service == service && !FindEvacuation(worker)) {
       cores +=
           static_cast<double>(worker.description.capacity.milli_processors) /
           1'000.0;
--- a/src/libshell/settings.cpp
+++ b/src/libshell/settings.cpp
@@ -362,6 +362,11 @@
              "platform has to wait for both times before it kills a process."),
       Number("jobs", "commit_interval_ms", &settings::job_commit_interval, 1,
              10'000, "ms", "Least time between two commits of progress."),
+      Number("jobs", "evacuation_ms", &settings::evacuation_time, 0, 600'000,
+             "ms",
+             "Within this time of an operator's request to evacuate a data "
+             "centre no task is started there any more; 0: such requests are "
+             "not followed."),
   };
 }
 
