Bound the calls by which an entry follows evacuations

Cause: a watch that the store ends at once, without a change, was repeated without a pause, and so was the list where [jobs] evacuation_ms is under 200: the list was too old as soon as it was there.

Change: two watches begin at least 200 ms apart, and a list is allowed an age of 500 ms or more.

Conclusion: a store that answers at once gets at most 5 watches and 2 lists a second from an entry; one that refuses at once 5 calls.

--- a/src/chervilkeeld/evacuation_follower.cpp
+++ b/src/chervilkeeld/evacuation_follower.cpp
@@ -11,7 +11,10 @@
 
 constexpr const char* kPart = "evacuation";
 constexpr millis kReadTimeout = 800;
-constexpr millis kRetry = 200;        // Delay after a failed call.
+// Delay after a failed call, and the least time between two watches: a store
+// may end them early.
+constexpr millis kRetry = 200;
+constexpr millis kMinListAge = 500;   // Bounds the calls if a setting is short.
 constexpr millis kWatchWait = 1'400;  // Longest duration of one watch.
 constexpr millis kWatchGrace = 400;   // Added to it for the call's timeout.
 constexpr millis kMinWatchWait = 100;
@@ -25,7 +28,7 @@
                                          millis max_list_age)
     : store_(store),
       prefix_(std::move(prefix)),
-      max_list_age_(max_list_age),
+      max_list_age_(std::max(max_list_age, kMinListAge)),
       timer_(context) {}
 
 void evacuation_follower::Start() {
@@ -73,6 +76,7 @@
     return;
   }
   const millis wait = std::min(kWatchWait, left);
+  watch_began_ = BootNow();
   store_.Client().Watch(
       prefix_, watched_revision_, wait, wait + kWatchGrace,
       [this](const result<item_changes>& changes) { OnChanges(changes); });
@@ -98,7 +102,12 @@
     read_.revision = watched_revision_;
     Apply(read_, "watch");
   }
-  Watch();
+  const millis early = watch_began_ + kRetry - BootNow();
+  if (early > 0) {
+    After(early, [this] { Watch(); });
+  } else {
+    Watch();
+  }
 }
 
 void evacuation_follower::TakeItem(const stored_item& item) {
--- a/src/chervilkeeld/evacuation_follower.h
+++ b/src/chervilkeeld/evacuation_follower.h
@@ -59,6 +59,7 @@
   // As this process has read it; `state_` is newer if a peer has read later.
   evacuation_list read_;
   std::uint64_t watched_revision_ = 0;  // Where the next watch begins.
+  millis watch_began_ = 0;
   millis listed_at_ = 0;
   std::set<std::string> unreadable_keys_;  // As logged.
 };
--- a/src/chervilkeeld/evacuation_follower_test.cpp
+++ b/src/chervilkeeld/evacuation_follower_test.cpp
@@ -88,7 +88,24 @@
   BOOST_TEST(IsEvacuated());
 }
 
-BOOST_AUTO_TEST_CASE(newer_list_of_a_peer_is_in_force_until_a_newer_one_is_read) {
+// Guards against calls without a pause (links of 10 Mbit/s) to a store that
+// ends watches early, and by a list that is allowed no age.
+BOOST_AUTO_TEST_CASE(store_gets_few_calls_a_second) {
+  constexpr int kWatches = 1'000'000;
+  constexpr int kMostCalls = 5;
+  memory->lossy_watches = kWatches;
+  follower.Start();
+  context.run_for(std::chrono::milliseconds(500));
+  BOOST_TEST(memory->lists + kWatches - memory->lossy_watches <= kMostCalls);
+  evacuation_follower hasty{context, link, "evacuations/", 0};
+  memory->lists = 0;
+  hasty.Start();
+  context.run_for(std::chrono::milliseconds(500));
+  BOOST_TEST(memory->lists <= kMostCalls);
+}
+
+BOOST_AUTO_TEST_CASE(
+    newer_list_of_a_peer_is_in_force_until_a_newer_one_is_read) {
   memory->Put("evacuations/north", "{}");
   Start();
   follower.OfferFromPeer({50, {"south"}});
--- a/src/chervilkeeld/store_in_memory.h
+++ b/src/chervilkeeld/store_in_memory.h
@@ -165,8 +165,8 @@
   int failed_watches = 0;
   int lossy_watches = 0;  // The next ones are answered at once, as if nothing
                           // had changed up to the present revision.
-  int leases = 0;                     // Granted.
-  int watches = 0;                    // That did not wait.
+  int leases = 0;         // Granted.
+  int watches = 0;        // That did not wait.
   std::uint64_t oldest_revision = 0;  // Changes before it are forgotten.
   int refused_commits = 0;            // The next ones have no effect.
   std::size_t conflict_bytes = 0;     // Of the values that conflicts returned.
