Count only workers that get tasks as room for trials

Cause: at most a third of a service's workers is kept for trials of suspect tasks, and those in evacuated data centres counted as well, though they get no task. With most of a service's workers evacuated, trials kept all others; and a worker that was kept for a trial when its data centre was evacuated held its place until the time was over (1 to 6 s).

Change: workers in evacuated data centres count neither as room for trials nor as kept.

Evidence: trials_keep_a_third_of_the_workers_that_are_left (6 of 9 workers evacuated, 9 suspects) saw 3 trials at a time before and 1 now.

Conclusion: suspects wait longer while capacity is scarce, and sound tasks still find workers.

--- a/src/libkernel/job_scheduler_crashes.cpp
+++ b/src/libkernel/job_scheduler_crashes.cpp
@@ -213,7 +213,7 @@
       std::count_if(workers_.begin(), workers_.end(), [&](const auto& entry) {
         const executor_description& description = entry.second.description;
         return entry.second.runs_known && !description.draining &&
-               description.service == service;
+               description.service == service && !FindEvacuation(entry.second);
       }));
   const std::size_t most_reserved =
       std::max<std::size_t>(1, usable / kWorkersPerReservation);
@@ -224,7 +224,8 @@
   std::size_t reserved = 0;
   std::size_t answering = 0;
   for (auto& [agent, worker] : workers_) {
-    if (worker.description.service != service || !IsReserved(worker, now)) {
+    if (worker.description.service != service || !IsReserved(worker, now) ||
+        FindEvacuation(worker)) {
       continue;
     }
     ++reserved;
--- a/src/libkernel/job_scheduler_fixture.h
+++ b/src/libkernel/job_scheduler_fixture.h
@@ -19,6 +19,7 @@
   millis now = 1'000;
   std::map<std::string, std::uint64_t> acked;
   std::map<std::string, std::uint64_t> ends;
+  std::map<std::string, std::string> data_centres;  // By agent.
 
   scheduler_fixture() { SetConfig(); }
 
@@ -55,6 +56,10 @@
     report.agent = agent;
     report.worker.boot = {"executor-" + agent, 5};
     report.worker.service = "cutting";
+    if (const auto found = data_centres.find(agent);
+        found != data_centres.end()) {
+      report.worker.data_centre = found->second;
+    }
     report.worker.labels = {"a", "rack-1"};
     report.worker.capacity = {4'000, 8'000, 0};
     return report;
