--- a/src/chervilkeeld/evacuation_follower.cpp
+++ b/src/chervilkeeld/evacuation_follower.cpp
@@ -11,7 +11,10 @@
 
 constexpr const char* kPart = "evacuation";
 constexpr millis kReadTimeout = 800;
-constexpr millis kRetry = 200;        // Delay after a failed call.
+// Delay after a failed call, and the least time between two watches: a store
+// may end them early.
+constexpr millis kRetry = 200;
+constexpr millis kMinListAge = 500;   // Bounds the calls if a setting is short.
 constexpr millis kWatchWait = 1'400;  // Longest duration of one watch.
 constexpr millis kWatchGrace = 400;   // Added to it for the call's timeout.
 constexpr millis kMinWatchWait = 100;
@@ -25,7 +28,7 @@
                                          millis max_list_age)
     : store_(store),
       prefix_(std::move(prefix)),
-      max_list_age_(max_list_age),
+      max_list_age_(std::max(max_list_age, kMinListAge)),
       timer_(context) {}
 
 void evacuation_follower::Start() {
@@ -52,6 +55,7 @@
   }
   if (after.empty()) {
     read_.revision = page.value().revision;
+    watched_revision_ = read_.revision;
   }
   for (const stored_item& item : page.value().items) {
     TakeItem(item);
@@ -72,8 +76,9 @@
     return;
   }
   const millis wait = std::min(kWatchWait, left);
+  watch_began_ = BootNow();
   store_.Client().Watch(
-      prefix_, read_.revision, wait, wait + kWatchGrace,
+      prefix_, watched_revision_, wait, wait + kWatchGrace,
       [this](const result<item_changes>& changes) { OnChanges(changes); });
 }
 
@@ -87,12 +92,22 @@
     After(kRetry, [this] { Read(""); });
     return;
   }
-  for (const stored_item& item : changes.value().items) {
-    TakeItem(item);
+  watched_revision_ = std::max(watched_revision_, changes.value().revision);
+  // A watch may miss changes: one without any does not confirm the list, or it
+  // would outdate the next list, and those of peers, of the same revision.
+  if (!changes.value().items.empty()) {
+    for (const stored_item& item : changes.value().items) {
+      TakeItem(item);
+    }
+    read_.revision = watched_revision_;
+    Apply(read_, "watch");
+  }
+  const millis early = watch_began_ + kRetry - BootNow();
+  if (early > 0) {
+    After(early, [this] { Watch(); });
+  } else {
+    Watch();
   }
-  read_.revision = std::max(read_.revision, changes.value().revision);
-  Apply(read_, "watch");
-  Watch();
 }
 
 void evacuation_follower::TakeItem(const stored_item& item) {
