Weigh the cost of a move against its gain before a throttled task is stopped

Cause: a throttled best-effort run was stopped whenever another worker allowed a pace above 0.85 and 300 ms were lost, as a move was taken to cost 300 ms.

Change: move_cost, a module without state, estimates the cost (stop, messages, restore, lost work) and the gain by the work left and the paces. A move is made if the gain exceeds 1.5 times the cost, twice as much for each earlier move; a moved task stays for 10 s. While the times are not known the former rule applies. The log line of the stop has the inputs; declined moves are logged once for each run. The moves of runs are in job_scheduler_moves.cpp now.

Evidence: move_cost_test, three cases of job_scheduler_sharing_test.

Conclusion: no behaviour changes while the times are not set.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -11,10 +11,12 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "chervilkeel/evacuation_state.h"
 #include "chervilkeel/job.h"
+#include "chervilkeel/move_cost.h"
 #include "chervilkeel/pressure_model.h"
 #include "chervilkeel/worker_health.h"
 #include "chervilkeel/worker_report.h"
@@ -49,6 +51,8 @@
   // Null if operators evacuate none; otherwise nothing is started anywhere
   // before a list of them is known.
   std::shared_ptr<const evacuation_state> evacuations;
+  // What a move of a throttled best-effort task costs in this deployment.
+  move_times moves;
   // Switched off only by bench/sharing, to measure the effect of each.
   bool limits_best_effort_pace = true;
   bool learns_interference = true;
@@ -108,6 +112,8 @@
   millis throttling_loss = 0;
   millis throttling_counted_until = 0;
   millis pace_changed_at = 0;
+  // Whether a move of the run was found not to be worth its cost.
+  bool is_move_declined = false;
   // Load as last reported. A service reports its tail latency in ms.
   std::int64_t load = 0;
   // Tail latency of a service in the last list of runs, in ms.
@@ -146,6 +152,7 @@
   std::string checkpoint;
   std::vector<task_run> runs;
   std::vector<std::string> failed_on;  // Agents.
+  std::uint32_t moves = 0;  // Runs stopped for a worker that allows more.
   millis ready_since = 0;
   // Number of runs in a row of a service that ended early, and until when it is
   // not started again.
@@ -489,6 +496,9 @@
 
   sharing_summary SummarizeSharing();
 
+  // Returns the decisions on moves of throttled tasks since the last call.
+  move_counts TakeMoveCounts() { return std::exchange(move_counts_, {}); }
+
   // Returns the orders that have been without an outcome for kOverdueTime.
   overdue_orders FindOverdueOrders(millis now);
 
@@ -783,15 +793,26 @@
   static void DropQueuedStart(scheduled_worker& worker,
                               const task_name& key,
                               std::uint64_t run);
-  void OrderStop(const task_name& key, task_run& run, const char* reason);
+  // `detail`: more for the log line, with a space before it.
+  void OrderStop(const task_name& key,
+                 task_run& run,
+                 const char* reason,
+                 const std::string& detail = "");
   // Orders a stop again if lists still show the run long after the order.
   void RepeatLostStop(const scheduled_worker& worker,
                       const task_name& key,
                       task_run& run);
   void AddOrder(const std::string& agent, worker_order order);
   void StartSpeculativeCopies(millis now);
+
+  // job_scheduler_moves.cpp: runs that would do better elsewhere.
   void MoveStuckTasks(millis now);
   void MoveThrottledTasks(millis now);
+  void DeclineMove(const task_name& key,
+                   task_run& run,
+                   const movable_run& movable,
+                   const scheduled_worker* new_worker,
+                   double new_pace);
 
   // job_scheduler_sharing.cpp: best-effort tasks colocated with services.
   struct service_run {
@@ -1041,6 +1062,7 @@
   std::map<std::string, std::size_t> waiting_suspects_;
   std::set<std::string> repeating_jobs_;  // Jobs with occurrences to come.
   pressure_model pressure_model_;
+  move_counts move_counts_;  // Since the last TakeMoveCounts().
   std::int64_t wall_ms_ = 0;
   std::uint64_t rotation_ = 0;
 };
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -1,5 +1,5 @@
 // Task placement of the job scheduler: order of waiting tasks, choice of
-// workers, speculative copies and migration of stuck or slowed runs.
+// workers and speculative copies.
 #include <algorithm>
 #include <tuple>
 
@@ -22,9 +22,6 @@
 constexpr double kSpeculationFactor = 1.3;
 constexpr millis kSpeculationGrace = 300;
 
-// Time without progress, in ms, after which a run is stopped and rescheduled.
-constexpr millis kStuckTimeout = 2'000;
-
 // Score bonus that a worker with services gets for a best-effort task that does
 // not interfere with them, as a fraction of the worker's cores.
 constexpr double kColocationBonus = 0.1;
@@ -41,18 +38,6 @@
 constexpr millis kMaxWaitForPace = 20'000;
 constexpr millis kMaxWaitOfIdleJob = 2'500;
 
-// A best-effort task whose pace is at most kThrottledPercent and that has lost
-// more than kMaxTimeLost (ms) is moved if another worker lets it run above
-// kUnthrottledPace. A task without checkpoints is moved only while it has done
-// less than kMaxLostPercent of its work, as the move loses that work. A move
-// costs a stop and a restart, about 300 ms.
-constexpr std::uint32_t kThrottledPercent = 80;  // Of full speed.
-constexpr millis kMaxTimeLost = 300;
-constexpr millis kMinTimeBetweenMoves = 800;
-constexpr int kMaxMovesPerScan = 4;
-constexpr double kUnthrottledPace = 0.85;      // Fraction of full speed.
-constexpr std::uint32_t kMaxLostPercent = 30;  // Of the task's work.
-
 // Index of the rack in an executor's labels.
 constexpr std::size_t kRackLabelIndex = 1;
 
@@ -179,7 +164,8 @@
 
 void job_scheduler::OrderStop(const task_name& key,
                               task_run& run,
-                              const char* reason) {
+                              const char* reason,
+                              const std::string& detail) {
   if (run.phase == run_phase::kStopping) {
     return;
   }
@@ -194,8 +180,9 @@
   order.run = run.run;
   order.reason = reason;
   AddOrder(run.agent, std::move(order));
-  Emit("stop_ordered", key.ToString(), run.agent,
-       "run=" + std::to_string(run.run) + " reason=\"" + reason + "\"");
+  Emit(
+      "stop_ordered", key.ToString(), run.agent,
+      "run=" + std::to_string(run.run) + " reason=\"" + reason + "\"" + detail);
 }
 
 void job_scheduler::RepeatLostStop(const scheduled_worker& worker,
@@ -641,67 +628,6 @@
   }
 }
 
-// Stops runs that the lists of their workers show without progress, so that
-// they are restarted on another worker.
-void job_scheduler::MoveStuckTasks(millis now) {
-  for (auto& [agent, worker] : workers_) {
-    for (const task_name& key : worker.tasks) {
-      scheduled_task* task = FindTask(key);
-      const job_step& step = jobs_.at(key.job).record.spec.steps[key.step];
-      for (task_run& run : task->runs) {
-        if (run.agent != agent || run.phase != run_phase::kRunning ||
-            worker.listed_at - run.percent_changed_at < kStuckTimeout ||
-            run.pace < 100 || (step.service && run.percent >= 100) ||
-            step.gang) {
-          continue;
-        }
-        worker.health.OnUnresponsive(now);
-        task->failed_on.push_back(agent);
-        OrderStop(key, run, "task made no progress within the timeout");
-      }
-    }
-  }
-}
-
-// Moves throttled best-effort tasks to workers where they run faster: a job
-// ends only with its slowest task.
-void job_scheduler::MoveThrottledTasks(millis now) {
-  int moves = 0;
-  for (auto& [agent, worker] : workers_) {
-    if (worker.best_effort_milli_processors == 0 ||
-        worker.service_milli_processors == 0) {
-      continue;
-    }
-    for (const task_name& key : worker.tasks) {
-      scheduled_task* task = FindTask(key);
-      if (task == nullptr || task->runs.size() != 1) {
-        continue;
-      }
-      scheduled_job& job = jobs_.at(key.job);
-      const job_step& step = job.record.spec.steps[key.step];
-      task_run& run = task->runs.front();
-      const bool is_throttled =
-          step.filler && run.phase == run_phase::kRunning &&
-          run.pace <= kThrottledPercent && run.throttling_loss > kMaxTimeLost &&
-          now - run.active_since > kMinTimeBetweenMoves;
-      const bool loses_little_work =
-          step.checkpoints || run.percent < kMaxLostPercent;
-      if (!is_throttled || !loses_little_work) {
-        continue;
-      }
-      const scheduled_worker* new_worker = ChooseWorker(job, key, *task, now);
-      if (new_worker != nullptr &&
-          PaceAlongsideServices(*new_worker, step, now) > kUnthrottledPace) {
-        OrderStop(key, run, "another worker allows a higher pace");
-        ++job.moves;
-        if (++moves == kMaxMovesPerScan) {
-          return;
-        }
-      }
-    }
-  }
-}
-
 double job_scheduler::BacklogSeconds(const std::string& service) const {
   double cores = 0;
   for (const auto& [agent, worker] : workers_) {
--- a/src/libkernel/job_scheduler_sharing_test.cpp
+++ b/src/libkernel/job_scheduler_sharing_test.cpp
@@ -11,13 +11,18 @@
 namespace {
 
 constexpr std::int64_t kTailNearTarget = 17;  // ms, of 20.
-constexpr millis kIdleJobWait = 3'000;        // A job's first run has begun.
-constexpr millis kRoomWait = 20'000;          // Other tasks wait so long.
+constexpr std::int64_t kTailOverTarget = 30;
+constexpr millis kPauseWait = 4'000;  // All batch tasks are paused by then.
+constexpr move_times kSlowMoves = {900, 250, 2'000};
+constexpr std::uint32_t kMostlyDone = 65;  // More at the time of the decision.
+constexpr millis kIdleJobWait = 3'000;     // A job's first run has begun.
+constexpr millis kRoomWait = 20'000;       // Other tasks wait so long.
 
 struct sharing_fixture : scheduler_fixture {
   std::vector<scheduler_event> events;
   std::vector<run_status> runs;
   std::uint32_t percent = 0;
+  std::int64_t tail = kTailNearTarget;
 
   sharing_fixture() {
     scheduler.on_event = [this](const scheduler_event& event) {
@@ -52,17 +57,17 @@
     return record;
   }
 
-  // Runs a service on worker "a" and adds a job of three batch tasks.
-  void AddBatchBesideService() {
+  // Runs a service on worker "a" and adds a job of batch tasks.
+  void AddBatchBesideService(const job_record& batch = MakeBatch("batch", 3)) {
     ReportIdleWorker("a");
     scheduler.AddJob(MakeService("service", 1, "x"), now);
     Tick();
     StartOn("a");
-    scheduler.AddJob(MakeBatch("batch", 3), now);
+    scheduler.AddJob(batch, now);
   }
 
-  // Lets time pass while the worker's service is close to its target, and all
-  // starts succeed.
+  // Lets time pass while the worker's service has the tail latency `tail`, and
+  // all starts succeed.
   void LetServicesRun(millis duration) {
     for (const millis until = now + duration; now < until; now += 250) {
       for (const worker_order& order : TakeOrders("a")) {
@@ -77,13 +82,34 @@
       for (run_status& run : report.runs) {
         const bool is_service = run.task.job == "service";
         run.percent = is_service ? 100 : percent % 100;
-        run.load = is_service ? kTailNearTarget : 0;
+        run.load = is_service ? tail : 0;
       }
       scheduler.OnReport(report, now);
       Tick();
     }
   }
 
+  // Runs a task beside a service that has it paused, then offers another
+  // worker. Returns what became of it.
+  move_counts OfferWorkerToPausedTask(millis expected,
+                                      const move_times& times) {
+    options.moves = times;
+    auto on_event = scheduler.on_event;
+    scheduler = job_scheduler(options, 0);
+    scheduler.on_event = on_event;
+    SetConfig();
+    job_record batch = MakeBatch("batch", 1);
+    batch.spec.steps[0].checkpoints = true;
+    batch.spec.steps[0].expected = expected;
+    AddBatchBesideService(batch);
+    LetServicesRun(kIdleJobWait);
+    tail = kTailOverTarget;
+    LetServicesRun(kPauseWait);
+    ReportIdleWorker("b");
+    LetServicesRun(1'500);
+    return scheduler.TakeMoveCounts();
+  }
+
   std::size_t CountStarts(const std::string& job) const {
     return static_cast<std::size_t>(
         std::count_if(events.begin(), events.end(), [&job](const auto& entry) {
@@ -175,6 +201,30 @@
   BOOST_TEST(CountStarts("batch") == 3U);
 }
 
+// Guards against tasks that stay paused beside a free worker, and against moves
+// whose reasons are not logged.
+BOOST_AUTO_TEST_CASE(paused_task_with_much_work_left_moves_once) {
+  BOOST_TEST(OfferWorkerToPausedTask(30'000, kSlowMoves).made == 1U);
+  const std::string detail = DetailOf("stop_ordered");
+  BOOST_TEST(detail.find(" new_worker=b cost_ms=2") != std::string::npos,
+             detail);
+  BOOST_TEST(detail.find(" listed_age_ms=") != std::string::npos, detail);
+}
+
+// Guards against a move of a task that would end sooner where it is.
+BOOST_AUTO_TEST_CASE(paused_task_with_little_work_left_stays) {
+  percent = kMostlyDone;
+  const move_counts counts = OfferWorkerToPausedTask(1'400, kSlowMoves);
+  BOOST_TEST(counts.made == 0U);
+  BOOST_TEST(counts.declined == 1U);
+}
+
+// Guards against a change for deployments whose times are not known.
+BOOST_AUTO_TEST_CASE(paused_task_with_little_work_left_moves_at_unknown_cost) {
+  percent = kMostlyDone;
+  BOOST_TEST(OfferWorkerToPausedTask(1'400, {}).made == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
