Read the times of a stop, a restore and a checkpoint from the settings

Cause: what a move costs differs between deployments: a stop takes up to 200 to 900 ms, a restore 100 to 250, and checkpoints are 0.5 to 2 s apart.

The owner passes them to the scheduler and counts the events moves_made and moves_declined.

Evidence: settings_test has a case for a fraction, 0 and a negative interval; the daemon builds. Not run on a deployment here.

Conclusion: deployments without these bounds are served as before.

--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -248,6 +248,9 @@
   metrics_.SetValue("best_effort_pace_percent", summary.mean_pace_percent);
   metrics_.SetValue("waiting_tasks",
                     static_cast<double>(summary.waiting_tasks));
+  const move_counts moves = scheduler_->TakeMoveCounts();
+  metrics_.CountEvent("moves_made", static_cast<double>(moves.made));
+  metrics_.CountEvent("moves_declined", static_cast<double>(moves.declined));
 }
 
 // Schedules one call of Step() for all events that arrive before it.
--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -323,6 +323,10 @@
   options.former_may_act = recovered_.former_may_grant;
   options.epoch = ownership_.epoch;
   options.evacuations = evacuations_;
+  options.moves.stop = static_cast<millis>(settings_.stop_time);
+  options.moves.restore = static_cast<millis>(settings_.restore_time);
+  options.moves.checkpoint_interval =
+      static_cast<millis>(settings_.checkpoint_interval * 1'000);
   const millis now = BootNow();
   auto scheduler = std::make_unique<job_scheduler>(options, now);
   scheduler->on_event = [this](const scheduler_event& event) {
--- a/src/include/chervilkeel/settings.h
+++ b/src/include/chervilkeel/settings.h
@@ -91,6 +91,9 @@
   std::uint64_t answer_time = 1'000;
   std::uint64_t job_commit_interval = 20;
   std::uint64_t evacuation_time = 0;  // 0: no evacuations.
+  std::uint64_t stop_time = 0;        // 0: not known.
+  std::uint64_t restore_time = 0;     // 0: not known.
+  double checkpoint_interval = 0;     // In s; 0: not known.
 
   std::string log_level = "info";
 };
--- a/src/libshell/settings.cpp
+++ b/src/libshell/settings.cpp
@@ -103,10 +103,14 @@
                "whole number", unit, meaning);
 }
 
-// A decimal number above 0, at most `high`.
+// Whether a decimal number may be 0.
+enum class decimal_range { kAboveZero, kFromZero };
+
+// A decimal number of a range, at most `high`.
 setting Decimal(const char* section,
                 const char* key,
                 double process_settings::*member,
+                decimal_range range,
                 double high,
                 const char* unit,
                 const char* meaning) {
@@ -118,10 +122,15 @@
           [=](process_settings& out, const std::string& text) {
             const char* end = text.data() + text.size();
             const auto parsed = std::from_chars(text.data(), end, out.*member);
-            const bool fits = parsed.ec == std::errc() && parsed.ptr == end &&
-                              out.*member > 0 && out.*member <= high;
+            const bool fits =
+                parsed.ec == std::errc() && parsed.ptr == end &&
+                out.*member <= high &&
+                (out.*member > 0 ||
+                 (range == decimal_range::kFromZero && out.*member == 0));
             std::ostringstream wrong;
-            wrong << "must be a number above 0, at most " << high;
+            wrong << "must be a number "
+                  << (range == decimal_range::kAboveZero ? "above 0" : "from 0")
+                  << ", at most " << high;
             return fits ? std::string() : wrong.str();
           },
           [member](const process_settings& value) {
@@ -251,7 +260,8 @@
            "The data centre of this VM."),
       Text("process", "rack", needed_by::kNobody, &settings::rack,
            "The rack of this VM."),
-      Decimal("process", "processors", &settings::processors, 1'024, "cores",
+      Decimal("process", "processors", &settings::processors,
+              decimal_range::kAboveZero, 1'024, "cores",
               "What this process may use; entries with more own the jobs."),
       Number("process", "threads", &settings::threads, 1, 64, "threads",
              "The pool that serves HTTP."),
@@ -367,6 +377,16 @@
              "Within this time of an operator's request to evacuate a data "
              "centre no task is started there any more; 0: such requests are "
              "not followed."),
+      Number(
+          "jobs", "stop_ms", &settings::stop_time, 0, 600'000, "ms",
+          "The longest stop of a run by its executor; 0: not known. Moves of "
+          "throttled batch tasks are weighed against their cost if this and "
+          "the next two are known."),
+      Number("jobs", "restore_ms", &settings::restore_time, 0, 600'000, "ms",
+             "How long a run takes to go on from a checkpoint; 0: not known."),
+      Decimal("jobs", "checkpoint_s", &settings::checkpoint_interval,
+              decimal_range::kFromZero, 3'600, "s",
+              "Between two checkpoints of a run; 0: not known."),
   };
 }
 
--- a/src/libshell/settings_test.cpp
+++ b/src/libshell/settings_test.cpp
@@ -43,6 +43,16 @@
   BOOST_TEST(HasFinding(reading.found, "line 17", "batch or tail"));
 }
 
+// Guards against an interval of half a second that is refused or cut to 0.
+BOOST_AUTO_TEST_CASE(
+    settings_checkpoint_interval_may_be_a_fraction_or_unknown) {
+  const std::string jobs = std::string(kGood) + "[jobs]\ncheckpoint_s = ";
+  BOOST_TEST(ReadSettings(jobs + "0.5\n").value.checkpoint_interval == 0.5);
+  BOOST_TEST(ReadSettings(jobs + "0\n").found.empty());
+  BOOST_TEST(
+      HasFinding(ReadSettings(jobs + "-1\n").found, "line 13", "from 0"));
+}
+
 BOOST_AUTO_TEST_CASE(settings_missing_for_the_role_are_named) {
   const auto reading = ReadSettings("[process]\nrole = agent\n");
   BOOST_TEST(HasFinding(reading.found, "end of file", "[agent] cell"));
