Play loads whose stops are slow and lose work in sharing_bench

Change: loads may have the longest stop, the restore and the checkpoint interval; three such loads, and the policy "fixed cost", whose scheduler is not told these times.

--- a/bench/sharing/sharing_scenarios.h
+++ b/bench/sharing/sharing_scenarios.h
@@ -50,7 +50,28 @@
     .burst = 2.5,
     .length = 45'000};
 
+// Sets what a move costs to the times of a deployment.
+constexpr sharing_scenario WithMoveTimes(sharing_scenario scenario,
+                                         const char* name,
+                                         const move_times& times) {
+  scenario.name = name;
+  scenario.longest_stop = times.stop;
+  scenario.restore = times.restore;
+  scenario.checkpoint_interval = times.checkpoint_interval;
+  return scenario;
+}
+
+// The same loads where stops take time and lose work.
+inline constexpr sharing_scenario kCalmDayOfSlowStops =
+    WithMoveTimes(kCalmDay, "calm_slow_stops", {400, 100, 500});
+inline constexpr sharing_scenario kGrownHouseOfSlowStops =
+    WithMoveTimes(kGrownHouse, "grown_slow_stops", {400, 100, 500});
+inline constexpr sharing_scenario kSurgeOfSlowStops =
+    WithMoveTimes(kSurgeOnFullHouse, "surge_slow_stops", {900, 250, 2'000});
+
 inline constexpr sharing_scenario kSharingScenarios[] = {
-    kCalmDay, kBurstOfBatch, kGrownHouse, kSurgeOnFullHouse};
+    kCalmDay,          kBurstOfBatch,       kGrownHouse,
+    kSurgeOnFullHouse, kCalmDayOfSlowStops, kGrownHouseOfSlowStops,
+    kSurgeOfSlowStops};
 
 }  // namespace chervilkeel::bench
--- a/bench/sharing/sharing_world.cpp
+++ b/bench/sharing/sharing_world.cpp
@@ -40,8 +40,12 @@
       policy_(policy),
       random_(seed),
       scheduler_(
-          [policy] {
+          [&scenario, policy] {
             scheduler_options options;
+            if (policy != sharing_policy::kUnknownMoveTimes) {
+              options.moves = {scenario.longest_stop, scenario.restore,
+                               scenario.checkpoint_interval};
+            }
             options.learns_interference = policy != sharing_policy::kNoLearning;
             options.limits_best_effort_pace =
                 policy != sharing_policy::kNoPacing;
@@ -197,13 +201,17 @@
 void sharing_world::WorkOn(fake_worker& worker, double batch_speed) {
   std::vector<task_name> done;
   for (auto& [name, task] : worker.runs) {
-    if (!task.step->filler) {
+    if (!task.step->filler || task.stops_at != 0 || now_ < task.works_from) {
       continue;
     }
     task.left -= static_cast<double>(kStep) * task.pace * batch_speed;
     batch_core_ms_ += static_cast<double>(kStep) * task.pace * batch_speed *
                       static_cast<double>(task.step->size.milli_processors) /
                       1e3;
+    if (task.saved - task.left >=
+        static_cast<double>(scenario_.checkpoint_interval)) {
+      task.saved = task.left;
+    }
     if (task.left <= 0) {
       done.push_back(name);
     }
@@ -263,7 +271,8 @@
   if (run == worker.runs.end()) {
     return;
   }
-  work_[task] = std::max(run->second.left, 0.0);
+  work_[task] = std::max(
+      how == run_end::kDone ? run->second.left : run->second.saved, 0.0);
   worker.ends.push_back(
       {++worker.last_end, task, run->second.run, how, "saved"});
   worker.runs.erase(run);
@@ -271,6 +280,18 @@
   worker.next_report = std::min(worker.next_report, now_ + kNewsDelay);
 }
 
+void sharing_world::FinishStops(fake_worker& worker) {
+  std::vector<task_name> ended;
+  for (const auto& [name, task] : worker.runs) {
+    if (task.stops_at != 0 && now_ >= task.stops_at) {
+      ended.push_back(name);
+    }
+  }
+  for (const task_name& name : ended) {
+    End(worker, name, run_end::kStopped);
+  }
+}
+
 void sharing_world::Carry(fake_worker& worker, const worker_order& order) {
   const auto run = worker.runs.find(order.task);
   switch (order.kind) {
@@ -282,14 +303,25 @@
                        .record.spec.steps[order.task.step];
       task.left = task.step->filler ? work_.at(order.task) : 0;
       task.whole = task.left;
+      task.saved = task.left;
+      task.works_from = now_ + scenario_.restore;
       task.since = now_;
       worker.runs[order.task] = task;
       break;
     }
     case order_kind::kStop:
-      figures_.batch_stops +=
-          run != worker.runs.end() && run->second.step->filler;
-      End(worker, order.task, run_end::kStopped);
+      if (run == worker.runs.end()) {
+        break;
+      }
+      figures_.batch_stops += run->second.step->filler;
+      if (!run->second.step->filler || scenario_.longest_stop == 0) {
+        End(worker, order.task, run_end::kStopped);
+      } else if (run->second.stops_at == 0) {
+        run->second.stops_at =
+            now_ +
+            static_cast<millis>(Uniform(0.2, 1) *
+                                static_cast<double>(scenario_.longest_stop));
+      }
       break;
     case order_kind::kPace:
       if (run != worker.runs.end()) {
@@ -386,6 +418,7 @@
     bool heard = false;
     for (fake_worker& worker : workers_) {
       Work(worker);
+      FinishStops(worker);
       if (now_ >= worker.next_report) {
         Report(worker);
         heard = true;
--- a/bench/sharing/sharing_world.h
+++ b/bench/sharing/sharing_world.h
@@ -24,6 +24,8 @@
   // gain at most.
   kKnownFactors,
   kFifo,  // Jobs of one priority go in the order in which they came.
+  // Isn't told the times of a stop, a restore and a checkpoint.
+  kUnknownMoveTimes,
 };
 
 struct sharing_policy_name {
@@ -37,6 +39,7 @@
     {sharing_policy::kNoLearning, "no learning"},
     {sharing_policy::kKnownFactors, "known pairs"},
     {sharing_policy::kFifo, "one FIFO"},
+    {sharing_policy::kUnknownMoveTimes, "fixed cost"},
 };
 
 // Rates are a second, sizes in thousandths of a core.
@@ -62,6 +65,9 @@
   millis burst_from = 0;     // Batch jobs come `burst` times as often.
   millis burst_until = 0;
   double burst = 1;
+  millis longest_stop = 0;         // A stop takes from a fifth of it on.
+  millis restore = 0;              // From a start until the work goes on.
+  millis checkpoint_interval = 0;  // 0: a stop loses no work.
   millis length = 60'000;
 };
 
@@ -89,6 +95,9 @@
     const job_step* step = nullptr;
     double left = 0;   // ms of work.
     double whole = 0;  // ms of work.
+    double saved = 0;  // What was left at the last checkpoint, ms of work.
+    millis works_from = 0;
+    millis stops_at = 0;  // 0: not ordered to stop.
     double pace = 1;
     double tail = 4;  // ms, smoothed.
     millis over = 0;  // On end.
@@ -130,6 +139,8 @@
   void Work(fake_worker& worker);
   void WorkOn(fake_worker& worker, double batch_speed);
   void Serve(fake_worker& worker);
+  // Ends the runs whose stops have taken their time.
+  void FinishStops(fake_worker& worker);
   void Carry(fake_worker& worker, const worker_order& order);
   void End(fake_worker& worker, const task_name& task, run_end how);
   void Report(fake_worker& worker);
