Refuse starts by the data centre that the executor announces

Cause: the scheduler goes by the data centre that the executor announces, the agent went by that of its own settings. Where they differ, the agent started tasks in an evacuated data centre on the orders of an owner that lags, or refused without end what the owner ordered.

Change: the agent goes by the announced one, and where none is announced it tells the owner its own.

Conclusion: owner and agent judge an executor by the same data centre.

--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -139,7 +139,7 @@
     GiveUpStart(name);
     return;
   }
-  if (evacuations_.IsEvacuated(settings_.data_centre)) {
+  if (evacuations_.IsEvacuated(worker_.data_centre)) {
     LogEvent(kPart, "start_refused",
              {{"id", name.first.ToString()},
               {"run", name.second},
--- a/src/chervilkeeld/job_agent_orders_test.cpp
+++ b/src/chervilkeeld/job_agent_orders_test.cpp
@@ -286,6 +286,23 @@
   BOOST_TEST(script.starts == 0);
 }
 
+// Guards against an agent and an owner that go by different data centres: the
+// owner goes by what the executor announces. Such an agent starts tasks in an
+// evacuated data centre, or refuses all that the owner orders.
+BOOST_AUTO_TEST_CASE(announced_data_centre_decides_whether_a_start_is_refused) {
+  script.listings = 1'000'000;
+  script.distort = [](announcement& said) {
+    said.worker.data_centre = "south";
+  };
+  owner->evacuation_revision = 5;
+  owner->evacuates = true;
+  owner->starts_task = true;
+  Announce();
+  RunUntil([this] { return outcome.has_value(); });
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kStarted));
+}
+
 BOOST_AUTO_TEST_CASE(start_after_the_end_of_an_evacuation_is_carried_out) {
   script.listings = 1'000'000;
   owner->evacuation_revision = 5;
--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -72,7 +72,9 @@
       executor_(adapter_->MakeExecutor(context, settings_.job_executor)),
       hold_timer_(context),
       sync_timer_(context),
-      incarnation_(WallNow()) {}
+      incarnation_(WallNow()) {
+  worker_.data_centre = settings_.data_centre;  // Until its executor is known.
+}
 
 result<void> job_agent_process::Start() {
   http_server_options options;
@@ -299,6 +301,9 @@
     starts_.clear();
   }
   worker_ = said.worker;
+  if (worker_.data_centre.empty()) {
+    worker_.data_centre = settings_.data_centre;
+  }
   sequence_ = said.sequence;
   ++announced_;
   if (drains) {
@@ -644,8 +649,8 @@
     return;
   }
   LogEvent(kPart, "evacuation_changed",
-           {{"id", settings_.data_centre},
-            {"in_force", evacuations_.IsEvacuated(settings_.data_centre)},
+           {{"id", worker_.data_centre},
+            {"in_force", evacuations_.IsEvacuated(worker_.data_centre)},
             {"revision", evacuations_.List().revision},
             {"epoch", reply.epoch()},
             {"runs", static_cast<std::uint64_t>(runs_.size())}},
@@ -735,7 +740,7 @@
         {"epoch", epoch_},
         {"executor", worker_.boot.id},
         {"granted_for_ms", granted_until_ - BootNow()},
-        {"evacuated", evacuations_.IsEvacuated(settings_.data_centre)},
+        {"evacuated", evacuations_.IsEvacuated(worker_.data_centre)},
         {"runs", std::move(runs)},
         {"unrecorded_ends", ends_.size()},
         {"open_starts", open_starts_.size()},
