--- a/src/chervilkeel/main.cpp
+++ b/src/chervilkeel/main.cpp
@@ -16,6 +16,7 @@
 
 #include "chervilkeel/http_client.h"
 #include "chervilkeel/manifest.h"
+#include "chervilkeel/percent_encoding.h"
 #include "chervilkeel/version.h"
 #include "print_reports.h"
 
@@ -49,18 +50,6 @@
   bool as_json = false;
 };
 
-std::string PercentEncoded(const std::string& text) {
-  std::string encoded;
-  for (const unsigned char letter : text) {
-    char code[4];
-    std::snprintf(code, sizeof code, "%%%02X", letter);
-    encoded += std::isalnum(letter) != 0
-                   ? std::string(1, static_cast<char>(letter))
-                   : code;
-  }
-  return encoded;
-}
-
 result<std::string> ReadFile(const std::string& path) {
   std::stringstream text;
   if (path == "-") {
