Log at an agent only the evacuation of its own data centre

Change: the line is written when the state of the agent's data centre changes.

Evidence: job_agent_orders_test passes; the line has no test of its own.

--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -644,13 +644,18 @@
 }
 
 void job_agent_process::TakeEvacuations(const wire::agent_orders& reply) {
-  if (!reply.has_evacuated() ||
-      !evacuations_.Update(FromWire(reply.evacuated()), BootNow())) {
+  if (!reply.has_evacuated()) {
     return;
   }
+  const bool was_evacuated = evacuations_.IsEvacuated(worker_.data_centre);
+  evacuations_.Update(FromWire(reply.evacuated()), BootNow());
+  const bool is_evacuated = evacuations_.IsEvacuated(worker_.data_centre);
+  if (is_evacuated == was_evacuated) {
+    return;  // Another data centre.
+  }
   LogEvent(kPart, "evacuation_changed",
            {{"id", worker_.data_centre},
-            {"in_force", evacuations_.IsEvacuated(worker_.data_centre)},
+            {"in_force", is_evacuated},
             {"revision", evacuations_.List().revision},
             {"epoch", reply.epoch()},
             {"runs", static_cast<std::uint64_t>(runs_.size())}},
