Blame no executor for starts that an evacuation takes back

Cause: a start that a former process of the agent may have tried is taken back when its data centre is evacuated, and was told as withdrawn, as one without an answer. The owner then takes the worker for unresponsive: after the evacuation it waits 1 s for a probe and gets one task at a time until one shows progress.

Change: such a start, which this process has not tried, is told as refused once the run is gone.

Evidence: start_taken_back_for_an_evacuation_blames_no_executor got 'withdrawn' before and 'refused' now; job_agent_orders_test (18 cases) and job_agent_process_test pass.

--- a/src/chervilkeeld/job_agent_orders.cpp
+++ b/src/chervilkeeld/job_agent_orders.cpp
@@ -146,6 +146,9 @@
               {"cause", "the data centre is evacuated"},
               {"revision", evacuations_.List().revision},
               {"tries", open->second.tries}});
+    // Told as refused: only a call without an answer says that the executor is
+    // unresponsive.
+    open->second.is_stopped = open->second.tries == 0;
     GiveUpStart(name);
     return;
   }
--- a/src/chervilkeeld/job_agent_orders_test.cpp
+++ b/src/chervilkeeld/job_agent_orders_test.cpp
@@ -286,6 +286,22 @@
   BOOST_TEST(script.starts == 0);
 }
 
+// Guards against a worker that counts as unresponsive after an evacuation, and
+// so gets few tasks: nobody has called its executor.
+BOOST_AUTO_TEST_CASE(start_taken_back_for_an_evacuation_blames_no_executor) {
+  script.listings = 1'000'000;
+  owner->evacuation_revision = 5;
+  owner->evacuates = true;
+  owner->says_tried = true;
+  owner->starts_task = true;
+  Announce();
+  RunUntil([this] { return outcome.has_value(); });
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(NameOf(*outcome) == NameOf(start_outcome::kRefused));
+  BOOST_TEST(script.starts == 0);
+  BOOST_TEST(script.stops > 0);
+}
+
 // Guards against an agent and an owner that go by different data centres: the
 // owner goes by what the executor announces. Such an agent starts tasks in an
 // evacuated data centre, or refuses all that the owner orders.
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -49,8 +49,9 @@
   struct open_order {
     worker_order order;
     int tries = 0;
-    bool withdrawing = false;   // A start that is being taken back.
-    bool is_stopped = false;    // A start that the owner has stopped.
+    bool withdrawing = false;  // A start that is being taken back.
+    // A start that the owner or an evacuation has stopped.
+    bool is_stopped = false;
     bool awaits_owner = false;  // A start, until the owner is heard again.
     millis since = 0;
     // Of a start: the end of the grant under which it was ordered. The owner
