--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -172,6 +173,9 @@
   }
   file << "seeds = " << seeds << "\nlongest_lease_ms = " << kLongestLease
        << "\n";
+  if (is_entry) {
+    file << options_.more_settings;
+  }
 }
 
 void fleet::Launch(place process) {
@@ -191,6 +195,10 @@
     dup2(fd, STDOUT_FILENO);
     dup2(fd, STDERR_FILENO);
     close_range(STDERR_FILENO + 1, ~0U, 0);
+    if (options_.descriptors > 0 && process < options_.entries) {
+      const rlimit limit{options_.descriptors, options_.descriptors};
+      setrlimit(RLIMIT_NOFILE, &limit);
+    }
     setenv("SOAK_LINK", link.c_str(), 1);
     setenv("LD_PRELOAD", SOAK_PRELOAD, 1);
     execl(options_.daemon.c_str(), "chervilkeeld", "--config", settings.c_str(),
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -25,6 +25,8 @@
   std::uint64_t seed = 0;
   std::size_t entries = 10;
   std::size_t agents = 61;
+  std::string more_settings;    // Lines at the end of each entry's settings.
+  std::size_t descriptors = 0;  // An entry's limit; 0: that of this process.
 };
 
 // Places: entries first, then agents, then the store. All listen on loopback,
@@ -60,6 +62,10 @@
 
   std::string NameOf(place process) const;
   std::vector<endpoint> Fronts() const;
+  endpoint Front(place process) const { return At(process, port::kFront); }
+  endpoint Readiness(place process) const { return At(process, port::kReady); }
+  // 0 if it was killed or has ended.
+  pid_t ProcessOf(place process) const { return processes_[process]; }
   std::size_t Entries() const { return options_.entries; }
   std::size_t Agents() const { return options_.agents; }
   place StorePlace() const { return options_.entries + options_.agents; }
