Name at most 20 findings in the refusal of a job

Cause: CheckJob made a finding for each wrong dependency. A body of legal size can hold 100,000, which made an answer of megabytes and more while it was built.

Change: the check of steps ends at 20 findings.

Conclusion: a refusal's size no longer depends on the number of errors.

--- a/src/include/chervilkeel/job.h
+++ b/src/include/chervilkeel/job.h
@@ -119,6 +119,8 @@
 // Limits on the tasks of a step and the steps of a job.
 inline constexpr std::uint32_t kMaxTasksPerStep = 10'000;
 inline constexpr std::size_t kMaxSteps = 1'000;
+// A refusal names no more: a body of legal size can hold a hundred thousand.
+inline constexpr std::size_t kMaxFindings = 20;
 
 // Validates a submitted job. Returns every violation and its location, not
 // just the first one.
--- a/src/libkernel/job.cpp
+++ b/src/libkernel/job.cpp
@@ -211,7 +211,7 @@
     found.push_back({place, "has a negative resource amount or run time"});
   }
   for (const std::uint32_t other : step.after) {
-    if (other >= number) {
+    if (other >= number && found.size() < kMaxFindings) {
       found.push_back({place, "depends on step " + std::to_string(other) +
                                   ", which is not an earlier step"});
     }
@@ -247,7 +247,8 @@
   if (spec.repeats > 0 && spec.repeat_interval < 0) {
     found.push_back({"repeat interval", "must not be negative"});
   }
-  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+  for (std::size_t i = 0; i < spec.steps.size() && found.size() < kMaxFindings;
+       ++i) {
     CheckStep(spec, i, found);
   }
   return found;
