Bound the memory and the descriptors that HTTP clients can hold

Cause: each server took 1,000 connections of 4 MiB whatever the VM's memory, read a body before anything was known of it, and its idle time started anew with each read, so stopped or slow clients could end a process.

Change: http_admission, one object for all servers of a process, has a budget of bytes and connections with a fixed share for each listener. It is a quarter of [process] memory_mb (templates: limits.memory_mb), or 1 GiB where that is not told; connections leave a sixteenth of the descriptors, at least 128. When a share is used up, the connection that has made no progress for longest, at least 1 s, is closed, never one in service; else 503 with Retry-After. Limits by stage: header bytes, fields and time, body by listener and method once the header is read, least rates of bodies and answers, depth and number of JSON values. Idle connections have no buffer. accept is tried again after 50 ms when it fails. Settings [http], metrics http_refused_*, gauges, one log line a second for each cause. [entry] client_connections no longer applies to job_entry, whose 1,000 connections were fewer than legal clients keep.

Pass as they were: http_server_test, job_front_test, job_entry_process_test, job_agent_process_test, settings_test, job_test; testsuite cases drain, drain_limit, early_signals, client_errors. New: http_admission_test, http_limits_test.

Conclusion: a crowd holds its listener's share and no more.

--- a/src/chervilkeeld/entry_process.cpp
+++ b/src/chervilkeeld/entry_process.cpp
@@ -103,6 +103,8 @@
   options.listen = {core_.settings.address, core_.settings.client_port};
   options.body_limit = core_.settings.body_limit;
   options.connections = core_.settings.client_connections;
+  options.admission = core_.admission;
+  options.share = {"clients", kClientsPercent};
   clients_ = std::make_shared<http_server>(
       context_, options, [this](http_request request, http_responder respond) {
         HandleClient(std::move(request), std::move(respond));
--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -27,6 +27,7 @@
 constexpr millis kSyncRetry = 150;
 constexpr millis kListingFresh = 1'000;  // An older list is not reported.
 constexpr int kHoldFailuresToLost = 3;
+constexpr std::uint64_t kAnnouncementCopies = 2;  // As text and parsed.
 
 // What an announcement may say: no boot in the future, at most one announcement
 // a millisecond since the boot, and no amount beyond any machine's.
@@ -68,6 +69,7 @@
       settings_(settings),
       adapter_(std::move(adapter)),
       store_(adapter_->MakeStore(context, settings_.store)),
+      admission_(MakeAdmission(settings_, metrics_)),
       locator_(store_, settings_),
       executor_(adapter_->MakeExecutor(context, settings_.job_executor)),
       hold_timer_(context),
@@ -77,6 +79,10 @@
 result<void> job_agent_process::Start() {
   http_server_options options;
   options.listen = settings_.announcements;
+  options.admission = admission_;
+  options.share = {"announcements", kClientsPercent};
+  options.copies_in_service = kAnnouncementCopies;
+  options.takes_json = true;
   announcements_ = std::make_shared<http_server>(
       context_, options,
       [this](const http_request& request, const http_responder& respond) {
@@ -721,6 +727,7 @@
   http_response response;
   if (request.path == "/metrics") {
     response.content_type = "text/plain; version=0.0.4";
+    ShowAdmission(*admission_, metrics_);
     response.body = metrics_.Text();
   } else if (request.path == "/dump") {
     boost::json::array runs;
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -19,6 +19,7 @@
 #include "executor_history.h"
 #include "metrics.h"
 #include "owner_locator.h"
+#include "process_admission.h"
 #include "rpc_async.h"
 #include "store_link.h"
 
@@ -37,6 +38,11 @@
   // taken are answered.
   void Stop(std::function<void()> done);
 
+  // Shared by all HTTP servers of the process.
+  const std::shared_ptr<http_admission>& Admission() const {
+    return admission_;
+  }
+
   void HandleOperator(const http_request& request,
                       const http_responder& respond);
 
@@ -171,6 +177,7 @@
   std::unique_ptr<platform_adapter> adapter_;
   store_link store_;
   process_metrics metrics_;
+  const std::shared_ptr<http_admission> admission_;
   rpc_peers peers_;
   owner_locator locator_;
   std::unique_ptr<task_executor> executor_;
--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -29,7 +29,10 @@
 // Part of kLastWriteTime: an owner that can't commit by then resigns all the
 // same, so that the store hears of it before the process ends.
 constexpr millis kLastCommitTime = 100;
+// Before a configuration is known, and the most that one can allow.
 constexpr std::uint64_t kFrontBodyLimit = 4U << 20U;
+// A job is held as its text, as parsed, as a record and as the store's call.
+constexpr std::uint64_t kJobCopies = 4;
 // So many times in the time allowed for an evacuation the evacuations are
 // listed anew, so that one that the watch has missed is still in force in time.
 constexpr millis kListsInBound = 2;
@@ -98,6 +101,7 @@
           Address(),
           [this](const std::string& reason) { election_->NoteLost(reason); }),
       right_(static_cast<millis>(settings.outage_grant)),
+      admission_(MakeAdmission(settings_, metrics_)),
       config_(context, store_, *adapter_),
       evacuations_(
           context,
@@ -165,13 +169,20 @@
   http_server_options front;
   front.listen = settings_.job_front;
   front.body_limit = kFrontBodyLimit;
-  front.connections = settings_.client_connections;
+  front.present_body_limit = [this] { return FrontBodyLimit(); };
+  front.admission = admission_;
+  front.share = {"callers", kClientsPercent};
+  front.copies_in_service = kJobCopies;
+  front.takes_json = true;
   front_server_ = std::make_shared<http_server>(
       context_, front, [this](http_request request, http_responder respond) {
         front_->Handle(std::move(request), std::move(respond));
       });
   http_server_options ready;
   ready.listen = settings_.job_readiness;
+  ready.body_limit = 0;
+  ready.admission = admission_;
+  ready.share = {"readiness", kReadinessPercent};
   ready_server_ = std::make_shared<http_server>(
       context_, ready, [this](const http_request& request, auto respond) {
         const bool is_ready = IsReady();
@@ -211,6 +222,12 @@
   return boost::outcome_v2::success();
 }
 
+std::uint64_t job_entry_process::FrontBodyLimit() const {
+  const auto& config = config_.Current();
+  return config && config->max_body_bytes > 0 ? config->max_body_bytes
+                                              : kFrontBodyLimit;
+}
+
 bool job_entry_process::IsReady() const {
   return !leaving_ && config_.Current() != nullptr;
 }
@@ -620,6 +637,7 @@
   http_response response;
   if (request.path == "/metrics") {
     response.content_type = "text/plain; version=0.0.4";
+    ShowAdmission(*admission_, metrics_);
     response.body = metrics_.Text();
   } else if (request.path == "/dump") {
     boost::json::object dump{{"name", settings_.name},
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -20,6 +20,7 @@
 #include "job_front.h"
 #include "job_owner.h"
 #include "owner_election.h"
+#include "process_admission.h"
 #include "store_link.h"
 
 namespace chervilkeel {
@@ -50,6 +51,11 @@
   // called when the process may end.
   void Stop(std::function<void()> done);
 
+  // Shared by all HTTP servers of the process.
+  const std::shared_ptr<http_admission>& Admission() const {
+    return admission_;
+  }
+
   // Answers operators: /metrics, /dump, /healthz.
   void HandleOperator(const http_request& request,
                       const http_responder& respond);
@@ -57,6 +63,8 @@
  private:
   class rpc_server;
 
+  // The largest body that the configuration allows now.
+  std::uint64_t FrontBodyLimit() const;
   void RunAfter(millis delay, void (job_entry_process::*step)());
   // Takes no more requests, and lets those that it has come to their answers.
   void CloseFront();
@@ -111,6 +119,7 @@
   std::unique_ptr<job_front> front_;
   std::unique_ptr<rpc_server> service_;
   std::unique_ptr<grpc::Server> grpc_;
+  const std::shared_ptr<http_admission> admission_;
   std::shared_ptr<http_server> front_server_;
   std::shared_ptr<http_server> ready_server_;
   config_follower config_;
--- a/src/chervilkeeld/main.cpp
+++ b/src/chervilkeeld/main.cpp
@@ -82,6 +82,8 @@
   role_type role(core, context);
   http_server_options options;
   options.listen = {core.settings.address, core.settings.http_port};
+  options.admission = core.admission;
+  options.share = {"operators", kOperatorsPercent};
   const auto operators = std::make_shared<http_server>(
       context, options,
       [&](const http_request& request, const http_responder& respond) {
@@ -132,6 +134,9 @@
   role_type role(context, settings, std::move(adapter.value()));
   http_server_options options;
   options.listen = {settings.address, settings.http_port};
+  options.body_limit = 0;
+  options.admission = role.Admission();
+  options.share = {"operators", kOperatorsPercent};
   const auto operators = std::make_shared<http_server>(
       context, options,
       [&](const http_request& request, const http_responder& respond) {
--- a/src/chervilkeeld/process_core.h
+++ b/src/chervilkeeld/process_core.h
@@ -11,6 +11,7 @@
 #include "chervilkeel/settings.h"
 #include "chervilkeel/store.h"
 #include "metrics.h"
+#include "process_admission.h"
 #include "rpc_peers.h"
 
 namespace chervilkeel {
@@ -35,6 +36,8 @@
   decision_log decisions;
   manifest_holder manifests;
   process_metrics metrics;
+  const std::shared_ptr<http_admission> admission =
+      MakeAdmission(settings, metrics);  // Of all HTTP servers.
   rpc_peers peers;
   std::unique_ptr<key_value_store> store;
   std::uint64_t incarnation = 0;      // Rises with each start of the process.
--- a/src/include/chervilkeel/http_server.h
+++ b/src/include/chervilkeel/http_server.h
@@ -11,7 +11,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include "chervilkeel/http_admission.h"
 #include "chervilkeel/result.h"
 #include "chervilkeel/settings.h"
 
@@ -57,8 +59,19 @@
 struct http_server_options {
   endpoint listen;
   std::uint64_t body_limit = 4U << 20U;
-  std::uint64_t connections = 1'000;
+  // If set, asked for each request; `body_limit` is the most that it can allow.
+  std::function<std::uint64_t()> present_body_limit;
+  std::uint64_t connections = 0;  // 0: as many as the admission allows.
   std::uint64_t idle_ms = 60'000;
+  // Shared by the servers of a process. If it is null, the server has one of
+  // its own with the default limits.
+  std::shared_ptr<http_admission> admission;
+  listener_share share{"http", 100};
+  // How many times the memory of its body a request in service takes, for what
+  // is parsed of it and waits for others.
+  std::uint64_t copies_in_service = 1;
+  // Whether bodies are JSON, whose depth and number of values are limited.
+  bool takes_json = false;
 };
 
 // Listens and serves until stopped. Sessions keep themselves alive.
@@ -88,12 +101,17 @@
   friend class http_session;
   void Accept();
   void AcceptWaiting();
+  void AcceptAfterPause();
   void Serve(boost::asio::ip::tcp::socket socket);
+  std::uint64_t BodyLimit() const;
 
   boost::asio::io_context& context_;
   const http_server_options options_;
   const http_handler handler_;
+  const std::shared_ptr<http_admission> admission_;
+  const std::size_t listener_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_timer_;
   std::atomic<std::uint64_t> in_flight_{0};
   std::atomic<std::uint64_t> connections_{0};
   std::atomic<bool> draining_{false};
--- a/src/include/chervilkeel/settings.h
+++ b/src/include/chervilkeel/settings.h
@@ -48,6 +48,17 @@
   std::vector<endpoint> entries;
 
   double processors = 1.0;
+  std::uint64_t memory_mb = 0;  // 0: not told.
+
+  std::uint64_t http_budget_mb = 0;    // 0: by the memory.
+  std::uint64_t http_connections = 0;  // 0: by the descriptors.
+  std::uint64_t http_header_bytes = 16'384;
+  std::uint64_t http_header_fields = 256;
+  std::uint64_t http_header_time = 10'000;
+  std::uint64_t http_grace = 10'000;
+  std::uint64_t http_bytes_per_s = 4'096;
+  std::uint64_t http_json_depth = 32;
+  std::uint64_t http_json_values = 131'072;
 
   std::string store_kind = "http";
   endpoint store;
--- a/src/libshell/http_server.cpp
+++ b/src/libshell/http_server.cpp
@@ -1,8 +1,7 @@
 #include "chervilkeel/http_server.h"
 
-#include <optional>
+#include <algorithm>
 
-#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
@@ -10,19 +9,19 @@
 #include <boost/json.hpp>
 
 #include "chervilkeel/log.h"
+#include "http_session.h"
 
 namespace chervilkeel {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
 namespace {
 
 constexpr const char* kPart = "http";
-constexpr std::chrono::seconds kLinger(5);
-constexpr std::size_t kDiscardBytes = 65'536;
+constexpr int kBacklog = 1'024;
+constexpr std::chrono::milliseconds kAcceptPause(50);
 
 int HexDigit(char digit) {
   if (digit >= '0' && digit <= '9') {
@@ -85,175 +84,18 @@
   return response;
 }
 
-// One connection. It owns itself: each pending operation holds a reference.
-class http_session : public std::enable_shared_from_this<http_session> {
- public:
-  http_session(tcp::socket socket, std::shared_ptr<http_server> server)
-      : stream_(std::move(socket)), server_(std::move(server)) {
-    ++server_->connections_;
-  }
-
-  ~http_session() { --server_->connections_; }
-
-  http_session(const http_session&) = delete;
-  http_session& operator=(const http_session&) = delete;
-
-  void Run() {
-    asio::dispatch(stream_.get_executor(),
-                   [self = shared_from_this()] { self->Read(); });
-  }
-
- private:
-  void Read() {
-    parser_.emplace();
-    parser_->body_limit(server_->options_.body_limit);
-    stream_.expires_after(std::chrono::milliseconds(server_->options_.idle_ms));
-    http::async_read_header(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](beast::error_code failure, std::size_t) {
-          self->OnHeader(failure);
-        });
-  }
-
-  // A request counts as in flight from its header on, so that a shutdown waits
-  // for a body that is still arriving.
-  void OnHeader(beast::error_code failure) {
-    ++server_->in_flight_;
-    if (failure) {
-      OnRead(failure);
-      return;
-    }
-    http::async_read(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](beast::error_code code, std::size_t) {
-          self->OnRead(code);
-        });
-  }
-
-  void OnRead(beast::error_code failure) {
-    if (failure == http::error::body_limit) {
-      Refuse(413, "the body exceeds the limit of " +
-                      std::to_string(server_->options_.body_limit) + " bytes");
-      return;
-    }
-    if (failure.category() ==
-            http::make_error_code(http::error::end_of_stream).category() &&
-        failure != http::error::end_of_stream &&
-        failure != http::error::partial_message) {
-      Refuse(400, "the request is not HTTP: " + failure.message());
-      return;
-    }
-    if (failure) {
-      --server_->in_flight_;
-      Close();
-      return;
-    }
-    Handle();
-  }
-
-  void Refuse(unsigned status, const std::string& message) {
-    close_after_ = true;
-    linger_ = true;
-    Write(ErrorResponse(status, message));
-  }
-
-  void Handle() {
-    auto& message = parser_->get();
-    close_after_ = !message.keep_alive();
-    http_request request;
-    request.method = std::string(message.method_string());
-    const std::string target(message.target());
-    const auto mark = target.find('?');
-    request.path = target.substr(0, mark);
-    request.query = mark == std::string::npos ? "" : target.substr(mark + 1);
-    request.content_type = std::string(message[http::field::content_type]);
-    for (const auto& field : message) {
-      request.headers.push_back(
-          {std::string(field.name_string()), std::string(field.value())});
-    }
-    request.body = std::move(message.body());
-    stream_.expires_never();
-    server_->handler_(
-        std::move(request), [self = shared_from_this()](http_response answer) {
-          asio::post(self->stream_.get_executor(),
-                     [self, answer = std::move(answer)]() mutable {
-                       self->Write(std::move(answer));
-                     });
-        });
-  }
-
-  void Write(http_response answer) {
-    if (server_->draining_) {
-      close_after_ = true;
-      linger_ = true;
-    }
-    response_.emplace(static_cast<http::status>(answer.status), 11);
-    response_->set(http::field::content_type, answer.content_type);
-    for (const http_header& header : answer.headers) {
-      response_->set(header.name, header.value);
-    }
-    response_->keep_alive(!close_after_);
-    response_->body() = std::move(answer.body);
-    response_->prepare_payload();
-    stream_.expires_after(std::chrono::milliseconds(server_->options_.idle_ms));
-    http::async_write(
-        stream_, *response_,
-        [self = shared_from_this()](beast::error_code failure, std::size_t) {
-          self->OnWritten(failure);
-        });
-  }
-
-  void OnWritten(beast::error_code failure) {
-    --server_->in_flight_;
-    if (!failure && linger_) {
-      beast::error_code ignored;
-      stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-      stream_.expires_after(kLinger);
-      Discard();
-    } else if (failure || close_after_) {
-      Close();
-    } else {
-      Read();
-    }
-  }
-
-  // Reads what the peer still sends: closing with unread bytes would reset the
-  // connection and take the refusal with it.
-  void Discard() {
-    buffer_.clear();
-    stream_.async_read_some(
-        buffer_.prepare(kDiscardBytes),
-        [self = shared_from_this()](beast::error_code failure, std::size_t) {
-          if (failure) {
-            self->Close();
-          } else {
-            self->Discard();
-          }
-        });
-  }
-
-  void Close() {
-    beast::error_code ignored;
-    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
-    stream_.socket().close(ignored);
-  }
-
-  beast::tcp_stream stream_;
-  std::shared_ptr<http_server> server_;
-  beast::flat_buffer buffer_;
-  std::optional<http::request_parser<http::string_body>> parser_;
-  std::optional<http::response<http::string_body>> response_;
-  bool close_after_ = false;
-  bool linger_ = false;
-};
-
 http_server::http_server(asio::io_context& context,
                          http_server_options options,
                          http_handler handler)
     : context_(context),
       options_(std::move(options)),
       handler_(std::move(handler)),
-      acceptor_(asio::make_strand(context)) {}
+      admission_(options_.admission
+                     ? options_.admission
+                     : std::make_shared<http_admission>(http_limits())),
+      listener_(admission_->AddListener(options_.share)),
+      acceptor_(asio::make_strand(context)),
+      accept_timer_(acceptor_.get_executor()) {}
 
 result<void> http_server::Start() {
   beast::error_code failure;
@@ -264,7 +106,7 @@
   acceptor_.set_option(asio::socket_base::reuse_address(true), failure);
   acceptor_.bind(where, failure);
   if (!failure) {
-    acceptor_.listen(asio::socket_base::max_listen_connections, failure);
+    acceptor_.listen(kBacklog, failure);
   }
   if (failure) {
     return Fail(error_code::kUnavailable, "cannot listen on " +
@@ -285,15 +127,33 @@
         }
         if (failure) {
           LogWarn(kPart, "Accepting a connection failed: " + failure.message());
-        } else {
-          self->Serve(std::move(socket));
+          self->AcceptAfterPause();
+          return;
         }
+        self->Serve(std::move(socket));
         if (!self->stopping_) {
           self->Accept();
         }
       });
 }
 
+// Without descriptors each try fails at once, so that the process would do
+// nothing else.
+void http_server::AcceptAfterPause() {
+  accept_timer_.expires_after(kAcceptPause);
+  accept_timer_.async_wait([self = shared_from_this()](beast::error_code) {
+    if (!self->stopping_) {
+      self->Accept();
+    }
+  });
+}
+
+std::uint64_t http_server::BodyLimit() const {
+  return options_.present_body_limit
+             ? std::min(options_.present_body_limit(), options_.body_limit)
+             : options_.body_limit;
+}
+
 void http_server::Drain() {
   draining_ = true;
 }
@@ -323,12 +183,16 @@
 }
 
 void http_server::Serve(tcp::socket socket) {
-  if (connections_ >= options_.connections) {
+  if (options_.connections > 0 && connections_ >= options_.connections) {
     return;
   }
   beast::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
-  std::make_shared<http_session>(std::move(socket), shared_from_this())->Run();
+  const auto session =
+      std::make_shared<http_session>(std::move(socket), shared_from_this());
+  if (session->IsAdmitted()) {
+    session->Run();
+  }
 }
 
 }  // namespace chervilkeel
--- a/src/libshell/settings.cpp
+++ b/src/libshell/settings.cpp
@@ -253,6 +253,8 @@
            "The rack of this VM."),
       Decimal("process", "processors", &settings::processors, 1'024, "cores",
               "What this process may use; entries with more own the jobs."),
+      Number("process", "memory_mb", &settings::memory_mb, 0, 10'000'000, "MB",
+             "The memory of this VM; 0: not told."),
       Number("process", "threads", &settings::threads, 1, 64, "threads",
              "The pool that serves HTTP."),
       {"process", "entries", needed_by::kAgent, "IP:PORT, ...",
@@ -323,6 +325,34 @@
   };
 }
 
+std::vector<setting> HttpSettings() {
+  using settings = process_settings;
+  return {
+      Number("http", "budget_mb", &settings::http_budget_mb, 0, 1'000'000, "MB",
+             "What all connections may hold; 0: a quarter of [process] "
+             "memory_mb, or 1024 if that is not told."),
+      Number("http", "connections", &settings::http_connections, 0, 1'000'000,
+             "connections",
+             "Of all listeners; 0: the descriptors without those kept for the "
+             "store, peers and agents."),
+      Number("http", "header_bytes", &settings::http_header_bytes, 1'024,
+             1U << 20U, "bytes", "Largest header of a request."),
+      Number("http", "header_fields", &settings::http_header_fields, 16, 10'000,
+             "fields", "Most fields of a header."),
+      Number("http", "header_ms", &settings::http_header_time, 100, 600'000,
+             "ms",
+             "From the first byte of a request to the end of its header."),
+      Number("http", "grace_ms", &settings::http_grace, 100, 600'000, "ms",
+             "What a body or an answer may take beyond the least rate."),
+      Number("http", "bytes_per_s", &settings::http_bytes_per_s, 1, 1U << 30U,
+             "bytes/s", "Least rate of sending a body and reading an answer."),
+      Number("http", "json_depth", &settings::http_json_depth, 4, 32, "levels",
+             "Deepest nesting of what callers and executors send."),
+      Number("http", "json_values", &settings::http_json_values, 100,
+             100'000'000, "values", "Most values in it."),
+  };
+}
+
 std::vector<setting> JobSettings() {
   using settings = process_settings;
   return {
@@ -373,7 +403,8 @@
 const std::vector<setting>& Table() {
   static const std::vector<setting> kTable = [] {
     std::vector<setting> all = ProcessSettings();
-    for (auto part : {PlatformSettings(), RoleSettings(), JobSettings()}) {
+    for (auto part :
+         {PlatformSettings(), RoleSettings(), HttpSettings(), JobSettings()}) {
       all.insert(all.end(), part.begin(), part.end());
     }
     return all;
