--- a/src/chervilkeeld/main.cpp
+++ b/src/chervilkeeld/main.cpp
@@ -82,6 +82,8 @@
   role_type role(core, context);
   http_server_options options;
   options.listen = {core.settings.address, core.settings.http_port};
+  options.admission = core.admission;
+  options.share = {"operators", kOperatorsPercent};
   const auto operators = std::make_shared<http_server>(
       context, options,
       [&](const http_request& request, const http_responder& respond) {
@@ -132,6 +134,9 @@
   role_type role(context, settings, std::move(adapter.value()));
   http_server_options options;
   options.listen = {settings.address, settings.http_port};
+  options.body_limit = 0;
+  options.admission = role.Admission();
+  options.share = {"operators", kOperatorsPercent};
   const auto operators = std::make_shared<http_server>(
       context, options,
       [&](const http_request& request, const http_responder& respond) {
@@ -218,9 +223,14 @@
       "chervilkeeld, the scheduler's daemon.\n"
       "Exit codes: 0 drained, 1 failed to start, 2 bad settings or arguments.");
   std::string config;
+  std::vector<std::string> overrides;
   bool check = false;
   bool list = false;
   app.add_option("--config", config, "The INI file with the settings");
+  app.add_option("--set", overrides,
+                 "SECTION.KEY=VALUE: a setting that the file doesn't have; "
+                 "ignored without a value")
+      ->take_all();
   app.add_flag("--check", check, "Check the settings and exit");
   app.add_flag("--list-settings", list, "List every setting and exit");
   app.set_version_flag("--version", chervilkeel::kVersion);
@@ -237,7 +247,7 @@
     std::fprintf(stderr, "chervilkeeld: --config FILE is missing\n");
     return kExitBadInput;
   }
-  const auto reading = chervilkeel::ReadSettingsFile(config);
+  const auto reading = chervilkeel::ReadSettingsFile(config, overrides);
   if (!reading.found.empty()) {
     std::fputs(chervilkeel::ToText(reading.found, config + ": ").c_str(),
                stderr);
--- a/src/include/chervilkeel/settings.h
+++ b/src/include/chervilkeel/settings.h
@@ -48,6 +48,17 @@
   std::vector<endpoint> entries;
 
   double processors = 1.0;
+  std::uint64_t memory_mb = 0;  // 0: not told.
+
+  std::uint64_t http_budget_mb = 0;    // 0: by the memory.
+  std::uint64_t http_connections = 0;  // 0: by the descriptors.
+  std::uint64_t http_header_bytes = 16'384;
+  std::uint64_t http_header_fields = 256;
+  std::uint64_t http_header_time = 10'000;
+  std::uint64_t http_grace = 10'000;
+  std::uint64_t http_bytes_per_s = 4'096;
+  std::uint64_t http_json_depth = 32;
+  std::uint64_t http_json_values = 131'072;
 
   std::string store_kind = "http";
   endpoint store;
@@ -107,8 +118,15 @@
 // `value` is complete only when there are none.
 settings_reading ReadSettings(std::string_view text);
 
-// Reads settings from a file; one that can't be opened is a finding.
-settings_reading ReadSettingsFile(const std::string& path);
+// Settings given beside a file, each as "SECTION.KEY=VALUE". One without a
+// value is not set, so that a platform can pass on what only some deployments
+// have.
+using setting_overrides = std::vector<std::string>;
+
+// Reads settings from a file and what is given beside it; a file that can't be
+// opened is a finding, and so is a setting that is given twice.
+settings_reading ReadSettingsFile(const std::string& path,
+                                  const setting_overrides& overrides = {});
 
 // Reads "IP:PORT"; returns false when the text is not of that form.
 bool ParseEndpoint(std::string_view text, endpoint& out);
--- a/src/libshell/settings.cpp
+++ b/src/libshell/settings.cpp
@@ -263,6 +263,8 @@
       Decimal("process", "processors", &settings::processors,
               decimal_range::kAboveZero, 1'024, "cores",
               "What this process may use; entries with more own the jobs."),
+      Number("process", "memory_mb", &settings::memory_mb, 0, 10'000'000, "MB",
+             "The memory of this VM; 0: not told."),
       Number("process", "threads", &settings::threads, 1, 64, "threads",
              "The pool that serves HTTP."),
       {"process", "entries", needed_by::kAgent, "IP:PORT, ...",
@@ -333,6 +335,34 @@
   };
 }
 
+std::vector<setting> HttpSettings() {
+  using settings = process_settings;
+  return {
+      Number("http", "budget_mb", &settings::http_budget_mb, 0, 1'000'000, "MB",
+             "What all connections may hold; 0: a quarter of [process] "
+             "memory_mb, or 1024 if that is not told."),
+      Number("http", "connections", &settings::http_connections, 0, 1'000'000,
+             "connections",
+             "Of all listeners; 0: the descriptors without those kept for the "
+             "store, peers and agents."),
+      Number("http", "header_bytes", &settings::http_header_bytes, 1'024,
+             1U << 20U, "bytes", "Largest header of a request."),
+      Number("http", "header_fields", &settings::http_header_fields, 16, 10'000,
+             "fields", "Most fields of a header."),
+      Number("http", "header_ms", &settings::http_header_time, 100, 600'000,
+             "ms",
+             "From the first byte of a request to the end of its header."),
+      Number("http", "grace_ms", &settings::http_grace, 100, 600'000, "ms",
+             "What a body or an answer may take beyond the least rate."),
+      Number("http", "bytes_per_s", &settings::http_bytes_per_s, 1, 1U << 30U,
+             "bytes/s", "Least rate of sending a body and reading an answer."),
+      Number("http", "json_depth", &settings::http_json_depth, 4, 32, "levels",
+             "Deepest nesting of what callers and executors send."),
+      Number("http", "json_values", &settings::http_json_values, 100,
+             100'000'000, "values", "Most values in it."),
+  };
+}
+
 std::vector<setting> JobSettings() {
   using settings = process_settings;
   return {
@@ -393,7 +423,8 @@
 const std::vector<setting>& Table() {
   static const std::vector<setting> kTable = [] {
     std::vector<setting> all = ProcessSettings();
-    for (auto part : {PlatformSettings(), RoleSettings(), JobSettings()}) {
+    for (auto part :
+         {PlatformSettings(), RoleSettings(), HttpSettings(), JobSettings()}) {
       all.insert(all.end(), part.begin(), part.end());
     }
     return all;
@@ -515,7 +546,8 @@
   return reading;
 }
 
-settings_reading ReadSettingsFile(const std::string& path) {
+settings_reading ReadSettingsFile(const std::string& path,
+                                  const setting_overrides& overrides) {
   std::ifstream file(path);
   if (!file) {
     settings_reading reading;
@@ -523,8 +555,22 @@
     return reading;
   }
   std::stringstream text;
-  text << file.rdbuf();
-  return ReadSettings(text.str());
+  text << file.rdbuf() << "\n";
+  findings malformed;
+  for (const std::string& entry : overrides) {
+    const auto equals = entry.find('=');
+    const auto dot = entry.substr(0, equals).find('.');
+    if (equals == std::string::npos || dot == std::string::npos) {
+      malformed.push_back({entry, "is not SECTION.KEY=VALUE"});
+    } else if (equals + 1 < entry.size()) {
+      text << "[" << entry.substr(0, dot) << "]\n"
+           << entry.substr(dot + 1, equals - dot - 1) << " = "
+           << entry.substr(equals + 1) << "\n";
+    }
+  }
+  settings_reading reading = ReadSettings(text.str());
+  reading.found.insert(reading.found.end(), malformed.begin(), malformed.end());
+  return reading;
 }
 
 std::vector<setting_description> DescribeSettings() {
--- a/src/libshell/settings_test.cpp
+++ b/src/libshell/settings_test.cpp
@@ -1,3 +1,7 @@
+#include <filesystem>
+#include <fstream>
+
+#include <unistd.h>
 #include <boost/test/unit_test.hpp>
 
 #include "chervilkeel/settings.h"
@@ -78,6 +82,26 @@
   }
 }
 
+// Guards against a process that does not start where a deployment lacks a value
+// that its platform passes on.
+BOOST_AUTO_TEST_CASE(settings_beside_the_file_are_set_unless_empty) {
+  const auto path = std::filesystem::temp_directory_path() /
+                    ("settings_test-" + std::to_string(::getpid()) + ".ini");
+  std::ofstream(path) << kGood;
+  const auto good = ReadSettingsFile(
+      path, {"jobs.evacuation_ms=5000", "jobs.grant_ms=", "process.rack=r"});
+  BOOST_TEST(good.found.empty());
+  BOOST_TEST(good.value.evacuation_time == 5'000U);
+  BOOST_TEST(good.value.grant == process_settings().grant);
+  BOOST_TEST(good.value.rack == "r");
+  const auto bad = ReadSettingsFile(
+      path, {"process.name=again", "jobs.surprise=1", "no setting"});
+  BOOST_TEST(HasFinding(bad.found, "line 15", "already set on line 4"));
+  BOOST_TEST(HasFinding(bad.found, "line 17", "is not a known setting"));
+  BOOST_TEST(HasFinding(bad.found, "no setting", "SECTION.KEY=VALUE"));
+  std::filesystem::remove(path);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
