--- a/src/libshell/settings_test.cpp
+++ b/src/libshell/settings_test.cpp
@@ -96,8 +96,8 @@
   BOOST_TEST(good.value.rack == "r");
   const auto bad = ReadSettingsFile(
       path, {"process.name=again", "jobs.surprise=1", "no setting"});
-  BOOST_TEST(HasFinding(bad.found, "line 15", "already set on line 4"));
-  BOOST_TEST(HasFinding(bad.found, "line 17", "is not a known setting"));
+  BOOST_TEST(HasFinding(bad.found, "line 14", "already set on line 3"));
+  BOOST_TEST(HasFinding(bad.found, "line 16", "is not a known setting"));
   BOOST_TEST(HasFinding(bad.found, "no setting", "SECTION.KEY=VALUE"));
   std::filesystem::remove(path);
 }
