Reserve workers for large tasks that wait

Cause: large tasks and gangs wait for long where small ones keep coming.

Change: with [jobs] lookahead_ms above 0 (default 0: no decision changes), a large task or gang that has waited for so long and can still end in time gets a worker reserved where capacity is expected first. Other tasks start there only if they don't delay it, have a higher priority or have waited for longer than their own objective (obstacle held). Reservations are given up when the task starts or ends, and when the worker is lost, drains or is evacuated; events room_reserved and room_released, gauges reserved_workers and mean_duration_error. kServiceUtilization moves to the header, and the test of a worker's task limit into a function, as both files use them.

Conclusion: off by default.

--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -239,7 +239,9 @@
             {"filler_runs", summary.best_effort_runs},
             {"filler_milli", summary.best_effort_milli_processors},
             {"pace_percent", summary.mean_pace_percent},
-            {"waiting_tasks", summary.waiting_tasks}},
+            {"waiting_tasks", summary.waiting_tasks},
+            {"reserved_workers", summary.reserved_workers},
+            {"duration_error", summary.mean_duration_error}},
            true);
   metrics_.SetValue("service_images_per_worker",
                     summary.service_images_per_worker);
@@ -248,6 +250,9 @@
   metrics_.SetValue("best_effort_pace_percent", summary.mean_pace_percent);
   metrics_.SetValue("waiting_tasks",
                     static_cast<double>(summary.waiting_tasks));
+  metrics_.SetValue("reserved_workers",
+                    static_cast<double>(summary.reserved_workers));
+  metrics_.SetValue("mean_duration_error", summary.mean_duration_error);
 }
 
 // Schedules one call of Step() for all events that arrive before it.
--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -323,6 +323,7 @@
   options.former_may_act = recovered_.former_may_grant;
   options.epoch = ownership_.epoch;
   options.evacuations = evacuations_;
+  options.lookahead = static_cast<millis>(settings_.lookahead_time);
   const millis now = BootNow();
   auto scheduler = std::make_unique<job_scheduler>(options, now);
   scheduler->on_event = [this](const scheduler_event& event) {
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -16,6 +16,8 @@
 #include "chervilkeel/evacuation_state.h"
 #include "chervilkeel/job.h"
 #include "chervilkeel/pressure_model.h"
+#include "chervilkeel/room_reservations.h"
+#include "chervilkeel/room_timeline.h"
 #include "chervilkeel/worker_health.h"
 #include "chervilkeel/worker_report.h"
 
@@ -49,6 +51,9 @@
   // Null if operators evacuate none; otherwise nothing is started anywhere
   // before a list of them is known.
   std::shared_ptr<const evacuation_state> evacuations;
+  // How long a large task waits before a worker is reserved for it; 0: no
+  // worker is ever reserved.
+  millis lookahead = 0;
   // Switched off only by bench/sharing, to measure the effect of each.
   bool limits_best_effort_pace = true;
   bool learns_interference = true;
@@ -220,6 +225,9 @@
   std::int64_t best_effort_milli_processors = 0;  // At full speed.
   double mean_pace_percent = 100;  // Of the best-effort runs, by their cores.
   std::uint64_t waiting_tasks = 0;
+  std::uint64_t reserved_workers = 0;  // For large tasks that wait.
+  // Of the durations that are expected of runs, as a fraction of the actual.
+  double mean_duration_error = 0;
 };
 
 // Orders to agents whose outcome the scheduler has not heard for long: their
@@ -248,6 +256,7 @@
   kPace,          // Its services leave a best-effort task too little.
   kEvacuated,     // Its data centre is being evacuated.
   kEvacuationUnknown,  // Whether it is, has not been read yet.
+  kHeld,               // The task would delay one for which it is reserved.
 };
 
 struct start_obstacle_name {
@@ -270,6 +279,7 @@
     {start_obstacle::kPace, "pace"},
     {start_obstacle::kEvacuated, "evacuated"},
     {start_obstacle::kEvacuationUnknown, "evacuation_unknown"},
+    {start_obstacle::kHeld, "held"},
 };
 
 const char* NameOf(start_obstacle obstacle);
@@ -793,6 +803,56 @@
   void MoveStuckTasks(millis now);
   void MoveThrottledTasks(millis now);
 
+  // job_scheduler_lookahead.cpp: workers reserved for large tasks that wait.
+  static worker_room RoomOf(const scheduled_worker& worker);
+  static task_need NeedOf(const job_step& step);
+  static std::string DurationGroup(const scheduled_job& job,
+                                   const job_step& step);
+  // Whether a worker has all tasks of a step that may run there.
+  static bool IsAtTaskLimit(const scheduled_worker& worker,
+                            const job_step& step,
+                            const task_name& key);
+  room_timeline TimelineOf(const scheduled_worker& worker, millis now);
+  // Returns by when a task that starts now has surely ended; nothing for a
+  // service.
+  std::optional<millis> LatestEnd(const scheduled_job& job,
+                                  const job_step& step,
+                                  millis now) const;
+  // Gives up reservations that have become pointless, and updates the others.
+  void UpdateReservations(millis now);
+  std::optional<reservation_end> FindEnd(const room_reservation& reservation,
+                                         millis now);
+  // Reserves a worker for a task that has found none, or as many as the tasks
+  // of a gang need, if it is large, has waited for long enough and can still
+  // end in time. Reservations for late ones gained nothing in bench/sharing.
+  void ReserveRoom(const waiting_step& waiting,
+                   std::uint32_t index,
+                   millis now);
+  // Returns workers that could be reserved for a step, with the given need on
+  // each. Empty if one of them takes a task now.
+  std::vector<room_offer> FindOffers(const scheduled_job& job,
+                                     const task_name& key,
+                                     const task_need& need,
+                                     millis now);
+  // Whether a task would delay the one for which the worker is reserved.
+  bool IsHeld(const scheduled_worker& worker,
+              const scheduled_job& job,
+              const task_name& key,
+              millis now);
+  void NoteStartForReservations(const scheduled_worker& worker,
+                                const scheduled_job& job,
+                                const task_name& key,
+                                millis now);
+  // Learns from a run that is done how long tasks take.
+  void LearnDuration(const scheduled_job& job,
+                     const task_name& key,
+                     const task_run& run,
+                     millis now);
+  bool BeganAnew(const task_run& run) const;
+  void EmitReleased(const room_reservation& reservation,
+                    reservation_end cause,
+                    millis now) const;
+
   // job_scheduler_sharing.cpp: best-effort tasks colocated with services.
   struct service_run {
     task_name name;
@@ -970,6 +1030,9 @@
   // full speed or more.
   static constexpr double kMinStartPace = 0.5;
 
+  // Fraction of its reserved cores that a service uses most of the time.
+  static constexpr double kServiceUtilization = 0.6;
+
   // Orders without an outcome and jobs without runs are reported after it.
   static constexpr millis kOverdueTime = 2'000;
 
@@ -1041,6 +1104,8 @@
   std::map<std::string, std::size_t> waiting_suspects_;
   std::set<std::string> repeating_jobs_;  // Jobs with occurrences to come.
   pressure_model pressure_model_;
+  duration_model durations_;
+  room_reservations reservations_;
   std::int64_t wall_ms_ = 0;
   std::uint64_t rotation_ = 0;
 };
--- a/src/include/chervilkeel/settings.h
+++ b/src/include/chervilkeel/settings.h
@@ -91,6 +91,7 @@
   std::uint64_t answer_time = 1'000;
   std::uint64_t job_commit_interval = 20;
   std::uint64_t evacuation_time = 0;  // 0: no evacuations.
+  std::uint64_t lookahead_time = 0;   // 0: no worker is reserved.
 
   std::string log_level = "info";
 };
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -32,9 +32,6 @@
 // Delay between the decision to start a task and its start by the executor, ms.
 constexpr millis kStartDelay = 50;
 
-// Fraction of its reserved cores that a service uses most of the time.
-constexpr double kServiceUtilization = 0.6;
-
 // After waiting for kMaxWaitForPace (ms) a best-effort task starts on any
 // worker, whatever its pace there; the first task of a job without runs already
 // does so after kMaxWaitOfIdleJob (ms), so that every job makes progress.
@@ -110,6 +107,7 @@
   run.estimated_start = now + kStartDelay;
   run.percent_changed_at = now;
   task.runs.push_back(run);
+  NoteStartForReservations(worker, job, key, now);
   ReserveResources(worker, job, key);
   if (worker.health.IsSuspect()) {
     worker.health.OnProbe(now);
@@ -322,6 +320,7 @@
     return !places_best_effort &&
            waiting.job->record.spec.steps[waiting.step_index].filler;
   });
+  UpdateReservations(now);
   StartOverdueTrials(steps, now);
   for (const waiting_step& waiting : steps) {
     const job_step& step = waiting.job->record.spec.steps[waiting.step_index];
@@ -351,7 +350,8 @@
 bool job_scheduler::PlaceTasks(const waiting_step& waiting, millis now) {
   scheduled_job& job = *waiting.job;
   const bool is_best_effort = job.record.spec.steps[waiting.step_index].filler;
-  task_name key{job.record.id, waiting.occurrence, waiting.step_index, 0};
+  task_name key{job.record.id, waiting.occurrence, waiting.step_index,
+                waiting.tasks.front()};
   auto& tasks = job.occurrences.at(key.occurrence).steps[key.step].tasks;
   StartTrials(waiting, suspect_kind::kFirst, now);
   std::vector<candidate> candidates =
@@ -365,6 +365,7 @@
     candidate* best = BestCandidate(
         candidates, key, task, is_best_effort ? MaxWaitForPace(job) : 0, now);
     if (best == nullptr) {
+      ReserveRoom(waiting, index, now);
       return false;
     }
     OrderStart(*best->worker, job, key, task, NextRunNumber(task), now);
@@ -409,6 +410,7 @@
         {job.record.id, waiting.occurrence, waiting.step_index, i});
   }
   if (chosen.size() < step.tasks.size()) {
+    ReserveRoom(waiting, 0, now);
     return;
   }
   // Members share one checkpoint: each starts from the greatest one of them.
@@ -501,14 +503,8 @@
   if (!HasConsent()) {
     return start_obstacle::kNoConsent;
   }
-  if (step.most_per_worker > 0) {
-    const auto first = worker.tasks.lower_bound(
-        task_name{key.job, key.occurrence, key.step, 0});
-    const auto last = worker.tasks.upper_bound(
-        task_name{key.job, key.occurrence, key.step, kMaxTasksPerStep});
-    if (std::distance(first, last) >= step.most_per_worker) {
-      return start_obstacle::kTaskLimit;
-    }
+  if (IsAtTaskLimit(worker, step, key)) {
+    return start_obstacle::kTaskLimit;
   }
   return std::nullopt;
 }
@@ -537,7 +533,8 @@
     start_kind kind,
     millis now) {
   if ((kind == start_kind::kNormal && IsReserved(worker, now)) ||
-      FindObstacle(worker, job, step_key, now)) {
+      FindObstacle(worker, job, step_key, now) ||
+      (kind == start_kind::kNormal && IsHeld(worker, job, step_key, now))) {
     return std::nullopt;
   }
   const job_step& step = job.record.spec.steps[step_key.step];
--- a/src/libkernel/job_scheduler_reports.cpp
+++ b/src/libkernel/job_scheduler_reports.cpp
@@ -90,6 +90,9 @@
     if (!obstacle && !task.is_suspect && IsReserved(worker, now)) {
       obstacle = start_obstacle::kReserved;
     }
+    if (!obstacle && IsHeld(worker, job, key, now)) {
+      obstacle = start_obstacle::kHeld;
+    }
     if (!obstacle && step.filler && found.waited < MaxWaitForPace(job) &&
         PaceAlongsideServices(worker, step, now) < kMinStartPace) {
       obstacle = start_obstacle::kPace;
--- a/src/libkernel/job_scheduler_sharing.cpp
+++ b/src/libkernel/job_scheduler_sharing.cpp
@@ -109,6 +109,8 @@
 
 sharing_summary job_scheduler::SummarizeSharing() {
   sharing_summary summary;
+  summary.reserved_workers = reservations_.ByWorker().size();
+  summary.mean_duration_error = durations_.MeanError();
   std::uint64_t shared_workers = 0;
   std::size_t images = 0;
   double paced_milli_processors = 0;
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -443,6 +443,9 @@
   task->highest_run = std::max(task->highest_run, ended.run);
   task_run unknown_run;
   NoteBegun(job, tracked_run != task->runs.end() ? *tracked_run : unknown_run);
+  if (tracked_run != task->runs.end() && ended.end == run_end::kDone) {
+    LearnDuration(job, ended.task, *tracked_run, now);
+  }
   RemoveRun(ended.task, worker.agent, ended.run, now);
   Emit("run_ended", ended.task.ToString(), worker.agent,
        RunDetail(ended.run) + " end=" + NameOf(ended.end) +
--- a/src/libshell/settings.cpp
+++ b/src/libshell/settings.cpp
@@ -367,6 +367,10 @@
              "Within this time of an operator's request to evacuate a data "
              "centre no task is started there any more; 0: such requests are "
              "not followed."),
+      Number("jobs", "lookahead_ms", &settings::lookahead_time, 0, 600'000,
+             "ms",
+             "How long a large task waits before a worker is reserved for it; "
+             "0: none ever is."),
   };
 }
 
