Compare ways to place tasks of mixed sizes

Cause: it was open which way of looking ahead lets large tasks wait least without keeping small ones waiting.

--- a/bench/costs/decision_costs.cpp
+++ b/bench/costs/decision_costs.cpp
@@ -14,6 +14,7 @@
 #include <benchmark/benchmark.h>
 
 #include "chervilkeel/agent_core.h"
+#include "chervilkeel/job_scheduler.h"
 #include "chervilkeel/placement.h"
 #include "chervilkeel/upstream_table.h"
 
@@ -24,7 +25,9 @@
 constexpr std::size_t kTasksOnAWorker = 8;
 constexpr std::int64_t kSmallCell = 11;  // Of a house today.
 constexpr std::int64_t kLargeCell = 45;  // Of 2,600 workers in 58 cells.
-constexpr std::int64_t kFleet = 2'600;   // Upstreams that an entry knows.
+constexpr std::int64_t kFewSteps = 50;   // That wait.
+constexpr std::int64_t kManySteps = 200;
+constexpr std::int64_t kFleet = 2'600;  // Upstreams that an entry knows.
 
 void PlaceTask(benchmark::State& state) {
   const auto workers = static_cast<std::size_t>(state.range(0));
@@ -115,6 +118,56 @@
   }
 }
 
+// A pass over waiting steps for which no worker has room. Every fourth task is
+// large; the runs end while some of the workers are reserved.
+void PlaceBacklog(benchmark::State& state, millis lookahead) {
+  scheduler_options options;
+  options.lookahead = lookahead;
+  options.grant = 1'000'000'000;
+  job_scheduler scheduler(options, 0);
+  scheduling_config config;
+  config.version = 1;
+  config.queues["batch"].name = "batch";
+  config.queues["batch"].service = "cutting";
+  config.queues["batch"].stretch = 100;  // Nothing is reserved for late tasks.
+  scheduler.SetConfig(config);
+  millis now = 1'000;
+  for (std::int64_t i = 0; i < state.range(0); ++i) {
+    worker_report report;
+    report.agent = "agent-" + std::to_string(i);
+    report.worker.boot = {report.agent, 5};
+    report.worker.service = "cutting";
+    report.worker.capacity = {8'000, 64'000, 0};
+    report.has_runs = true;
+    scheduler.OnReport(report, now);
+  }
+  while (const auto changes = scheduler.TakeChanges(now)) {
+    scheduler.Committed(changes->number);
+  }
+  const auto add = [&](std::int64_t number, std::int64_t milli) {
+    job_record record;
+    record.id = "job" + std::to_string(number);
+    record.queue = config.queues["batch"];
+    job_step step;
+    step.tasks = 1;
+    step.size = {milli, 100, 0};
+    step.expected = 50'000;
+    record.spec.steps.push_back(step);
+    scheduler.AddJob(record, now);
+  };
+  const std::int64_t running = 8 * state.range(0);
+  for (std::int64_t i = 0; i < running + state.range(1); ++i) {
+    add(i, i >= running && i % 4 == 0 ? 4'000 : 1'000);
+    if (i + 1 == running) {
+      scheduler.Tick(now, now);
+    }
+  }
+  for (auto _ : state) {
+    now += 100;
+    scheduler.Tick(now, now);
+  }
+}
+
 void Register(std::int64_t decisions) {
   const auto add = [decisions](const char* name, auto function,
                                const std::vector<std::int64_t>& sizes) {
@@ -128,6 +181,16 @@
   };
   add("placement", PlaceTask, {kSmallCell, kLargeCell});
   add("upstream", ChooseUpstream, {kSmallCell, kFleet});
+  for (const auto& [name, lookahead] :
+       {std::pair("backlog", millis{0}), std::pair("lookahead", millis{300})}) {
+    auto* entry = benchmark::RegisterBenchmark(name, PlaceBacklog, lookahead)
+                      ->Args({kSmallCell, kFewSteps})
+                      ->Args({kLargeCell, kFewSteps})
+                      ->Args({kLargeCell, kManySteps});
+    if (decisions > 0) {
+      entry->Iterations(decisions);
+    }
+  }
   add("control", StepControl, {static_cast<std::int64_t>(kTasksOnAWorker)});
 }
 
--- a/bench/sharing/sharing_scenarios.h
+++ b/bench/sharing/sharing_scenarios.h
@@ -50,7 +50,22 @@
     .burst = 2.5,
     .length = 45'000};
 
+// A fifth of the batch jobs has tasks that need a third of a worker.
+inline constexpr sharing_scenario kMixedSizes = {.name = "mixed_sizes",
+                                                 .workers = 37,
+                                                 .tasks_per_service = 14,
+                                                 .batch_jobs_a_second = 5.5,
+                                                 .large_jobs = 0.2};
+
+// The same with more work than can be done in time.
+inline constexpr sharing_scenario kMixedOverload = {.name = "mixed_overload",
+                                                    .workers = 37,
+                                                    .tasks_per_service = 14,
+                                                    .batch_jobs_a_second = 8,
+                                                    .large_jobs = 0.2};
+
 inline constexpr sharing_scenario kSharingScenarios[] = {
-    kCalmDay, kBurstOfBatch, kGrownHouse, kSurgeOnFullHouse};
+    kCalmDay,          kBurstOfBatch, kGrownHouse,
+    kSurgeOnFullHouse, kMixedSizes,   kMixedOverload};
 
 }  // namespace chervilkeel::bench
--- a/bench/sharing/sharing_world.cpp
+++ b/bench/sharing/sharing_world.cpp
@@ -29,6 +29,8 @@
 constexpr double kWorthlessAfter = 3.0;  // Objectives.
 constexpr double kOverCounts = 4.0;
 constexpr double kKnownVariance = 1e-4;  // Of a factor that was revealed.
+constexpr millis kLookahead = 300;
+constexpr std::int64_t kLargeMultiple = 4;
 constexpr double kWork = 0.7;  // Part of a job's worth that goes by its work.
 
 }  // namespace
@@ -46,6 +48,8 @@
             options.limits_best_effort_pace =
                 policy != sharing_policy::kNoPacing;
             options.orders_by_value = policy != sharing_policy::kFifo;
+            options.lookahead =
+                policy == sharing_policy::kLookahead ? kLookahead : 0;
             return options;
           }(),
           0) {
@@ -61,6 +65,15 @@
     config.queues[name] = queue;
   }
   scheduler_.SetConfig(config);
+  scheduler_.on_event = [this](const scheduler_event& event) {
+    const std::string key = " waited_ms=";
+    const auto found = event.detail.find(key);
+    if (event.event == std::string("start_ordered") &&
+        event.subject[0] == 'b' && found != std::string::npos) {
+      waits_.emplace_back(event.subject.substr(0, event.subject.find('.')),
+                          std::stod(event.detail.substr(found + key.size())));
+    }
+  };
   for (std::uint32_t i = 0; i < scenario_.workers; ++i) {
     fake_worker worker;
     worker.agent = "agent-" + std::to_string(i);
@@ -127,6 +140,11 @@
   record.queue.name = "batch";
   record.queue.service = "cutting";
   record.accepted_ms = kWall + now_;
+  const bool is_large =
+      scenario_.large_jobs > 0 && Uniform(0, 1) < scenario_.large_jobs;
+  if (is_large) {
+    large_jobs_.insert(record.id);
+  }
   const auto steps = 1 + random_() % 3;
   double chain = 0;
   double core_ms = 0;
@@ -138,6 +156,10 @@
         static_cast<std::int64_t>(static_cast<double>(scenario_.batch_milli) *
                                   Uniform(0.7, 1.3)),
         3'200, 0};
+    if (is_large) {
+      step.size.milli_processors *= kLargeMultiple;
+      step.tasks = (step.tasks + kLargeMultiple - 1) / kLargeMultiple;
+    }
     step.filler = true;
     step.checkpoints = true;
     step.image = "b" + std::to_string(random_() % scenario_.batch_images);
@@ -363,6 +385,17 @@
   }
 }
 
+double sharing_world::WaitOf(bool is_large) const {
+  std::vector<double> waits;
+  for (const auto& [job, waited] : waits_) {
+    if ((large_jobs_.count(job) != 0) == is_large) {
+      waits.push_back(waited);
+    }
+  }
+  std::sort(waits.begin(), waits.end());
+  return waits.empty() ? 0 : waits[waits.size() * 9 / 10];
+}
+
 sharing_figures sharing_world::Play() {
   if (policy_ == sharing_policy::kKnownFactors) {
     RevealFactors();
@@ -409,6 +442,8 @@
     owed += job.ended || over ? job.worth : 0;
   }
   figures_.batch /= std::max(owed, 1e-9);
+  figures_.large_wait = WaitOf(true);
+  figures_.small_wait = WaitOf(false);
   figures_.over_seconds = over_ms_ / 1e3;
   figures_.services = 1 - kOverCounts * over_ms_ / std::max(service_ms_, 1.0);
   figures_.batch_cores = batch_core_ms_ / static_cast<double>(scenario_.length);
--- a/bench/sharing/sharing_world.h
+++ b/bench/sharing/sharing_world.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,7 +24,8 @@
   // Knows the factor of each pair from the start: what better learning could
   // gain at most.
   kKnownFactors,
-  kFifo,  // Jobs of one priority go in the order in which they came.
+  kFifo,       // Jobs of one priority go in the order in which they came.
+  kLookahead,  // Reserves workers for large tasks that wait.
 };
 
 struct sharing_policy_name {
@@ -37,6 +39,7 @@
     {sharing_policy::kNoLearning, "no learning"},
     {sharing_policy::kKnownFactors, "known pairs"},
     {sharing_policy::kFifo, "one FIFO"},
+    {sharing_policy::kLookahead, "lookahead"},
 };
 
 // Rates are a second, sizes in thousandths of a core.
@@ -57,7 +60,9 @@
   // times the typical one of its step.
   double estimate_error = 0.2;
   double straggler = 1;
-  double stragglers = 0;     // Share of the tasks that are.
+  double stragglers = 0;  // Share of the tasks that are.
+  // Share of the batch jobs whose tasks are four times as large.
+  double large_jobs = 0;
   double heavy_pairs = 0.4;  // Share of the pairs that press at all.
   millis burst_from = 0;     // Batch jobs come `burst` times as often.
   millis burst_until = 0;
@@ -73,6 +78,9 @@
   millis longest_over = 0;  // Of one service task on end.
   double batch_cores = 0;   // Mean.
   std::uint64_t batch_stops = 0;
+  // Waits of batch tasks, 90th percentile, ms: of large jobs and of the others.
+  double large_wait = 0;
+  double small_wait = 0;
 };
 
 class sharing_world {
@@ -135,6 +143,9 @@
   void Report(fake_worker& worker);
   void TakeOrders(fake_worker& worker);
   void NoteEndedJobs();
+  // The 90th percentile of the waits of large or other batch tasks. Tasks that
+  // still wait are left out.
+  double WaitOf(bool is_large) const;
 
   sharing_scenario scenario_;
   sharing_policy policy_;
@@ -150,6 +161,8 @@
   double service_ms_ = 0;
   double over_ms_ = 0;
   double batch_core_ms_ = 0;
+  std::set<std::string> large_jobs_;
+  std::vector<std::pair<std::string, double>> waits_;  // Of a job's tasks, ms.
   sharing_figures figures_;
 };
 
