--- a/bench/sharing/sharing_scenarios.h
+++ b/bench/sharing/sharing_scenarios.h
@@ -69,9 +69,23 @@
 inline constexpr sharing_scenario kSurgeOfSlowStops =
     WithMoveTimes(kSurgeOnFullHouse, "surge_slow_stops", {900, 250, 2'000});
 
+// A fifth of the batch jobs has tasks that need a third of a worker.
+inline constexpr sharing_scenario kMixedSizes = {.name = "mixed_sizes",
+                                                 .workers = 37,
+                                                 .tasks_per_service = 14,
+                                                 .batch_jobs_a_second = 5.5,
+                                                 .large_jobs = 0.2};
+
+// The same with more work than can be done in time.
+inline constexpr sharing_scenario kMixedOverload = {.name = "mixed_overload",
+                                                    .workers = 37,
+                                                    .tasks_per_service = 14,
+                                                    .batch_jobs_a_second = 8,
+                                                    .large_jobs = 0.2};
+
 inline constexpr sharing_scenario kSharingScenarios[] = {
-    kCalmDay,          kBurstOfBatch,       kGrownHouse,
-    kSurgeOnFullHouse, kCalmDayOfSlowStops, kGrownHouseOfSlowStops,
-    kSurgeOfSlowStops};
+    kCalmDay,          kBurstOfBatch,          kGrownHouse,
+    kSurgeOnFullHouse, kCalmDayOfSlowStops,    kGrownHouseOfSlowStops,
+    kSurgeOfSlowStops, kMixedSizes,            kMixedOverload};
 
 }  // namespace chervilkeel::bench
--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -327,6 +327,7 @@
   options.moves.restore = static_cast<millis>(settings_.restore_time);
   options.moves.checkpoint_interval =
       static_cast<millis>(settings_.checkpoint_interval * 1'000);
+  options.lookahead = static_cast<millis>(settings_.lookahead_time);
   const millis now = BootNow();
   auto scheduler = std::make_unique<job_scheduler>(options, now);
   scheduler->on_event = [this](const scheduler_event& event) {
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -18,6 +18,8 @@
 #include "chervilkeel/job.h"
 #include "chervilkeel/move_cost.h"
 #include "chervilkeel/pressure_model.h"
+#include "chervilkeel/room_reservations.h"
+#include "chervilkeel/room_timeline.h"
 #include "chervilkeel/worker_health.h"
 #include "chervilkeel/worker_report.h"
 
@@ -53,6 +55,9 @@
   std::shared_ptr<const evacuation_state> evacuations;
   // What a move of a throttled best-effort task costs in this deployment.
   move_times moves;
+  // How long a large task waits before a worker is reserved for it; 0: no
+  // worker is ever reserved.
+  millis lookahead = 0;
   // Switched off only by bench/sharing, to measure the effect of each.
   bool limits_best_effort_pace = true;
   bool learns_interference = true;
@@ -227,6 +232,9 @@
   std::int64_t best_effort_milli_processors = 0;  // At full speed.
   double mean_pace_percent = 100;  // Of the best-effort runs, by their cores.
   std::uint64_t waiting_tasks = 0;
+  std::uint64_t reserved_workers = 0;  // For large tasks that wait.
+  // Of the durations that are expected of runs, as a fraction of the actual.
+  double mean_duration_error = 0;
 };
 
 // Orders to agents whose outcome the scheduler has not heard for long: their
@@ -255,6 +263,7 @@
   kPace,          // Its services leave a best-effort task too little.
   kEvacuated,     // Its data centre is being evacuated.
   kEvacuationUnknown,  // Whether it is, has not been read yet.
+  kHeld,               // The task would delay one for which it is reserved.
 };
 
 struct start_obstacle_name {
@@ -277,6 +286,7 @@
     {start_obstacle::kPace, "pace"},
     {start_obstacle::kEvacuated, "evacuated"},
     {start_obstacle::kEvacuationUnknown, "evacuation_unknown"},
+    {start_obstacle::kHeld, "held"},
 };
 
 const char* NameOf(start_obstacle obstacle);
@@ -814,6 +824,56 @@
                    const scheduled_worker* new_worker,
                    double new_pace);
 
+  // job_scheduler_lookahead.cpp: workers reserved for large tasks that wait.
+  static worker_room RoomOf(const scheduled_worker& worker);
+  static task_need NeedOf(const job_step& step);
+  static std::string DurationGroup(const scheduled_job& job,
+                                   const job_step& step);
+  // Whether a worker has all tasks of a step that may run there.
+  static bool IsAtTaskLimit(const scheduled_worker& worker,
+                            const job_step& step,
+                            const task_name& key);
+  room_timeline TimelineOf(const scheduled_worker& worker, millis now);
+  // Returns by when a task that starts now has surely ended; nothing for a
+  // service.
+  std::optional<millis> LatestEnd(const scheduled_job& job,
+                                  const job_step& step,
+                                  millis now) const;
+  // Gives up reservations that have become pointless, and updates the others.
+  void UpdateReservations(millis now);
+  std::optional<reservation_end> FindEnd(const room_reservation& reservation,
+                                         millis now);
+  // Reserves a worker for a task that has found none, or as many as the tasks
+  // of a gang need, if it is large, has waited for long enough and can still
+  // end in time. Reservations for late ones gained nothing in bench/sharing.
+  void ReserveRoom(const waiting_step& waiting,
+                   std::uint32_t index,
+                   millis now);
+  // Returns workers that could be reserved for a step, with the given need on
+  // each. Empty if one of them takes a task now.
+  std::vector<room_offer> FindOffers(const scheduled_job& job,
+                                     const task_name& key,
+                                     const task_need& need,
+                                     millis now);
+  // Whether a task would delay the one for which the worker is reserved.
+  bool IsHeld(const scheduled_worker& worker,
+              const scheduled_job& job,
+              const task_name& key,
+              millis now);
+  void NoteStartForReservations(const scheduled_worker& worker,
+                                const scheduled_job& job,
+                                const task_name& key,
+                                millis now);
+  // Learns from a run that is done how long tasks take.
+  void LearnDuration(const scheduled_job& job,
+                     const task_name& key,
+                     const task_run& run,
+                     millis now);
+  bool BeganAnew(const task_run& run) const;
+  void EmitReleased(const room_reservation& reservation,
+                    reservation_end cause,
+                    millis now) const;
+
   // job_scheduler_sharing.cpp: best-effort tasks colocated with services.
   struct service_run {
     task_name name;
@@ -991,6 +1051,9 @@
   // full speed or more.
   static constexpr double kMinStartPace = 0.5;
 
+  // Fraction of its reserved cores that a service uses most of the time.
+  static constexpr double kServiceUtilization = 0.6;
+
   // Orders without an outcome and jobs without runs are reported after it.
   static constexpr millis kOverdueTime = 2'000;
 
@@ -1063,6 +1126,8 @@
   std::set<std::string> repeating_jobs_;  // Jobs with occurrences to come.
   pressure_model pressure_model_;
   move_counts move_counts_;  // Since the last TakeMoveCounts().
+  duration_model durations_;
+  room_reservations reservations_;
   std::int64_t wall_ms_ = 0;
   std::uint64_t rotation_ = 0;
 };
--- a/src/include/chervilkeel/settings.h
+++ b/src/include/chervilkeel/settings.h
@@ -105,6 +105,7 @@
   std::uint64_t stop_time = 0;        // 0: not known.
   std::uint64_t restore_time = 0;     // 0: not known.
   double checkpoint_interval = 0;     // In s; 0: not known.
+  std::uint64_t lookahead_time = 0;   // 0: no worker is reserved.
 
   std::string log_level = "info";
 };
--- a/src/libshell/settings.cpp
+++ b/src/libshell/settings.cpp
@@ -417,6 +417,10 @@
       Decimal("jobs", "checkpoint_s", &settings::checkpoint_interval,
               decimal_range::kFromZero, 3'600, "s",
               "Between two checkpoints of a run; 0: not known."),
+      Number("jobs", "lookahead_ms", &settings::lookahead_time, 0, 600'000,
+             "ms",
+             "How long a large task waits before a worker is reserved for it; "
+             "0: none ever is."),
   };
 }
 
