Take the options of a scheduler by value and move them; drop a duplicate policy

The options hold a shared pointer since evacuations, and the linter refused the copy. The merge of two policies of sharing_bench had left one of them twice.

--- a/bench/sharing/sharing_world.h
+++ b/bench/sharing/sharing_world.h
@@ -27,7 +27,6 @@
   kFifo,  // Jobs of one priority go in the order in which they came.
   // Isn't told the times of a stop, a restore and a checkpoint.
   kUnknownMoveTimes,
-  kFifo,       // Jobs of one priority go in the order in which they came.
   kLookahead,  // Reserves workers for large tasks that wait.
 };
 
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -3,11 +3,13 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace chervilkeel {
 
 job_scheduler::job_scheduler(scheduler_options options, millis now)
-    : options_(options), former_may_act_(options.former_may_act) {
+    : options_(std::move(options)),
+      former_may_act_(options_.former_may_act) {
   next_pace_update_ = now;
 }
 
