--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -8,8 +8,7 @@
 namespace chervilkeel {
 
 job_scheduler::job_scheduler(scheduler_options options, millis now)
-    : options_(std::move(options)),
-      former_may_act_(options_.former_may_act) {
+    : options_(std::move(options)), former_may_act_(options_.former_may_act) {
   next_pace_update_ = now;
 }
 
