--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -20,7 +20,7 @@
 // vouching for what runs there, or the tasks would never start elsewhere.
 BOOST_AUTO_TEST_CASE(executor_that_gives_no_lists_is_vouched_for_no_more) {
   Announce();
-  RunUntil([this] { return not_obeying > 0; });
+  RunForUntil([this] { return not_obeying > 0; });
   BOOST_TEST(obeying > 0);
   BOOST_TEST(not_obeying > 0);
 }
