--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -248,6 +248,7 @@
   static constexpr int kAgents = 11;
   static constexpr ms kEntryMemory = 260;  // MB, as on SYSTEM.md's sheet.
   static constexpr ms kAgentMemory = 128;
+  static constexpr ms kMegabyte = 1'048'576;
   static constexpr ms kRestartDelay = 500;
 
  private:
