--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -7,7 +7,7 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 cd "$root" || exit 2
-timeout -s KILL 118 build/review-3/standin crashes "$root" "$folder" \
+timeout -s KILL 118 build/review-3/standin small-tasks "$root" "$folder" \
   "$case/record.txt" "${TROUBLE:-1}"
 code=$?
 [ "$code" -le 2 ] || code=2
--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -796,28 +796,41 @@
   }
 }
 
+json::object executor::Announcement(std::uint64_t sequence) const {
+  return {{"service", kService},
+          {"address", ip_ + ":" + std::to_string(port_)},
+          {"zone", zone_},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state", "ready"},
+          {"cold_remaining_ms", 0},
+          {"capacity",
+           json::object{{"cpu", kCpu}, {"mem_mb", kMemory}, {"gpu", 0}}},
+          {"labels", json::array{"a", "r1-" + std::to_string(number_ / 3)}},
+          {"born", born_},
+          {"clock_ms", Clock()},
+          {"sequence", sequence}};
+}
+
 asio::awaitable<void> executor::Announce(int boot) {
   while (boot == boot_) {
-    json::object body{
-        {"service", kService},
-        {"address", ip_ + ":" + std::to_string(port_)},
-        {"zone", zone_},
-        {"version", "v1"},
-        {"slots", 8},
-        {"state", "ready"},
-        {"cold_remaining_ms", 0},
-        {"capacity",
-         json::object{{"cpu", kCpu}, {"mem_mb", kMemory}, {"gpu", 0}}},
-        {"labels", json::array{"a", "r1-" + std::to_string(number_ / 3)}},
-        {"born", born_},
-        {"clock_ms", Clock()},
-        {"sequence", ++sequence_}};
     co_await Call(ip_, agent_port_, "PUT", "/instances/" + id_, ip_,
-                  json::serialize(body), 1'000);
+                  json::serialize(Announcement(++sequence_)), 1'000);
     co_await Sleep(1'100);
   }
 }
 
+asio::awaitable<void> executor::AnnounceByOther() {
+  constexpr std::uint64_t kAhead = 1'000;
+  json::object body = Announcement(sequence_ + kAhead);
+  body["service"] = "other-service";
+  const answer got =
+      co_await Call(ip_, agent_port_, "PUT", "/instances/" + id_, ip_,
+                    json::serialize(body), 1'000);
+  log_.Line("report by another writer about " + id_ + ": " +
+            json::serialize(body) + " -> " + std::to_string(got.status));
+}
+
 // Processes.
 
 fleet::fleet(asio::io_context& context, record& log, std::string root,
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -153,6 +153,9 @@
   bool Start();
   // Ends without notice, and comes back as another boot after `down`.
   asio::awaitable<void> Crash(ms down);
+  // Another writer sends a report about this executor: a service that the
+  // configuration doesn't name, and a sequence of its own.
+  asio::awaitable<void> AnnounceByOther();
   const std::vector<std::shared_ptr<seen_run>>& Runs() const { return seen_; }
   bool IsUp() const { return up_; }
   int Number() const { return number_; }
@@ -195,6 +198,7 @@
   void Lapse();
   json::object Listing() const;
   asio::awaitable<void> Tick(int boot);
+  json::object Announcement(std::uint64_t sequence) const;
   asio::awaitable<void> Announce(int boot);
 
   asio::io_context& context_;
