--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -8,7 +8,10 @@
 trap 'rm -rf "$folder"' EXIT
 cd "$root" || exit 2
 timeout -s KILL 118 build/review-3/standin other-writer "$root" "$folder" \
-  "$case/record.txt" "${TROUBLE:-1}"
+  "$case/record.txt" "${TROUBLE:-1}" &
+pid=$!
+trap 'kill "$pid"' INT TERM
+wait "$pid"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standin-3/scenarios.cpp
+++ b/review/standin-3/scenarios.cpp
@@ -199,6 +199,17 @@
   co_return unknown + silent + (is_spare ? idle : 0);
 }
 
+// The exit code: without any job that was completed, nothing was shown.
+asio::awaitable<int> Judge(play& played, client& caller,
+                           std::list<ordinary_job>& jobs) {
+  const int lost = co_await CountLost(played, caller, jobs);
+  const bool was_served =
+      std::any_of(jobs.begin(), jobs.end(), [](const ordinary_job& job) {
+        return job.made->state == "completed";
+      });
+  co_return lost > 0 ? 1 : was_served ? 0 : 2;
+}
+
 // Hands in an ordinary job each `interval` until `until`.
 asio::awaitable<void> HandIn(play& played, client& caller,
                              std::list<ordinary_job>& jobs, ms until,
@@ -258,12 +269,7 @@
   co_await HandIn(played, caller, jobs, Now() + traffic - kTroubleAt, 250,
                   tasks, 300);
   co_await Sleep(kFinish);
-  const int lost = co_await CountLost(played, caller, jobs);
-  const bool was_served =
-      std::any_of(jobs.begin(), jobs.end(), [](const ordinary_job& job) {
-        return job.made->state == "completed";
-      });
-  co_return lost > 0 ? 1 : was_served ? 0 : 2;
+  co_return co_await Judge(played, caller, jobs);
 }
 
 asio::awaitable<int> ManyFields(play& played) {
@@ -326,7 +332,7 @@
       large.begin(), large.end(), [](const auto& job) { return job->accepted; });
   played.log.Say("large requests sent " + std::to_string(large.size()) +
                  ", accepted " + std::to_string(accepted));
-  co_return co_await CountLost(played, caller, jobs) > 0 ? 1 : 0;
+  co_return co_await Judge(played, caller, jobs);
 }
 
 // Beside ordinary jobs, one report by another writer about each executor.
@@ -345,7 +351,7 @@
   co_await HandIn(played, caller, jobs, Now() + kTraffic - kTroubleAt, 250,
                   tasks, 300);
   co_await Sleep(kFinish);
-  co_return co_await CountLost(played, caller, jobs) > 0 ? 1 : 0;
+  co_return co_await Judge(played, caller, jobs);
 }
 
 }  // namespace
