Hold an object only for tasks that have started, not for all tasks of a job

Cause: job_scheduler::AddJob created a scheduled_task for each task of each stored job: 340 bytes a task, 340 MB for this job (mallinfo2). Each later owner read the job again.

Change: a step holds its tasks in a task_table with two bits a task, and an object for those that were ordered to start or are named by a report. Ended jobs keep the sizes of their steps only; a new owner reads the progress first and drops the rest of ended jobs while it reads them. At most 100 occurrences of a job are open, a list that names a far one opens none, and the due time no longer overflows. The progress holds four tasks a hex digit; the former format is still read.

The check in task_on_a_worker_that_was_silent_is_not_blamed read a task of an ended job, which is no longer held; it now counts the events that blame a task and looks at a service that goes on, so it is as strict.

--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -75,7 +75,7 @@
   early_cancellations_.clear();
   recovered_ = recovered_state();
   recovery_began_ = BootNow();
-  RecoverInbox("");
+  RecoverProgress("");
 }
 
 void job_owner::End() {
--- a/src/chervilkeeld/job_owner.h
+++ b/src/chervilkeeld/job_owner.h
@@ -92,6 +92,7 @@
   struct recovered_state {
     std::vector<job_record> records;
     std::vector<job_progress> progress;
+    std::set<std::string> ended;  // Jobs that have ended, by the progress.
     std::set<std::string> cancelled;
     std::set<std::string> members;
     bool former_may_grant = false;  // See kFormerGrantKey.
@@ -107,9 +108,10 @@
     bool obeys = false;  // The call carried a report of the worker's runs.
   };
 
-  // Recovery from the store.
-  void RecoverInbox(const std::string& after);
+  // Recovery from the store. The progress is read first, so that ended jobs
+  // are never held in full.
   void RecoverProgress(const std::string& after);
+  void RecoverInbox(const std::string& after);
   void RecoverMembers();
   void RecoverFormerGrant();
   void RecoverPressureModel();
--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -112,6 +112,9 @@
   } else if (scheduler_ != nullptr) {
     AddJob(record.value(), now);
   } else {
+    if (recovered_.ended.count(record.value().id) != 0) {
+      DropDetails(record.value().spec);
+    }
     recovered_.records.push_back(std::move(record.value()));
   }
 }
@@ -139,7 +142,7 @@
         if (page.value().has_more && !page.value().items.empty()) {
           RecoverInbox(page.value().items.back().key);
         } else {
-          RecoverProgress("");
+          RecoverMembers();
         }
       });
 }
@@ -159,6 +162,9 @@
         for (const stored_item& item : page.value().items) {
           auto progress = DecodeJobProgress(item.value);
           if (progress) {
+            if (IsFinal(progress.value().state)) {
+              recovered_.ended.insert(progress.value().id);
+            }
             recovered_.progress.push_back(std::move(progress.value()));
           } else {
             LogEvent(kPart, "progress_unreadable",
@@ -169,7 +175,7 @@
         if (page.value().has_more && !page.value().items.empty()) {
           RecoverProgress(page.value().items.back().key);
         } else {
-          RecoverMembers();
+          RecoverInbox("");
         }
       });
 }
@@ -345,11 +351,12 @@
                {{"error", ToString(restored.error())}}, true);
     }
   }
-  scheduler->Restore(recovered_.records, recovered_.progress,
+  const auto jobs = static_cast<std::uint64_t>(recovered_.records.size());
+  scheduler->Restore(std::exchange(recovered_.records, {}), recovered_.progress,
                      recovered_.cancelled, recovered_.members, now);
   LogEvent(kPart, "recovered",
            {{"epoch", ownership_.epoch},
-            {"jobs", static_cast<std::uint64_t>(recovered_.records.size())},
+            {"jobs", jobs},
             {"members", static_cast<std::uint64_t>(recovered_.members.size())},
             {"former_may_grant", recovered_.former_may_grant},
             {"longest_lease_ms", options.longest_lease},
--- a/src/include/chervilkeel/job.h
+++ b/src/include/chervilkeel/job.h
@@ -116,9 +116,11 @@
   std::vector<step_progress> steps;
 };
 
-// Limits on the tasks of a step and the steps of a job.
+// Limits on the tasks of a step, the steps of a job and the tasks of one
+// occurrence of a job.
 inline constexpr std::uint32_t kMaxTasksPerStep = 10'000;
 inline constexpr std::size_t kMaxSteps = 1'000;
+inline constexpr std::uint64_t kMaxTasksPerJob = 1'000'000;
 // A refusal names no more: a body of legal size can hold a hundred thousand.
 inline constexpr std::size_t kMaxFindings = 20;
 
@@ -126,6 +128,10 @@
 // just the first one.
 findings CheckJob(const job_spec& spec, std::size_t max_payload_bytes);
 
+// Drops what a job that has ended does not need: the payload, and what is said
+// of the steps apart from their tasks and sizes.
+void DropDetails(job_spec& spec);
+
 // Returns the estimated duration of the longest chain of dependent steps: the
 // minimum time that one occurrence of the job takes.
 millis CriticalPath(const job_spec& spec);
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -20,6 +20,7 @@
 #include "chervilkeel/pressure_model.h"
 #include "chervilkeel/room_reservations.h"
 #include "chervilkeel/room_timeline.h"
+#include "chervilkeel/task_table.h"
 #include "chervilkeel/worker_health.h"
 #include "chervilkeel/worker_report.h"
 
@@ -72,99 +73,6 @@
   std::string detail;  // key=value pairs.
 };
 
-// Phase of a run, as far as the scheduler knows.
-enum class run_phase {
-  kOrdered,   // The start was ordered and its outcome is not known yet.
-  kRunning,   // The executor has confirmed or listed the run.
-  kStopping,  // A stop was ordered.
-};
-
-// One execution attempt of a task.
-struct task_run {
-  std::string agent;
-  executor_boot boot;
-  std::uint64_t run = 0;
-  run_phase phase = run_phase::kOrdered;
-  // Whether a list or the agent has told that the executor has the run.
-  bool is_confirmed = false;
-  // Whether the task has begun, by a list, an end or the answer to the order.
-  bool has_begun = false;
-  // The last time, by the agent's clock, at which it knew that the run had been
-  // there. A list made before says nothing about what became of the run.
-  millis seen_at = 0;
-  // Whether a former process of the agent may have tried the start.
-  bool was_tried = false;
-  // The last tick before the first order to stop; 0 while there was none.
-  millis stop_ordered_at = 0;
-  // The last list at which the agent had not taken that order.
-  millis stop_untaken_at = 0;
-  // When a list after the order to stop showed the run first, or when the stop
-  // was ordered again; 0 while there was no such list.
-  millis listed_since_stop = 0;
-  // Time of the order, of the confirmed start or of the adoption, whichever was
-  // last.
-  millis active_since = 0;
-  // Estimated time at which the executor began the work.
-  millis estimated_start = 0;
-  // Progress as last reported.
-  std::uint32_t percent = 0;
-  // When the progress or the pace changed last.
-  millis percent_changed_at = 0;
-  // Speed limit as last ordered, in percent, and the one before it.
-  std::uint32_t pace = 100;
-  std::uint32_t previous_pace = 100;
-  // Working time lost to paces below 100, and up to when it has been counted.
-  millis throttling_loss = 0;
-  millis throttling_counted_until = 0;
-  millis pace_changed_at = 0;
-  // Whether a move of the run was found not to be worth its cost.
-  bool is_move_declined = false;
-  // Load as last reported. A service reports its tail latency in ms.
-  std::int64_t load = 0;
-  // Tail latency of a service in the last list of runs, in ms.
-  double reported_tail_latency = 0;
-  // The same without the smoothing by the executor, in ms.
-  double unsmoothed_tail_latency = 0;
-  // When the executor made that list.
-  millis load_listed_at = 0;
-  // Since when a service has been over its target; 0 while it is not.
-  millis over_target_since = 0;
-  std::string checkpoint;
-};
-
-// A task of a step in one occurrence of its job.
-struct scheduled_task {
-  bool done = false;
-  // Set if a scheduler of an earlier epoch may have started the task. It is
-  // then not started before all workers of that scheduler have reported.
-  bool possibly_running = false;
-  std::set<std::uint64_t> failed_runs;
-  // Unproven runs that may have crashed their executors, since a run of the
-  // task was last proven.
-  std::set<std::uint64_t> crashed_runs;
-  // Proven runs that may have crashed their executors.
-  std::set<std::uint64_t> late_crashed_runs;
-  // The highest run that has cleared the task; crashes of runs up to it are
-  // settled.
-  std::uint64_t proven_run = 0;
-  // Unproven runs on workers that fell silent: whether their executors have
-  // crashed is not known yet.
-  std::set<std::uint64_t> doubtful_runs;
-  // Set if the task may crash its next executor, too; it then starts only as a
-  // trial. See job_scheduler_crashes.cpp.
-  bool is_suspect = false;
-  std::uint64_t highest_run = 0;
-  std::string checkpoint;
-  std::vector<task_run> runs;
-  std::vector<std::string> failed_on;  // Agents.
-  std::uint32_t moves = 0;  // Runs stopped for a worker that allows more.
-  millis ready_since = 0;
-  // Number of runs in a row of a service that ended early, and until when it is
-  // not started again.
-  std::uint32_t early_ends = 0;
-  millis restart_at = 0;
-};
-
 // The failed runs of a step on one worker.
 struct worker_failures {
   std::size_t runs = 0;
@@ -174,8 +82,7 @@
 };
 
 struct scheduled_step {
-  std::vector<scheduled_task> tasks;
-  std::uint32_t done = 0;
+  task_table tasks;
   bool ready = false;
   std::map<std::string, worker_failures> failures;  // By agent.
   // Whether more runs have failed lately than have succeeded or have been at
@@ -213,6 +120,7 @@
   std::uint64_t done_tasks = 0;
   // Runs that have begun; an order alone starts nothing.
   std::uint64_t begun_runs = 0;
+  std::uint64_t runs = 0;  // That have not ended, including ordered ones.
   // Sums over all tasks, in ms: time in which they waited for a worker, and
   // working time that their runs lost to paces below 100.
   millis waited = 0;
@@ -395,7 +303,7 @@
 
   // Restores what a former scheduler has stored. Has to be called before any
   // job or report is added.
-  void Restore(const std::vector<job_record>& records,
+  void Restore(std::vector<job_record> records,
                const std::vector<job_progress>& progress,
                const std::set<std::string>& cancelled,
                const std::set<std::string>& members,
@@ -425,7 +333,7 @@
 
   // Adds a stored job. Idempotent. A job that was stored under a later epoch is
   // left to the scheduler of that epoch.
-  void AddJob(const job_record& record, millis now);
+  void AddJob(job_record added, millis now);
 
   // Cancels a job. Returns false when there is no such job.
   bool CancelJob(const std::string& id);
@@ -532,9 +440,10 @@
     scheduled_job* job;
     std::uint32_t occurrence;
     std::uint32_t step_index;
-    std::vector<std::uint32_t> tasks;
-    int lateness;  // 0: in time; 1: late; 2: too late to be of any value.
-    double rank;   // Lower goes first.
+    std::vector<std::uint32_t> tasks;  // Those that are tracked.
+    bool has_untouched;  // Whether tasks that are not tracked wait as well.
+    int lateness;        // 0: in time; 1: late; 2: too late to be of any value.
+    double rank;         // Lower goes first.
   };
 
   // Trials may start on workers that are reserved for them.
@@ -558,25 +467,41 @@
   // Opens all occurrences up to `last` that are not open yet. Their steps are
   // not marked as ready.
   void OpenOccurrences(scheduled_job& job, std::uint32_t last);
+  void OpenOccurrence(scheduled_job& job, std::uint32_t number);
   // Marks the steps of an occurrence as ready once their predecessors are done.
   void UpdateReadiness(scheduled_job& job, std::uint32_t number, millis now);
   void MarkDone(scheduled_job& job, const task_name& key, millis now);
   // Takes note that a run has begun, and with it the job.
   static void NoteBegun(scheduled_job& job, task_run& run);
   void EndJob(scheduled_job& job, job_state state);
-  static bool HasRuns(const scheduled_job& job);
+  static bool HasRuns(const scheduled_job& job) { return job.runs > 0; }
   void StopAllRuns(scheduled_job& job, const char* reason);
+  // Returns a task for changes, or null. It is tracked from now on.
   scheduled_task* FindTask(const task_name& key);
+  // Returns a copy of a task that exists, without tracking it.
+  scheduled_task TaskCopy(const task_name& key) const {
+    return jobs_.at(key.job)
+        .occurrences.at(key.occurrence)
+        .steps[key.step]
+        .tasks.CopyOf(key.index);
+  }
+  // Stops tracking the tasks that are done and have no runs. Not called while
+  // a task is held by reference.
+  void ReleaseFinishedTasks();
   // The same for a task that an executor has listed: a former scheduler may
   // have opened its occurrence although it is not due by this VM's clock.
   scheduled_task* FindOrOpenTask(const task_name& key, millis now);
   job_progress ProgressOf(const scheduled_job& job, std::int64_t wall_ms) const;
   void RestoreProgress(scheduled_job& job, const job_progress& progress);
   void OpenDueOccurrences(std::int64_t wall_ms, millis now);
-  // Removes ended jobs whose retention has expired.
   // Whether a job's retention has expired, though the store may still have it.
   bool HasExpired(const std::string& id) const;
+  // Removes ended jobs whose retention has expired, and drops the work of
+  // others.
   void ExpireEndedJobs(std::int64_t wall_ms);
+  // Drops the tasks of an ended job, and all of its steps but their sizes. An
+  // executor that still lists a run of it reserves room for that.
+  static void DropWork(scheduled_job& job);
 
   // job_scheduler_workers.cpp: reports from workers.
 
@@ -941,6 +866,14 @@
             const std::string& worker,
             const std::string& detail) const;
 
+  // Occurrences of a job that are open at the same time. Later ones that are
+  // due open as these are done.
+  static constexpr std::uint32_t kMaxOpenOccurrences = 100;
+
+  // How many occurrences a former scheduler may have opened beyond those that
+  // are known. A list of runs that names a later one opens none.
+  static constexpr std::uint64_t kMaxOccurrenceLead = 1'000;
+
   // Period of the scans for runs that are stuck, throttled or due for a
   // speculative copy. These conditions take seconds to develop.
   static constexpr millis kScanInterval = 100;
@@ -1090,6 +1023,8 @@
   std::set<std::string> doubtful_members_;
   std::set<step_name> failing_steps_;  // With failures that still count.
   std::set<std::string> dirty_;        // Jobs whose progress has to be stored.
+  // Tasks that are done and may have no runs left; see ReleaseFinishedTasks().
+  std::set<task_name> finished_tasks_;
   std::vector<std::string> expired_jobs_;  // To be removed from the store.
   std::vector<std::string> committing_expired_jobs_;
   // Jobs whose removal is stored, and since when. A list of stored jobs that
--- a/src/libkernel/job.cpp
+++ b/src/libkernel/job.cpp
@@ -121,8 +121,70 @@
   return out;
 }
 
+// Longer texts of done tasks are stored with four tasks per hex digit.
+constexpr std::size_t kMaxPlainDoneText = 64;
+constexpr std::size_t kTasksPerDigit = 4;
+
+std::string EncodeDoneBits(const std::string& done) {
+  static constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string digits;
+  for (std::size_t i = 0; i < done.size(); i += kTasksPerDigit) {
+    unsigned digit = 0;
+    for (std::size_t bit = 0; bit < kTasksPerDigit; ++bit) {
+      const bool is_done = i + bit < done.size() && done[i + bit] == '1';
+      digit = 2 * digit + (is_done ? 1 : 0);
+    }
+    digits += kDigits[digit];
+  }
+  return digits;
+}
+
+std::string DecodeDoneBits(std::string_view digits, std::size_t tasks) {
+  if (tasks > kMaxTasksPerStep || digits.size() * kTasksPerDigit < tasks) {
+    throw std::runtime_error("done tasks do not match their number");
+  }
+  std::string done;
+  for (std::size_t i = 0; i < tasks; ++i) {
+    unsigned digit = 0;
+    const char* place = digits.data() + i / kTasksPerDigit;
+    if (std::from_chars(place, place + 1, digit, 16).ec != std::errc()) {
+      throw std::runtime_error("done tasks are no hex digits");
+    }
+    const auto shift = kTasksPerDigit - 1 - i % kTasksPerDigit;
+    done += ((digit >> shift) & 1U) != 0 ? '1' : '0';
+  }
+  return done;
+}
+
+void EncodeDone(const std::string& done, json::object& out) {
+  if (done.size() <= kMaxPlainDoneText) {
+    out["done"] = done;
+    return;
+  }
+  out["tasks"] = done.size();
+  if (done.find('0') != std::string::npos) {
+    out["done_bits"] = EncodeDoneBits(done);
+  }
+}
+
+// Without bits, all tasks are done.
+std::string DecodeDone(const json::object& object) {
+  if (!object.contains("tasks")) {
+    return ReadText(object, "done");
+  }
+  const auto tasks = ReadNumber<std::size_t>(object, "tasks");
+  if (object.contains("done_bits")) {
+    return DecodeDoneBits(ReadText(object, "done_bits"), tasks);
+  }
+  if (tasks > kMaxTasksPerStep) {
+    throw std::runtime_error("too many tasks");
+  }
+  return std::string(tasks, '1');
+}
+
 json::object EncodeStepProgress(const step_progress& step) {
-  json::object out{{"step", step.step}, {"done", step.done}};
+  json::object out{{"step", step.step}};
+  EncodeDone(step.done, out);
   AddIfSet(out, "occurrence", step.occurrence);
   if (!step.failed_runs.empty()) {
     out["failed_runs"] = EncodeRuns(step.failed_runs);
@@ -166,7 +228,7 @@
   step_progress step;
   step.step = ReadNumber<std::uint32_t>(object, "step");
   step.occurrence = ReadNumber<std::uint32_t>(object, "occurrence");
-  step.done = ReadText(object, "done");
+  step.done = DecodeDone(object);
   step.failed_runs = DecodeRuns(object, "failed_runs");
   step.crashed_runs = DecodeRuns(object, "crashed_runs");
   step.late_crashed_runs = DecodeRuns(object, "late_crashed_runs");
@@ -251,9 +313,28 @@
        ++i) {
     CheckStep(spec, i, found);
   }
+  std::uint64_t tasks = 0;
+  for (const job_step& step : spec.steps) {
+    tasks += step.tasks;
+  }
+  if (tasks > kMaxTasksPerJob && found.size() < kMaxFindings) {
+    found.push_back({"steps", "have " + std::to_string(tasks) +
+                                  " tasks in all; the limit is " +
+                                  std::to_string(kMaxTasksPerJob)});
+  }
   return found;
 }
 
+void DropDetails(job_spec& spec) {
+  // An assignment of {} would keep the memory.
+  spec.payload = std::string();
+  for (job_step& step : spec.steps) {
+    step.after = std::vector<std::uint32_t>();
+    step.required_label = std::string();
+    step.data_rack = std::string();
+  }
+}
+
 millis CriticalPath(const job_spec& spec) {
   std::vector<millis> ends(spec.steps.size(), 0);
   millis longest = 0;
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -21,7 +21,7 @@
   }
 }
 
-void job_scheduler::Restore(const std::vector<job_record>& records,
+void job_scheduler::Restore(std::vector<job_record> records,
                             const std::vector<job_progress>& progress,
                             const std::set<std::string>& cancelled,
                             const std::set<std::string>& members,
@@ -39,18 +39,19 @@
   for (const job_progress& entry : progress) {
     by_id[entry.id] = &entry;
   }
-  for (const job_record& record : records) {
-    AddJob(record, now);
-    const auto added = jobs_.find(record.id);
+  for (job_record& record : records) {
+    const std::string id = record.id;
+    AddJob(std::move(record), now);
+    const auto added = jobs_.find(id);
     if (added == jobs_.end()) {
       continue;  // Stored under a later epoch.
     }
     scheduled_job& job = added->second;
-    const auto found = by_id.find(record.id);
+    const auto found = by_id.find(id);
     if (found != by_id.end()) {
       RestoreProgress(job, *found->second);
     }
-    if (!IsFinal(job.state) && cancelled.count(record.id) != 0) {
+    if (!IsFinal(job.state) && cancelled.count(id) != 0) {
       EndJob(job, job_state::kCancelled);
     }
     for (const auto& [number, occurrence] : job.occurrences) {
@@ -74,6 +75,7 @@
     job.end_is_durable = true;
     active_jobs_.erase(job.record.id);
     repeating_jobs_.erase(job.record.id);
+    DropWork(job);
     return;
   }
   for (const step_progress& saved : progress.steps) {
@@ -83,46 +85,47 @@
       continue;
     }
     scheduled_step& step = occurrence.steps[saved.step];
-    const std::size_t tasks = std::min(saved.done.size(), step.tasks.size());
-    for (std::size_t i = 0; i < tasks; ++i) {
+    const auto tasks = static_cast<std::uint32_t>(
+        std::min(saved.done.size(), step.tasks.size()));
+    for (std::uint32_t i = 0; i < tasks; ++i) {
       if (saved.done[i] == '1' && !job.record.spec.steps[saved.step].service) {
-        step.tasks[i].done = true;
-        ++step.done;
+        step.tasks.SetDone(i);
         ++job.done_tasks;
         ++job.begun_runs;
       }
     }
     for (const auto& [index, runs] : saved.failed_runs) {
       if (index < step.tasks.size()) {
-        step.tasks[index].failed_runs = runs;
+        step.tasks.Track(index).failed_runs = runs;
         job.begun_runs += runs.size();
       }
     }
     for (const auto& [index, runs] : saved.crashed_runs) {
       if (index < step.tasks.size()) {
-        step.tasks[index].crashed_runs = runs;
-        step.tasks[index].is_suspect = true;
+        scheduled_task& task = step.tasks.Track(index);
+        task.crashed_runs = runs;
+        task.is_suspect = true;
       }
     }
     for (const auto& [index, run] : saved.proven_runs) {
       if (index < step.tasks.size()) {
-        step.tasks[index].proven_run = run;
+        step.tasks.Track(index).proven_run = run;
         ++job.begun_runs;
       }
     }
     for (const auto& [index, runs] : saved.late_crashed_runs) {
       if (index < step.tasks.size()) {
-        step.tasks[index].late_crashed_runs = runs;
+        step.tasks.Track(index).late_crashed_runs = runs;
         job.begun_runs += runs.size();
       }
     }
     for (const auto& [index, checkpoint] : saved.checkpoints) {
       if (index < step.tasks.size()) {
-        step.tasks[index].checkpoint = checkpoint;
+        step.tasks.Track(index).checkpoint = checkpoint;
         ++job.begun_runs;
       }
     }
-    if (step.done == step.tasks.size()) {
+    if (step.tasks.IsComplete()) {
       ++occurrence.steps_done;
     }
   }
@@ -151,18 +154,19 @@
   }
 }
 
-void job_scheduler::AddJob(const job_record& record, millis now) {
-  if (jobs_.count(record.id) != 0 || HasExpired(record.id)) {
+void job_scheduler::AddJob(job_record added, millis now) {
+  if (jobs_.count(added.id) != 0 || HasExpired(added.id)) {
     return;
   }
-  if (record.epoch > options_.epoch) {
-    Emit("job_of_later_epoch", record.id, "",
+  if (added.epoch > options_.epoch) {
+    Emit("job_of_later_epoch", added.id, "",
          "epoch=" + std::to_string(options_.epoch) +
-             " job_epoch=" + std::to_string(record.epoch));
+             " job_epoch=" + std::to_string(added.epoch));
     return;
   }
-  scheduled_job& job = jobs_[record.id];
-  job.record = record;
+  scheduled_job& job = jobs_[added.id];
+  job.record = std::move(added);
+  const job_record& record = job.record;
   job.may_have_former_runs = record.epoch < options_.epoch;
   job.added_at = now;
   job.critical_path = CriticalPath(record.spec);
@@ -200,16 +204,18 @@
 
 void job_scheduler::OpenOccurrences(scheduled_job& job, std::uint32_t last) {
   while (job.next_occurrence <= last) {
-    scheduled_occurrence& occurrence = job.occurrences[job.next_occurrence++];
-    occurrence.steps.resize(job.record.spec.steps.size());
-    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-      auto& tasks = occurrence.steps[i].tasks;
-      tasks.resize(job.record.spec.steps[i].tasks);
-      if (job.may_have_former_runs && !unreported_members_.empty()) {
-        for (scheduled_task& task : tasks) {
-          task.possibly_running = true;
-        }
-      }
+    OpenOccurrence(job, job.next_occurrence++);
+  }
+}
+
+void job_scheduler::OpenOccurrence(scheduled_job& job, std::uint32_t number) {
+  scheduled_occurrence& occurrence = job.occurrences[number];
+  occurrence.steps.resize(job.record.spec.steps.size());
+  for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+    task_table& tasks = occurrence.steps[i].tasks;
+    tasks.Resize(job.record.spec.steps[i].tasks);
+    if (job.may_have_former_runs && !unreported_members_.empty()) {
+      tasks.SetPossiblyRunning();
     }
   }
 }
@@ -220,10 +226,17 @@
   for (const std::string& id : repeating_jobs_) {
     scheduled_job& job = jobs_.at(id);
     const job_spec& spec = job.record.spec;
+    const auto is_due = [&](std::uint32_t number) {
+      const std::int64_t since_first =
+          wall_ms - options_.due_time_tolerance -
+          std::max<std::int64_t>(spec.first_due_ms, 0);
+      return number == 0 ? since_first >= 0
+                         : since_first >= 0 &&
+                               spec.repeat_interval <= since_first / number;
+    };
     while (job.next_occurrence < spec.repeats &&
-           spec.first_due_ms + job.next_occurrence * spec.repeat_interval +
-                   options_.due_time_tolerance <=
-               wall_ms) {
+           job.next_occurrence - job.occurrences_done < kMaxOpenOccurrences &&
+           is_due(job.next_occurrence)) {
       const std::uint32_t number = job.next_occurrence;
       OpenOccurrences(job, number);
       UpdateReadiness(job, number, now);
@@ -242,15 +255,12 @@
     }
     const auto& after = job.record.spec.steps[i].after;
     step.ready = std::all_of(after.begin(), after.end(), [&](auto other) {
-      return occurrence.steps[other].done ==
-             occurrence.steps[other].tasks.size();
+      return occurrence.steps[other].tasks.IsComplete();
     });
     if (step.ready) {
       job.has_waiting_tasks = true;
       placement_requested_ = true;
-      for (scheduled_task& task : step.tasks) {
-        task.ready_since = now;
-      }
+      step.tasks.SetReadySince(now);
     }
   }
 }
@@ -265,15 +275,31 @@
       key.step >= occurrence->second.steps.size()) {
     return nullptr;
   }
-  auto& tasks = occurrence->second.steps[key.step].tasks;
-  return key.index < tasks.size() ? &tasks[key.index] : nullptr;
+  task_table& tasks = occurrence->second.steps[key.step].tasks;
+  if (key.index >= tasks.size()) {
+    return nullptr;
+  }
+  scheduled_task& task = tasks.Track(key.index);
+  if (task.done && task.runs.empty()) {
+    finished_tasks_.insert(key);
+  }
+  return &task;
 }
 
 scheduled_task* job_scheduler::FindOrOpenTask(const task_name& key,
                                               millis now) {
   const auto found = jobs_.find(key.job);
+  if (found != jobs_.end() && IsFinal(found->second.state)) {
+    scheduled_job& job = found->second;
+    if (key.occurrence < std::max(job.record.spec.repeats, 1U) &&
+        job.occurrences.count(key.occurrence) == 0) {
+      OpenOccurrence(job, key.occurrence);
+    }
+    return FindTask(key);
+  }
   if (found != jobs_.end() &&
-      key.occurrence < found->second.record.spec.repeats) {
+      key.occurrence < found->second.record.spec.repeats &&
+      key.occurrence < found->second.next_occurrence + kMaxOccurrenceLead) {
     scheduled_job& job = found->second;
     const std::uint32_t first = job.next_occurrence;
     OpenOccurrences(job, key.occurrence);
@@ -289,19 +315,22 @@
                              millis now) {
   scheduled_occurrence& occurrence = job.occurrences.at(key.occurrence);
   scheduled_step& step = occurrence.steps[key.step];
-  scheduled_task& task = step.tasks[key.index];
-  if (task.done) {
+  if (step.tasks.IsDone(key.index)) {
     return;
   }
-  task.done = true;
-  task.checkpoint.clear();
-  ++step.done;
+  step.tasks.SetDone(key.index);
   ++job.done_tasks;
   dirty_.insert(key.job);
-  for (task_run& run : task.runs) {
-    OrderStop(key, run, "another copy is done");
+  const auto tracked = step.tasks.Tracked().find(key.index);
+  if (tracked != step.tasks.Tracked().end()) {
+    scheduled_task& task = tracked->second;
+    task.checkpoint.clear();
+    for (task_run& run : task.runs) {
+      OrderStop(key, run, "another copy is done");
+    }
+    finished_tasks_.insert(key);
   }
-  if (step.done < step.tasks.size()) {
+  if (!step.tasks.IsComplete()) {
     return;
   }
   ++occurrence.steps_done;
@@ -344,9 +373,8 @@
 void job_scheduler::StopAllRuns(scheduled_job& job, const char* reason) {
   for (auto& [number, occurrence] : job.occurrences) {
     for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-      auto& tasks = occurrence.steps[s].tasks;
-      for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-        for (task_run& run : tasks[i].runs) {
+      for (auto& [i, task] : occurrence.steps[s].tasks.Tracked()) {
+        for (task_run& run : task.runs) {
           OrderStop({job.record.id, number, s, i}, run, reason);
         }
       }
@@ -386,9 +414,7 @@
       step_progress saved;
       saved.occurrence = number;
       saved.step = s;
-      for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-        const scheduled_task& task = step.tasks[i];
-        saved.done += task.done ? '1' : '0';
+      for (const auto& [i, task] : step.tasks.Tracked()) {
         if (!task.failed_runs.empty() && !task.done) {
           saved.failed_runs[i] = task.failed_runs;
         }
@@ -405,9 +431,10 @@
           saved.checkpoints[i] = task.checkpoint;
         }
       }
-      if (step.done > 0 || !saved.failed_runs.empty() ||
+      if (step.tasks.DoneCount() > 0 || !saved.failed_runs.empty() ||
           !saved.crashed_runs.empty() || !saved.late_crashed_runs.empty() ||
           !saved.proven_runs.empty() || !saved.checkpoints.empty()) {
+        saved.done = step.tasks.DoneText();
         progress.steps.push_back(std::move(saved));
       }
     }
@@ -415,17 +442,17 @@
   return progress;
 }
 
-bool job_scheduler::HasRuns(const scheduled_job& job) {
-  for (const auto& [number, occurrence] : job.occurrences) {
-    for (const scheduled_step& step : occurrence.steps) {
-      for (const scheduled_task& task : step.tasks) {
-        if (!task.runs.empty()) {
-          return true;
-        }
-      }
+void job_scheduler::ReleaseFinishedTasks() {
+  for (const task_name& key : std::exchange(finished_tasks_, {})) {
+    const auto job = jobs_.find(key.job);
+    if (job == jobs_.end()) {
+      continue;
+    }
+    const auto occurrence = job->second.occurrences.find(key.occurrence);
+    if (occurrence != job->second.occurrences.end()) {
+      occurrence->second.steps[key.step].tasks.ReleaseDone(key.index);
     }
   }
-  return false;
 }
 
 bool job_scheduler::HasExpired(const std::string& id) const {
@@ -438,6 +465,10 @@
 
 void job_scheduler::ExpireEndedJobs(std::int64_t wall_ms) {
   for (auto job = jobs_.begin(); job != jobs_.end();) {
+    if (job->second.end_is_durable && !HasRuns(job->second) &&
+        !job->second.occurrences.empty()) {
+      DropWork(job->second);
+    }
     if (job->second.end_is_durable && job->second.ended_ms > 0 &&
         wall_ms - job->second.ended_ms > options_.retention &&
         !HasRuns(job->second)) {
@@ -449,6 +480,11 @@
   }
 }
 
+void job_scheduler::DropWork(scheduled_job& job) {
+  job.occurrences.clear();
+  DropDetails(job.record.spec);
+}
+
 bool job_scheduler::HasNewMembers() const {
   return !former_may_act_ &&
          (durable_members_ != wanted_members_ || !doubtful_members_.empty());
@@ -623,6 +659,7 @@
     ExpireEndedJobs(wall_ms);
   }
   runs_cache_.clear();
+  ReleaseFinishedTasks();
 }
 
 }  // namespace chervilkeel
--- a/src/libkernel/job_scheduler_crash_test.cpp
+++ b/src/libkernel/job_scheduler_crash_test.cpp
@@ -197,7 +197,14 @@
 BOOST_FIXTURE_TEST_CASE(task_on_a_worker_that_was_silent_is_not_blamed,
                         crash_fixture) {
   AddExecutors("ab");
+  int blamed = 0;
+  scheduler.on_event = [&](const scheduler_event& event) {
+    blamed += std::string(event.event) == "crash_blamed" ? 1 : 0;
+  };
   Submit(MakeJob("j", 1));
+  job_record service = MakeJob("service", 1);
+  service.spec.steps[0].service = true;
+  Submit(service);
   PassFleetTime(100);
   for (auto& [name, executor] : executors) {
     executor.down_until = now + 8'000;
@@ -205,12 +212,12 @@
   PassFleetTime(30'000);
   BOOST_TEST(NameOf(*scheduler.StateOf("j")) == "completed");
   BOOST_TEST(progress["j"].steps.empty());
-  for (const auto& [id, job] : scheduler.Jobs()) {
-    for (const auto& task : job.occurrences.at(0).steps[0].tasks) {
-      BOOST_TEST(task.crashed_runs.empty());
-      BOOST_TEST(!task.is_suspect);
-    }
-  }
+  BOOST_TEST(blamed == 0);
+  const auto& tasks =
+      scheduler.Jobs().at("service").occurrences.at(0).steps[0].tasks;
+  BOOST_REQUIRE(tasks.Tracked().size() == 1U);
+  BOOST_TEST(tasks[0].crashed_runs.empty());
+  BOOST_TEST(!tasks[0].is_suspect);
 }
 
 // An executor that leaves as announced ends its runs, and that is no crash.
--- a/src/libkernel/job_scheduler_crashes.cpp
+++ b/src/libkernel/job_scheduler_crashes.cpp
@@ -260,10 +260,10 @@
                                 millis now) {
   scheduled_job& job = *waiting.job;
   task_name key{job.record.id, waiting.occurrence, waiting.step_index, 0};
-  auto& tasks = job.occurrences.at(key.occurrence).steps[key.step].tasks;
+  task_table& tasks = job.occurrences.at(key.occurrence).steps[key.step].tasks;
   for (const std::uint32_t index : waiting.tasks) {
     key.index = index;
-    scheduled_task& task = tasks[index];
+    scheduled_task& task = tasks.Track(index);
     const suspect_kind found =
         IsRepeatSuspect(task) ? suspect_kind::kRepeat : suspect_kind::kFirst;
     if (task.is_suspect && task.runs.empty() && found == kind &&
--- a/src/libkernel/job_scheduler_failures.cpp
+++ b/src/libkernel/job_scheduler_failures.cpp
@@ -21,11 +21,13 @@
   const auto has_outlived = [&](const task_run& run) {
     return run.phase == run_phase::kRunning && now - run.active_since > longest;
   };
-  const auto outliving = std::count_if(
-      step.tasks.begin(), step.tasks.end(), [&](const scheduled_task& task) {
-        return std::any_of(task.runs.begin(), task.runs.end(), has_outlived);
+  const auto& tracked = step.tasks.Tracked();
+  const auto outliving =
+      std::count_if(tracked.begin(), tracked.end(), [&](const auto& entry) {
+        const std::vector<task_run>& runs = entry.second.runs;
+        return std::any_of(runs.begin(), runs.end(), has_outlived);
       });
-  return failed > step.done + static_cast<std::size_t>(outliving);
+  return failed > step.tasks.DoneCount() + static_cast<std::size_t>(outliving);
 }
 
 void job_scheduler::NoteFailure(scheduled_worker& worker,
--- a/src/libkernel/job_scheduler_lookahead.cpp
+++ b/src/libkernel/job_scheduler_lookahead.cpp
@@ -216,7 +216,7 @@
   const task_name key{job.record.id, waiting.occurrence, waiting.step_index,
                       index};
   const job_step& step = job.record.spec.steps[key.step];
-  const millis waited = now - FindTask(key)->ready_since;
+  const millis waited = now - TaskCopy(key).ready_since;
   if (options_.lookahead == 0 || waited < options_.lookahead ||
       waiting.lateness != 0 || (step.service && HasRuns(job)) ||
       !(step.gang || reservations_.IsLarge(job.policy.service, step.size)) ||
@@ -267,7 +267,7 @@
     return false;
   }
   const job_step& step = job.record.spec.steps[key.step];
-  const scheduled_task& task = *FindTask(key);
+  const scheduled_task task = TaskCopy(key);
   const millis waited =
       (task.runs.empty() ? now : task.runs.front().active_since) -
       task.ready_since;
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -44,6 +44,43 @@
                                                 : kNone;
 }
 
+// Iterates by index over the waiting tasks of a step: those that are tracked,
+// and those that are not if they may start. Tasks may start meanwhile.
+class waiting_tasks_cursor {
+ public:
+  waiting_tasks_cursor(const std::vector<std::uint32_t>& tracked,
+                       bool has_untouched,
+                       const task_table& tasks)
+      : tracked_(tracked), tasks_(tasks) {
+    if (has_untouched) {
+      untouched_ = tasks_.NextUntouched(0);
+    }
+  }
+
+  std::optional<std::uint32_t> Peek() const {
+    return IsAtTracked() ? tracked_[position_] : untouched_;
+  }
+
+  void Advance() {
+    if (IsAtTracked()) {
+      ++position_;
+    } else {
+      untouched_ = tasks_.NextUntouched(*untouched_ + 1);
+    }
+  }
+
+ private:
+  bool IsAtTracked() const {
+    return position_ < tracked_.size() &&
+           (!untouched_ || tracked_[position_] < *untouched_);
+  }
+
+  const std::vector<std::uint32_t>& tracked_;
+  const task_table& tasks_;
+  std::size_t position_ = 0;
+  std::optional<std::uint32_t> untouched_;
+};
+
 }  // namespace
 
 std::uint64_t job_scheduler::NextRunNumber(const scheduled_task& task) const {
@@ -92,6 +129,7 @@
   run.estimated_start = now + kStartDelay;
   run.percent_changed_at = now;
   task.runs.push_back(run);
+  ++job.runs;
   NoteStartForReservations(worker, job, key, now);
   ReserveResources(worker, job, key);
   if (worker.health.IsSuspect()) {
@@ -211,7 +249,7 @@
   for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
     const scheduled_step& step = occurrence.steps[i];
     const job_step& spec = job.record.spec.steps[i];
-    work += static_cast<double>(step.tasks.size() - step.done) *
+    work += static_cast<double>(step.tasks.size() - step.tasks.DoneCount()) *
             static_cast<double>(spec.size.milli_processors) *
             static_cast<double>(spec.expected);
   }
@@ -243,10 +281,16 @@
         std::max<std::int64_t>(wall_ms_ - job.record.accepted_ms, 0);
     const double objective = ObjectiveOf(job);
     for (auto& [number, occurrence] : job.occurrences) {
+      if (occurrence.steps_done == occurrence.steps.size()) {
+        continue;
+      }
+      const double rank = options_.orders_by_value
+                              ? WorkPerValue(job, occurrence)
+                              : static_cast<double>(job.record.accepted_ms);
       for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
         scheduled_step& step = occurrence.steps[s];
         const job_step& spec = job.record.spec.steps[s];
-        if (!step.ready || step.done == step.tasks.size()) {
+        if (!step.ready || step.tasks.IsComplete()) {
           continue;
         }
         const auto expected_end =
@@ -257,12 +301,8 @@
                      : expected_end > objective                       ? 1
                                                                       : 0;
         }
-        const double rank = options_.orders_by_value
-                                ? WorkPerValue(job, occurrence)
-                                : static_cast<double>(job.record.accepted_ms);
-        waiting_step entry{&job, number, s, {}, lateness, rank};
-        for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-          const scheduled_task& task = step.tasks[i];
+        waiting_step entry{&job, number, s, {}, false, lateness, rank};
+        for (const auto& [i, task] : step.tasks.Tracked()) {
           if (task.done || !task.runs.empty()) {
             continue;
           }
@@ -273,7 +313,12 @@
             waiting_suspects_[job.policy.service] += task.is_suspect ? 1 : 0;
           }
         }
-        if (!entry.tasks.empty()) {
+        if (step.tasks.UntouchedCount() > 0) {
+          job.has_waiting_tasks = true;
+          entry.has_untouched =
+              !step.tasks.ArePossiblyRunning() || unreported_members_.empty();
+        }
+        if (!entry.tasks.empty() || entry.has_untouched) {
           waiting.push_back(std::move(entry));
         }
       }
@@ -281,12 +326,14 @@
   }
   std::sort(waiting.begin(), waiting.end(),
             [](const waiting_step& left, const waiting_step& right) {
+              using order =
+                  std::tuple<bool, std::uint32_t, int, double, std::int64_t,
+                             const std::string&, std::uint32_t, std::uint32_t>;
               const auto key = [](const waiting_step& step) {
-                return std::make_tuple(step.lateness == 2,
-                                       step.job->policy.priority, step.lateness,
-                                       step.rank, step.job->record.accepted_ms,
-                                       std::cref(step.job->record.id).get(),
-                                       step.occurrence, step.step_index);
+                return order(step.lateness == 2, step.job->policy.priority,
+                             step.lateness, step.rank,
+                             step.job->record.accepted_ms, step.job->record.id,
+                             step.occurrence, step.step_index);
               };
               return key(left) < key(right);
             });
@@ -337,25 +384,28 @@
 bool job_scheduler::PlaceTasks(const waiting_step& waiting, millis now) {
   scheduled_job& job = *waiting.job;
   const bool is_best_effort = job.record.spec.steps[waiting.step_index].filler;
+  task_table& tasks =
+      job.occurrences.at(waiting.occurrence).steps[waiting.step_index].tasks;
+  waiting_tasks_cursor next(waiting.tasks, waiting.has_untouched, tasks);
   task_name key{job.record.id, waiting.occurrence, waiting.step_index,
-                waiting.tasks.front()};
-  auto& tasks = job.occurrences.at(key.occurrence).steps[key.step].tasks;
+                *next.Peek()};
   StartTrials(waiting, suspect_kind::kFirst, now);
   std::vector<candidate> candidates =
       Candidates(job, key, start_kind::kNormal, now);
-  for (const std::uint32_t index : waiting.tasks) {
-    key.index = index;
-    scheduled_task& task = tasks[index];
+  for (; next.Peek(); next.Advance()) {
+    key.index = *next.Peek();
+    const scheduled_task task = tasks.CopyOf(key.index);
     if (task.is_suspect) {
       continue;
     }
     candidate* best = BestCandidate(
         candidates, key, task, is_best_effort ? MaxWaitForPace(job) : 0, now);
     if (best == nullptr) {
-      ReserveRoom(waiting, index, now);
+      ReserveRoom(waiting, key.index, now);
       return false;
     }
-    OrderStart(*best->worker, job, key, task, NextRunNumber(task), now);
+    OrderStart(*best->worker, job, key, tasks.Track(key.index),
+               NextRunNumber(task), now);
     const auto reevaluated =
         Evaluate(*best->worker, job, key, start_kind::kNormal, now);
     if (reevaluated) {
@@ -374,7 +424,8 @@
   scheduled_step& step =
       job.occurrences.at(waiting.occurrence).steps[waiting.step_index];
   std::uint64_t run = 0;
-  for (const scheduled_task& task : step.tasks) {
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const scheduled_task& task = step.tasks[i];
     if (!task.runs.empty() || now < task.restart_at) {
       return;
     }
@@ -384,7 +435,8 @@
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
     const task_name key{job.record.id, waiting.occurrence, waiting.step_index,
                         i};
-    scheduled_worker* worker = ChooseWorker(job, key, step.tasks[i], now);
+    scheduled_worker* worker =
+        ChooseWorker(job, key, step.tasks.CopyOf(i), now);
     if (worker == nullptr) {
       break;
     }
@@ -402,14 +454,15 @@
   }
   // Members share one checkpoint: each starts from the greatest one of them.
   std::string checkpoint;
-  for (const scheduled_task& task : step.tasks) {
+  for (const auto& [index, task] : step.tasks.Tracked()) {
     checkpoint = std::max(checkpoint, task.checkpoint);
   }
   for (std::uint32_t i = 0; i < chosen.size(); ++i) {
-    step.tasks[i].checkpoint = checkpoint;
+    scheduled_task& task = step.tasks.Track(i);
+    task.checkpoint = checkpoint;
     OrderStart(*chosen[i], job,
-               {job.record.id, waiting.occurrence, waiting.step_index, i},
-               step.tasks[i], run, now);
+               {job.record.id, waiting.occurrence, waiting.step_index, i}, task,
+               run, now);
   }
 }
 
@@ -608,8 +661,7 @@
             kSpeculationGrace +
             static_cast<millis>(kSpeculationFactor *
                                 static_cast<double>(spec.expected));
-        for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-          scheduled_task& task = step.tasks[i];
+        for (auto& [i, task] : step.tasks.Tracked()) {
           if (task.done || task.is_suspect || task.runs.size() != 1 ||
               now - task.runs.front().active_since < limit) {
             continue;
@@ -645,7 +697,8 @@
       for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
         const job_step& spec = job.record.spec.steps[s];
         if (!spec.service) {
-          work += static_cast<double>(spec.tasks - occurrence.steps[s].done) *
+          work += static_cast<double>(spec.tasks -
+                                      occurrence.steps[s].tasks.DoneCount()) *
                   static_cast<double>(spec.size.milli_processors) *
                   static_cast<double>(spec.expected) / 1e6;
         }
--- a/src/libkernel/job_scheduler_reports.cpp
+++ b/src/libkernel/job_scheduler_reports.cpp
@@ -45,10 +45,9 @@
   for (const auto& [number, occurrence] : job.occurrences) {
     for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
       const scheduled_step& step = occurrence.steps[s];
-      for (std::uint32_t i = 0; step.ready && i < step.tasks.size(); ++i) {
-        if (!step.tasks[i].done) {
-          return task_name{job.record.id, number, s, i};
-        }
+      const auto first = step.ready ? step.tasks.FirstNotDone() : std::nullopt;
+      if (first) {
+        return task_name{job.record.id, number, s, *first};
       }
     }
   }
@@ -61,9 +60,10 @@
   for (const std::string& id : active_jobs_) {
     const scheduled_job& job = jobs_.at(id);
     const auto key = HasRuns(job) ? std::nullopt : FirstWaitingTask(job);
-    if (key && FindTask(*key)->ready_since <= ready_since) {
+    const millis since = key ? TaskCopy(*key).ready_since : now;
+    if (key && since <= ready_since) {
       longest = key;
-      ready_since = FindTask(*key)->ready_since;
+      ready_since = since;
     }
   }
   if (!longest) {
@@ -75,7 +75,7 @@
 idle_job job_scheduler::ExplainWait(scheduled_job& job,
                                     const task_name& key,
                                     millis now) {
-  const scheduled_task& task = *FindTask(key);
+  const scheduled_task task = TaskCopy(key);
   const job_step& step = job.record.spec.steps[key.step];
   idle_job found;
   found.task = key;
--- a/src/libkernel/job_scheduler_sharing.cpp
+++ b/src/libkernel/job_scheduler_sharing.cpp
@@ -157,9 +157,13 @@
         if (!step.ready) {
           continue;
         }
-        summary.waiting_tasks += static_cast<std::uint64_t>(std::count_if(
-            step.tasks.begin(), step.tasks.end(),
-            [](const auto& task) { return !task.done && task.runs.empty(); }));
+        const auto& tracked = step.tasks.Tracked();
+        summary.waiting_tasks +=
+            step.tasks.UntouchedCount() +
+            static_cast<std::uint64_t>(std::count_if(
+                tracked.begin(), tracked.end(), [](const auto& entry) {
+                  return !entry.second.done && entry.second.runs.empty();
+                }));
       }
     }
   }
@@ -389,7 +393,8 @@
     const auto expected_end =
         static_cast<double>(wall_ms_ - job.record.accepted_ms + left);
     keys.emplace_back(expected_end > ObjectiveOf(job),
-                      step.tasks.size() - step.done, percent_left, i);
+                      step.tasks.size() - step.tasks.DoneCount(), percent_left,
+                      i);
   }
   std::sort(keys.begin(), keys.end());
   std::vector<std::size_t> order;
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -408,6 +408,7 @@
     } else {
       task->highest_run = std::max(task->highest_run, adopted.run);
       task->runs.push_back(adopted);
+      ++job->second.runs;
       ReserveResources(worker, job->second, status.task);
       OrderStop(status.task, task->runs.back(), "it is not wanted any more");
     }
@@ -418,6 +419,7 @@
     task->checkpoint = status.checkpoint;
   }
   task->runs.push_back(adopted);
+  ++job->second.runs;
   ReserveResources(worker, job->second, status.task);
   Emit("run_adopted", status.task.ToString(), worker.agent,
        RunDetail(status.run) + " percent=" + std::to_string(status.percent));
@@ -569,7 +571,11 @@
   if (removed == task->runs.end()) {
     return;
   }
+  job.runs -= static_cast<std::uint64_t>(task->runs.end() - removed);
   task->runs.erase(removed, task->runs.end());
+  if (task->done && task->runs.empty()) {
+    finished_tasks_.insert(key);
+  }
   const bool agent_has_other_run =
       std::any_of(task->runs.begin(), task->runs.end(),
                   [&](const task_run& entry) { return entry.agent == agent; });
--- a/src/libkernel/job_test.cpp
+++ b/src/libkernel/job_test.cpp
@@ -63,6 +63,58 @@
   BOOST_CHECK(read.value().steps.at(0).proven_runs == step.proven_runs);
 }
 
+// Guards against progress that outgrows a value of the store (LOST).
+BOOST_AUTO_TEST_CASE(progress_of_a_million_tasks_fits_a_value_of_the_store) {
+  constexpr std::size_t kValueBytes = 1'048'576;
+  job_progress progress;
+  progress.id = "0123456789abcdef";
+  progress.state = job_state::kRunning;
+  for (std::uint32_t i = 0; i < 1'000; ++i) {
+    step_progress step;
+    step.step = i;
+    for (int task = 0; task < 1'000; ++task) {
+      step.done += task % 3 == 0 || i % 2 == 0 ? '1' : '0';
+    }
+    progress.steps.push_back(step);
+  }
+  const std::string text = EncodeJobProgress(progress);
+  BOOST_TEST(text.size() < kValueBytes / 2);
+  const auto read = DecodeJobProgress(text);
+  BOOST_REQUIRE(read);
+  BOOST_REQUIRE(read.value().steps.size() == progress.steps.size());
+  for (std::size_t i = 0; i < progress.steps.size(); ++i) {
+    BOOST_REQUIRE(read.value().steps[i].done == progress.steps[i].done);
+  }
+}
+
+// Guards against tasks that run again after an upgrade (TWICE).
+BOOST_AUTO_TEST_CASE(progress_in_the_former_format_is_read) {
+  const std::string done(100, '1');
+  const auto read = DecodeJobProgress(
+      R"({"id":"j","state":"running","steps":[{"step":0,"done":")" + done +
+      R"("}]})");
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read.value().steps.at(0).done == done);
+}
+
+BOOST_AUTO_TEST_CASE(progress_with_too_few_digits_is_invalid) {
+  const auto read = DecodeJobProgress(
+      R"({"id":"j","state":"running","steps":[{"step":0,"tasks":100,)"
+      R"("done_bits":"ff"}]})");
+  BOOST_TEST(!read);
+}
+
+BOOST_AUTO_TEST_CASE(job_with_too_many_tasks_in_all_is_refused) {
+  job_spec spec = TwoSteps();
+  spec.steps.assign(101, spec.steps[0]);
+  for (job_step& step : spec.steps) {
+    step.tasks = kMaxTasksPerStep;
+  }
+  BOOST_TEST(CheckJob(spec, 10).size() == 1U);
+  spec.steps.pop_back();
+  BOOST_TEST(CheckJob(spec, 10).empty());
+}
+
 BOOST_AUTO_TEST_CASE(record_that_is_not_json_is_invalid) {
   const auto read = DecodeJobRecord("{\"id\":");
   BOOST_REQUIRE(!read);
