Bound the orders under way to a worker, and the runs of jobs with many of them

Cause: each order to start a task had a copy of the payload and waited with its worker until the agent had taken it, without a bound. In a unit test one reply held 16,000,000 bytes of payload for 4,000 orders.

Change: orders wait without the payload, which OrdersFor() adds to those that fit a reply (512 KB). A worker has at most 128 starts, and 256 KB of them, without a known outcome; this bounds the agent's side as well. A job with 64 runs or more takes no worker that has 256 runs, so that other jobs find room beside it. Steps of a job with equal needs are passed over in a placement once one of them has found no worker.

Tests: on the former code orders_of_a_large_job_fit_one_reply (16,000,000 of 1,048,576 bytes) and job_beside_large_ones_starts_at_once fail. job_scheduler_books_test checks that no start stays open.

Failed try: requesting a placement with each outcome of a start changed the order of trials (sound_tasks_are_tried_in_time_beside_many_that_crash, 43 of 44 jobs). It is requested only if the window was full.

--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -382,7 +382,7 @@
   const std::uint64_t acked =
       sync.epoch() == ownership_.epoch ? sync.acked_order() : 0;
   waiting_sync waiting{call, now + hold, acked, obeys};
-  const bool has_orders = !scheduler_->OrdersFor(sync.agent(), acked).empty();
+  const bool has_orders = scheduler_->HasOrdersFor(sync.agent(), acked);
   // An agent that doesn't know the current epoch is answered immediately.
   if (sync.wait() && sync.epoch() == ownership_.epoch && !has_orders) {
     waiting_[sync.agent()] = waiting;
--- a/src/include/chervilkeel/job.h
+++ b/src/include/chervilkeel/job.h
@@ -140,6 +140,9 @@
 // dependent steps that begins with it.
 std::vector<millis> RemainingPaths(const job_spec& spec);
 
+// Returns for each step the first one that needs the same of a worker.
+std::vector<std::uint32_t> FirstAlike(const job_spec& spec);
+
 // Convert between values and their JSON form in the store. Decoding malformed
 // text returns kInvalid and a message that names the kind of value.
 std::string EncodeJobRecord(const job_record& record);
--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -109,6 +109,8 @@
   millis added_at = 0;
   millis critical_path = 0;
   std::vector<millis> remaining_paths;  // By step; see RemainingPaths().
+  // By step: the first one with the same needs.
+  std::vector<std::uint32_t> first_alike;
   double total_work = 0;  // Of one occurrence, in milli-processor ms.
   // True when a scheduler of an earlier epoch may have started tasks of the
   // job.
@@ -172,6 +174,8 @@
   kEvacuated,     // Its data centre is being evacuated.
   kEvacuationUnknown,  // Whether it is, has not been read yet.
   kHeld,               // The task would delay one for which it is reserved.
+  kOrderWindow,        // Too many of its starts have no outcome yet.
+  kRunLimit,           // It has as many runs as jobs with many may add to.
 };
 
 struct start_obstacle_name {
@@ -195,6 +199,8 @@
     {start_obstacle::kEvacuated, "evacuated"},
     {start_obstacle::kEvacuationUnknown, "evacuation_unknown"},
     {start_obstacle::kHeld, "held"},
+    {start_obstacle::kOrderWindow, "order_window"},
+    {start_obstacle::kRunLimit, "run_limit"},
 };
 
 const char* NameOf(start_obstacle obstacle);
@@ -275,8 +281,12 @@
   std::size_t trial_size = 0;
   millis trial_until = 0;
   std::uint64_t last_order_number = 0;
-  // Orders that the agent has not acknowledged, with their numbers.
+  // Orders that the agent has not acknowledged, with their numbers. They lack
+  // the payload.
   std::deque<std::pair<std::uint64_t, worker_order>> orders;
+  // Starts without a known outcome, and their bytes.
+  std::size_t open_starts = 0;
+  std::size_t open_start_bytes = 0;
 };
 
 // The part of the configuration that the scheduler needs.
@@ -371,11 +381,16 @@
   // True when TakeChanges() would return changes.
   bool HasChanges() const;
 
-  // Drops the orders that an agent has acknowledged and returns the others.
+  // Drops the orders that an agent has acknowledged and returns the others, as
+  // far as they fit one reply. Starts get their job's payload here: while they
+  // wait, it is held once a job.
   std::vector<std::pair<std::uint64_t, worker_order>> OrdersFor(
       const std::string& agent,
       std::uint64_t acked);
 
+  // True when an agent has orders that it has not acknowledged.
+  bool HasOrdersFor(const std::string& agent, std::uint64_t acked) const;
+
   // Returns the highest number of an end that the agent's executor may forget.
   std::uint64_t RecordedEnd(const std::string& agent) const;
 
@@ -705,7 +720,13 @@
                                              const scheduled_job& job,
                                              const task_name& key,
                                              millis now) const;
+  // Returns how many runs a worker may have for jobs with many runs to add to.
+  std::size_t RunLimit() const;
   std::uint64_t NextRunNumber(const scheduled_task& task) const;
+  // Whether a worker gets no more starts before the outcome of others is known.
+  static bool IsOrderWindowFull(const scheduled_worker& worker);
+  // Takes note that the outcome of a run's start is known.
+  void CloseStart(task_run& run);
   void OrderStart(scheduled_worker& worker,
                   scheduled_job& job,
                   const task_name& key,
@@ -866,6 +887,21 @@
             const std::string& worker,
             const std::string& detail) const;
 
+  // Starts of a worker that may be without an outcome, and their bytes: each
+  // takes up memory here, on its way and at the agent.
+  static constexpr std::size_t kMaxOpenStarts = 128;
+  static constexpr std::size_t kMaxOpenStartBytes = 256 * 1'024;
+  static constexpr std::size_t kOrderBytes = 256;  // Without its payload.
+  // Of the orders in one reply; the rest follows in the next one.
+  static constexpr std::size_t kMaxReplyBytes = 512 * 1'024;
+
+  // A job with more runs takes no worker that has as many as RunLimit() says:
+  // runs take up memory, and each list of them processor time.
+  static constexpr std::uint64_t kManyRuns = 64;
+  static constexpr std::size_t kMaxRunsPerWorker = 256;
+  static constexpr std::size_t kMinRunsPerWorker = 16;
+  static constexpr std::size_t kMaxRunsOfLargeJobs = 40'000;
+
   // Occurrences of a job that are open at the same time. Later ones that are
   // due open as these are done.
   static constexpr std::uint32_t kMaxOpenOccurrences = 100;
--- a/src/include/chervilkeel/scheduled_task.h
+++ b/src/include/chervilkeel/scheduled_task.h
@@ -26,6 +26,9 @@
   run_phase phase = run_phase::kOrdered;
   // Whether a list or the agent has told that the executor has the run.
   bool is_confirmed = false;
+  // Bytes of the order to start it that its worker's window counts; 0 once the
+  // outcome is known.
+  std::size_t open_start_bytes = 0;
   // Whether the task has begun, by a list, an end or the answer to the order.
   bool has_begun = false;
   // The last time, by the agent's clock, at which it knew that the run had been
--- a/src/include/chervilkeel/worker_report.h
+++ b/src/include/chervilkeel/worker_report.h
@@ -174,7 +174,7 @@
   executor_boot boot;  // Other boots must not carry it out.
   task_name task;
   std::uint64_t run = 0;
-  std::string payload;          // kStart only.
+  std::string payload;          // kStart only; see OrdersFor().
   std::string checkpoint;       // kStart only; empty: from the beginning.
   std::string reason;           // For the logs.
   std::uint32_t percent = 100;  // kPace only: speed limit.
--- a/src/libkernel/job.cpp
+++ b/src/libkernel/job.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <tuple>
 
 #include <boost/json.hpp>
 
@@ -362,6 +363,23 @@
   return paths;
 }
 
+std::vector<std::uint32_t> FirstAlike(const job_spec& spec) {
+  const auto needs_of = [](const job_step& step) {
+    return std::tie(step.size.milli_processors, step.size.memory_mb,
+                    step.size.accelerators, step.expected, step.gang,
+                    step.service, step.filler, step.required_label,
+                    step.data_rack, step.most_per_worker, step.image,
+                    step.tail_target);
+  };
+  std::map<decltype(needs_of(spec.steps[0])), std::uint32_t> first;
+  std::vector<std::uint32_t> alike;
+  for (const job_step& step : spec.steps) {
+    const auto index = static_cast<std::uint32_t>(alike.size());
+    alike.push_back(first.emplace(needs_of(step), index).first->second);
+  }
+  return alike;
+}
+
 std::string EncodeJobRecord(const job_record& record) {
   json::object out{{"id", record.id},
                    {"queue", record.queue.name},
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -171,6 +171,7 @@
   job.added_at = now;
   job.critical_path = CriticalPath(record.spec);
   job.remaining_paths = RemainingPaths(record.spec);
+  job.first_alike = FirstAlike(record.spec);
   // A job whose queue was removed keeps the policy it was accepted under.
   const auto queue = config_.queues.find(record.queue.name);
   job.policy = queue != config_.queues.end() ? queue->second : record.queue;
--- a/src/libkernel/job_scheduler_books_fixture.h
+++ b/src/libkernel/job_scheduler_books_fixture.h
@@ -400,6 +400,9 @@
       if (!(worker.used == amount()) || !worker.tasks.empty()) {
         ledger_.Fail(time_.Now(), "worker " + agent + " has used room");
       }
+      if (worker.open_starts != 0 || worker.open_start_bytes != 0) {
+        ledger_.Fail(time_.Now(), "worker " + agent + " has open starts");
+      }
     }
     for (const auto& site : sites_) {
       if (site->executor.boot != nullptr && !site->executor.boot->IsIdle()) {
--- a/src/libkernel/job_scheduler_large_jobs_test.cpp
+++ b/src/libkernel/job_scheduler_large_jobs_test.cpp
@@ -3,6 +3,7 @@
 // after it (LOST).
 #include <malloc.h>
 
+#include <algorithm>
 #include <limits>
 
 #include <boost/test/unit_test.hpp>
@@ -37,6 +38,28 @@
     return record;
   }
 
+  // Many small tasks with the longest payload of a job.
+  static job_record MakeSmallTasks(const std::string& id) {
+    job_record record = MakeLargeJob(id, 100, 1'000);
+    record.spec.payload.assign(4'000, 'x');
+    for (job_step& step : record.spec.steps) {
+      step.size = {1, 1, 0};
+    }
+    return record;
+  }
+
+  // Reports each start that is ordered, until no more are.
+  void StartAll() {
+    for (auto orders = TakeOrders("a"); !orders.empty();
+         orders = TakeOrders("a")) {
+      for (const worker_order& order : orders) {
+        ReportStart("a", order, start_outcome::kStarted);
+      }
+      now += 10;
+      Tick();
+    }
+  }
+
   std::size_t BytesTaken() const { return BytesInUse() - before; }
 };
 
@@ -133,6 +156,71 @@
   BOOST_TEST(scheduler.Jobs().at("j").occurrences.empty());
 }
 
+BOOST_AUTO_TEST_CASE(orders_of_a_large_job_fit_one_reply) {
+  scheduler.AddJob(MakeSmallTasks("j"), now);
+  for (int i = 0; i < 20; ++i) {
+    now += 100;
+    Tick();
+  }
+  std::size_t payload = 0;
+  for (const auto& [number, order] : scheduler.OrdersFor("a", 0)) {
+    payload += order.payload.size();
+  }
+  BOOST_TEST(payload > 0U);
+  BOOST_TEST(payload <= kMegabyte);
+  BOOST_TEST(BytesTaken() < 4 * kMegabyte);
+}
+
+BOOST_AUTO_TEST_CASE(tasks_of_a_large_job_follow_as_others_are_done) {
+  scheduler.AddJob(MakeSmallTasks("j"), now);
+  Tick();
+  for (int i = 0; i < 40; ++i) {
+    for (const worker_order& order : TakeOrders("a")) {
+      BOOST_TEST(order.payload.size() == 4'000U);
+      ReportStart("a", order, start_outcome::kStarted);
+      ReportEnd("a", order, run_end::kDone);
+    }
+    now += 10;
+    Tick();
+  }
+  BOOST_TEST(scheduler.Jobs().at("j").done_tasks > 1'000U);
+}
+
+// An ordinary job must find room, although nothing of the large ones ends.
+BOOST_AUTO_TEST_CASE(job_beside_large_ones_starts_at_once) {
+  for (const char* id : {"large1", "large2", "large3"}) {
+    scheduler.AddJob(MakeSmallTasks(id), now);
+  }
+  Tick();
+  StartAll();
+  job_record ordinary = MakeJob("ordinary", 4);
+  ordinary.spec.steps[0].size = {100, 10, 0};
+  scheduler.AddJob(ordinary, now);
+  Tick();
+  const auto orders = TakeOrders("a");
+  BOOST_TEST(std::count_if(orders.begin(), orders.end(), [](const auto& order) {
+               return order.task.job == "ordinary";
+             }) == 4);
+}
+
+BOOST_AUTO_TEST_CASE(refused_and_lost_starts_leave_the_window) {
+  scheduler.AddJob(MakeSmallTasks("j"), now);
+  Tick();
+  const auto orders = TakeOrders("a");
+  BOOST_REQUIRE(!orders.empty());
+  BOOST_TEST(scheduler.Workers().at("a").open_starts == orders.size());
+  worker_report report = MakeReport("a");
+  report.starts.push_back(
+      {orders[0].task, orders[0].run, start_outcome::kNoCapacity});
+  scheduler.OnReport(report, now);
+  BOOST_TEST(scheduler.Workers().at("a").open_starts == orders.size() - 1);
+  report = MakeReport("a");
+  report.worker.boot.started_ms = 6;
+  scheduler.OnReport(report, now);
+  BOOST_TEST(scheduler.Workers().at("a").open_starts == 0U);
+  BOOST_TEST(scheduler.Workers().at("a").open_start_bytes == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -1,6 +1,7 @@
 // Task placement of the job scheduler: order of waiting tasks, choice of
 // workers and speculative copies.
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 #include "chervilkeel/job_scheduler.h"
@@ -106,7 +107,53 @@
   while (!orders.empty() && orders.front().first <= acked) {
     orders.pop_front();
   }
-  return {orders.begin(), orders.end()};
+  std::vector<std::pair<std::uint64_t, worker_order>> reply;
+  std::size_t bytes = 0;
+  for (const auto& [number, order] : orders) {
+    const auto job = order.kind == order_kind::kStart
+                         ? jobs_.find(order.task.job)
+                         : jobs_.end();
+    bytes += kOrderBytes + order.checkpoint.size() +
+             (job == jobs_.end() ? 0 : job->second.record.spec.payload.size());
+    if (bytes > kMaxReplyBytes && !reply.empty()) {
+      break;
+    }
+    reply.emplace_back(number, order);
+    if (job != jobs_.end()) {
+      reply.back().second.payload = job->second.record.spec.payload;
+    }
+  }
+  return reply;
+}
+
+bool job_scheduler::HasOrdersFor(const std::string& agent,
+                                 std::uint64_t acked) const {
+  const auto found = workers_.find(agent);
+  return found != workers_.end() && !found->second.orders.empty() &&
+         found->second.orders.back().first > acked;
+}
+
+bool job_scheduler::IsOrderWindowFull(const scheduled_worker& worker) {
+  return worker.open_starts >= kMaxOpenStarts ||
+         worker.open_start_bytes >= kMaxOpenStartBytes;
+}
+
+void job_scheduler::CloseStart(task_run& run) {
+  const std::size_t bytes = std::exchange(run.open_start_bytes, 0);
+  const auto found = workers_.find(run.agent);
+  if (bytes == 0 || found == workers_.end()) {
+    return;
+  }
+  scheduled_worker& worker = found->second;
+  placement_requested_ = placement_requested_ || IsOrderWindowFull(worker);
+  --worker.open_starts;
+  worker.open_start_bytes -= bytes;
+}
+
+std::size_t job_scheduler::RunLimit() const {
+  return std::clamp(
+      kMaxRunsOfLargeJobs / std::max<std::size_t>(workers_.size(), 1),
+      kMinRunsPerWorker, kMaxRunsPerWorker);
 }
 
 void job_scheduler::OrderStart(scheduled_worker& worker,
@@ -128,6 +175,10 @@
   run.active_since = now;
   run.estimated_start = now + kStartDelay;
   run.percent_changed_at = now;
+  run.open_start_bytes =
+      kOrderBytes + job.record.spec.payload.size() + task.checkpoint.size();
+  ++worker.open_starts;
+  worker.open_start_bytes += run.open_start_bytes;
   task.runs.push_back(run);
   ++job.runs;
   NoteStartForReservations(worker, job, key, now);
@@ -155,7 +206,6 @@
   order.boot = run.boot;
   order.task = key;
   order.run = run.run;
-  order.payload = job.record.spec.payload;
   order.checkpoint = task.checkpoint;
   order.was_tried = run.was_tried;
   AddOrder(run.agent, std::move(order));
@@ -356,12 +406,33 @@
   });
   UpdateReservations(now);
   StartOverdueTrials(steps, now);
+  // Steps of which one has found no worker, so that the others find none: their
+  // job, their needs and the time at which they became ready.
+  using alike_steps = std::tuple<const scheduled_job*, std::uint32_t, millis>;
+  std::set<alike_steps> without_worker;
   for (const waiting_step& waiting : steps) {
     const job_step& step = waiting.job->record.spec.steps[waiting.step_index];
     if (step.gang) {
       PlaceGang(waiting, now);
-    } else if (!PlaceTasks(waiting, now) && step.filler) {
-      is_crowded = true;
+      continue;
+    }
+    const scheduled_step& state =
+        waiting.job->occurrences.at(waiting.occurrence)
+            .steps[waiting.step_index];
+    const bool is_alike = waiting.tasks.empty() && !state.most_runs_fail &&
+                          step.most_per_worker == 0 && options_.lookahead == 0;
+    const alike_steps key{waiting.job,
+                          waiting.job->first_alike[waiting.step_index],
+                          state.tasks.ReadySince()};
+    if (is_alike && without_worker.count(key) != 0) {
+      continue;
+    }
+    if (PlaceTasks(waiting, now)) {
+      continue;
+    }
+    is_crowded = is_crowded || step.filler;
+    if (is_alike) {
+      without_worker.insert(key);
     }
   }
   // Tasks that have crashed two executors are likely to crash a third one, and
@@ -516,6 +587,12 @@
   if (now < worker.start_backoff_until) {
     return start_obstacle::kBackOff;
   }
+  if (IsOrderWindowFull(worker)) {
+    return start_obstacle::kOrderWindow;
+  }
+  if (job.runs >= kManyRuns && worker.tasks.size() >= RunLimit()) {
+    return start_obstacle::kRunLimit;
+  }
   const scheduled_step& state =
       job.occurrences.at(key.occurrence).steps[key.step];
   if (worker.health.IsSuspect() &&
--- a/src/libkernel/job_scheduler_workers.cpp
+++ b/src/libkernel/job_scheduler_workers.cpp
@@ -361,6 +361,7 @@
           run.phase = run_phase::kRunning;
         }
         run.is_confirmed = true;
+        CloseStart(run);
         NoteBegun(job->second, run);
         run.seen_at = listed_before;
         if (!status.checkpoint.empty()) {
@@ -520,6 +521,7 @@
     if (run->phase == run_phase::kOrdered) {
       run->phase = run_phase::kRunning;
       run->is_confirmed = true;
+      CloseStart(*run);
       run->seen_at = result.known_at;
       run->active_since = now;
       run->percent_changed_at = now;
@@ -561,6 +563,7 @@
       std::find_if(task->runs.begin(), task->runs.end(), is_run);
   if (dropped != task->runs.end()) {
     job.throttled += dropped->throttling_loss;
+    CloseStart(*dropped);
   }
   if (holder != workers_.end() && dropped != task->runs.end()) {
     RecordEndedBestEffortRun(holder->second, job.record.spec.steps[key.step],
