Pass over announcements that the followed boot cannot have made

Cause, two faults: any announcement of the followed boot replaced its service, labels and capacity; and a leap of the sequence made the executor's own announcements look outdated for as long as it lasted.

Change: announcement_filter judges the announcements of one boot. One that changes what a boot cannot change, or leaps further than the time since the last one explains, is passed over and logged. Three others that fit one another over 1.5 s or more are the executor's if none that fits has come meanwhile, so that an executor recovers from a small leap and from a writer that came first.

Test: on the former code announcement_of_another_service_is_passed_over fails (the agent reports the service "unknown").

--- a/src/chervilkeeld/job_agent_process.cpp
+++ b/src/chervilkeeld/job_agent_process.cpp
@@ -236,13 +236,24 @@
     ConfirmBoot(said);
     return;
   }
-  if (boot.started_ms < worker_.boot.started_ms ||
-      (boot == worker_.boot && said.sequence < sequence_)) {
-    LogEvent(kPart, "announcement_outdated",
-             {{"executor", boot.id}, {"sequence", said.sequence}});
+  const announcement_verdict verdict =
+      boot == worker_.boot ? filter_.Judge(said, BootNow())
+      : boot.started_ms < worker_.boot.started_ms
+          ? announcement_verdict::kOutdated
+          : announcement_verdict::kAccepted;
+  if (verdict == announcement_verdict::kAccepted) {
+    FollowBoot(said);
     return;
   }
-  FollowBoot(said);
+  LogEvent(kPart, "announcement_passed_over",
+           {{"executor", boot.id},
+            {"cause", NameOf(verdict)},
+            {"started_ms", boot.started_ms},
+            {"service", said.worker.service},
+            {"followed_service", worker_.service},
+            {"sequence", said.sequence},
+            {"followed_sequence", filter_.Sequence()}});
+  metrics_.CountEvent("announcements_passed_over");
 }
 
 // The executor's answer tells a boot from one that never was and from a former
@@ -285,6 +296,7 @@
   const bool new_boot = boot != worker_.boot;
   const bool drains = said.worker.draining && !worker_.draining;
   if (new_boot) {
+    filter_.Follow(said, BootNow());
     LogEvent(kPart, "executor_boot",
              {{"executor", boot.id},
               {"started_ms", boot.started_ms},
@@ -310,7 +322,6 @@
   if (worker_.data_centre.empty()) {
     worker_.data_centre = settings_.data_centre;
   }
-  sequence_ = said.sequence;
   ++announced_;
   if (drains) {
     LogEvent(kPart, "executor_draining",
--- a/src/chervilkeeld/job_agent_process.h
+++ b/src/chervilkeeld/job_agent_process.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "announcement_filter.h"
 #include "chervilkeel/evacuation_state.h"
 #include "chervilkeel/http_server.h"
 #include "chervilkeel/platform_adapter.h"
@@ -189,7 +190,7 @@
   evacuation_state evacuations_;
   executor_description worker_;
   executor_boot unconfirmed_;    // Announced, and its answer is awaited.
-  std::uint64_t sequence_ = 0;   // Of the last announcement.
+  announcement_filter filter_;   // Of those of the boot that is followed.
   std::uint64_t announced_ = 0;  // How many were taken.
   executor_boot gone_;           // An executor that has left, not yet told.
   executor_boot leaving_boot_;   // It has announced that it leaves ...
--- a/src/chervilkeeld/job_agent_process_test.cpp
+++ b/src/chervilkeeld/job_agent_process_test.cpp
@@ -304,6 +304,28 @@
   BOOST_TEST(last_report.worker.capacity.memory_mb == 8'000);
 }
 
+// Guards against an executor that is taken away by one announcement of another
+// writer, with its boot, a service that nobody knows and a high sequence
+// (LOST).
+BOOST_AUTO_TEST_CASE(announcement_of_another_service_is_passed_over) {
+  script.listings = 1'000'000;
+  Announce();
+  RunUntil([this] { return obeying > 0; });
+  script.distort = [](announcement& said) {
+    said.worker.service = "unknown";
+    said.sequence = 1'001;
+  };
+  AnnounceBoot();
+  script.distort = [](announcement& said) {
+    said.sequence = 2;
+    said.worker.draining = true;
+  };
+  AnnounceBoot();
+  RunForUntil([this] { return last_report.worker.draining; });
+  BOOST_TEST(last_report.worker.draining);
+  BOOST_TEST(last_report.worker.service == "cutting");
+}
+
 // Guards against an agent that follows its executor no more: another writer has
 // announced a boot that never was, a little ahead of the clock.
 BOOST_AUTO_TEST_CASE(boot_that_the_executor_denies_displaces_none) {
