Tell the owner of a cancellation until it has taken note

Cause, by reading: the entry told the owner once, with a timeout of 500 ms, and ignored the outcome. If the call was lost, the owner's watch of the inbox told it, up to 3.8 s later; 4 s are allowed for all that follows. No log line showed it.

Change: the entry repeats the call each 100 ms until an owner has taken note, for 10 s at most, and logs what it does. The owner logs by which way it heard.

Test: on the former code cancellation_is_told_until_the_owner_takes_note fails (told 0 times to the owner that comes 250 ms later).

A watch that falls silent, and stops that are lost, remain as they were.

--- a/src/chervilkeeld/job_front.cpp
+++ b/src/chervilkeeld/job_front.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "chervilkeel/event_log.h"
@@ -27,6 +28,8 @@
 constexpr std::size_t kMaxIdLength = 100;
 constexpr const char* kShuttingDown = "this entry is shutting down";
 constexpr int kMaxUnansweredLines = 50;  // In the log, of one process.
+// How long the owner is told of a cancellation. Later it knows by the store.
+constexpr millis kMaxTellTime = 10'000;
 
 // A job's id stands in keys of the store and in names of tasks.
 bool IsJobId(const std::string& id) {
@@ -514,7 +517,7 @@
   CommitCancel(
       request, {}, [this, request](const result<transaction_outcome>& outcome) {
         if (outcome) {
-          TellCancelled(request);
+          TellCancelled(request->id);
           Answer(request, Success(job_result::kCancelled), "stored");
         } else if (BootNow() + kPause < request->until) {
           Again(request, [this, request] { StoreCancel(request); });
@@ -526,11 +529,64 @@
       });
 }
 
-void job_front::TellCancelled(const job_request_ptr& request) {
+void job_front::TellCancelled(const std::string& id) {
+  AskAboutCancel(id, [this, id, stored_at = BootNow()](
+                         bool is_told, const std::string& cause) {
+    if (is_told) {
+      return;
+    }
+    LogEvent(kPart, "cancel_to_be_told_again",
+             {{"id", id},
+              {"cause", cause},
+              {"age_ms", BootNow() - stored_at},
+              {"untold", untold_cancels_.size()}});
+    untold_cancels_.push_back({id, stored_at});
+    if (untold_cancels_.size() == 1) {
+      TellAgainAfterPause();
+    }
+  });
+}
+
+void job_front::AskAboutCancel(
+    const std::string& id,
+    std::function<void(bool is_told, const std::string& cause)> done) {
   wire::job_question question;
   question.set_kind(wire::job_question::cancelled);
-  question.set_id(request->id);
-  ask_(question, kAskTimeout, [](const auto&) {});
+  question.set_id(id);
+  ask_(question, kAskTimeout,
+       [done = std::move(done)](const result<wire::job_reply>& reply) {
+         done(reply && reply.value().is_owner(),
+              reply ? "no owner" : ToString(reply.error()));
+       });
+}
+
+void job_front::TellAgainAfterPause() {
+  auto timer = std::make_shared<boost::asio::steady_timer>(context_);
+  timer->expires_after(std::chrono::milliseconds(kPause));
+  timer->async_wait([this, timer](boost::system::error_code) { TellAgain(); });
+}
+
+void job_front::TellAgain() {
+  if (untold_cancels_.empty()) {
+    return;
+  }
+  AskAboutCancel(untold_cancels_.front().id,
+                 [this](bool is_told, const std::string& cause) {
+                   const untold_cancel& told = untold_cancels_.front();
+                   const millis age = BootNow() - told.stored_at;
+                   if (!is_told && age < kMaxTellTime) {
+                     TellAgainAfterPause();
+                     return;
+                   }
+                   LogEvent(kPart, is_told ? "cancel_told" : "cancel_not_told",
+                            {{"id", told.id},
+                             {"cause", is_told ? "-" : cause},
+                             {"age_ms", age},
+                             {"untold", untold_cancels_.size() - 1}},
+                            !is_told);
+                   untold_cancels_.pop_front();
+                   boost::asio::post(context_, [this] { TellAgain(); });
+                 });
 }
 
 // "No such job" has to stay true: the condition decides whether the job or its
@@ -547,7 +603,7 @@
     const result<transaction_outcome>& outcome) {
   if (outcome) {
     if (outcome.value().applied) {
-      TellCancelled(request);
+      TellCancelled(request->id);
       Answer(request, Refusal(job_result::kNoJob, "no such job"),
              "cancelled before it was stored");
     } else {
--- a/src/chervilkeeld/job_front.h
+++ b/src/chervilkeeld/job_front.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -115,7 +116,21 @@
   void StoreEarlyCancel(const job_request_ptr& request);
   void OnEarlyCancelStored(const job_request_ptr& request,
                            const result<transaction_outcome>& outcome);
-  void TellCancelled(const job_request_ptr& request);
+  // A stored cancellation of which no owner has taken note.
+  struct untold_cancel {
+    std::string id;
+    millis stored_at = 0;
+  };
+
+  // Tells the owner, whoever it is by then, of a stored cancellation until it
+  // has taken note: its own watch of the store may be late.
+  void TellCancelled(const std::string& id);
+  void AskAboutCancel(
+      const std::string& id,
+      std::function<void(bool is_told, const std::string& cause)> done);
+  // Repeats the cancellations that were not taken note of, one at a time.
+  void TellAgain();
+  void TellAgainAfterPause();
   void Count(const job_request_ptr& request);
   void Again(const job_request_ptr& request, std::function<void()> step);
   void Answer(const job_request_ptr& request,
@@ -130,6 +145,7 @@
   config_follower& config_;
   known_epoch epoch_;
   std::unordered_set<job_request_ptr> open_;  // Not answered yet.
+  std::deque<untold_cancel> untold_cancels_;  // The oldest first.
   bool is_closed_ = false;
 };
 
--- a/src/chervilkeeld/job_front_test.cpp
+++ b/src/chervilkeeld/job_front_test.cpp
@@ -1,5 +1,7 @@
 #include "job_front.h"
 
+#include <algorithm>
+#include <chrono>
 #include <optional>
 
 #include <boost/test/unit_test.hpp>
@@ -170,6 +172,23 @@
 
 // Guards against a job that runs after its cancel was answered (UNASKED): the
 // write of the job had no answer, and takes effect after the cancel.
+// Guards against a task that starts or runs long after its job was cancelled
+// (UNASKED): the owner was told once, and that call was lost.
+BOOST_AUTO_TEST_CASE(cancellation_is_told_until_the_owner_takes_note) {
+  Call("POST", path);
+  BOOST_TEST(Call("DELETE", path) == "cancelled");
+  context.restart();
+  context.run_for(std::chrono::milliseconds(250));
+  has_owner = true;
+  questions.clear();
+  context.run_for(std::chrono::milliseconds(500));
+  const auto told = std::count_if(
+      questions.begin(), questions.end(), [](const auto& question) {
+        return question.kind() == wire::job_question::cancelled;
+      });
+  BOOST_TEST(told == 1);
+}
+
 BOOST_AUTO_TEST_CASE(job_whose_write_lands_after_its_cancel_is_not_stored) {
   BOOST_TEST(SubmitWithoutAnswer() == "unknown");
   BOOST_TEST(Call("DELETE", path) == "no such job");
--- a/src/chervilkeeld/job_owner.cpp
+++ b/src/chervilkeeld/job_owner.cpp
@@ -422,7 +422,7 @@
       break;
     }
     case wire::job_question::cancelled:
-      reply.set_is_known(CancelJob(question.id()));
+      reply.set_is_known(CancelJob(question.id(), "entry"));
       ScheduleStep();
       break;
     case wire::job_question::pending:
--- a/src/chervilkeeld/job_owner.h
+++ b/src/chervilkeeld/job_owner.h
@@ -122,8 +122,8 @@
   void ApplyInboxItem(const stored_item& item);
   void AddJob(const job_record& record, millis now);
   // Cancels a job, also one that is heard of later. Returns whether the job is
-  // known.
-  bool CancelJob(const std::string& id);
+  // known. `source` says how this process heard of it, for the log.
+  bool CancelJob(const std::string& id, const char* source);
   // Removes the cancellations of jobs that have not come for the time that
   // ended jobs are remembered.
   void ExpireEarlyCancellations();
--- a/src/chervilkeeld/job_owner_store.cpp
+++ b/src/chervilkeeld/job_owner_store.cpp
@@ -65,10 +65,18 @@
   }
 }
 
-bool job_owner::CancelJob(const std::string& id) {
+bool job_owner::CancelJob(const std::string& id, const char* source) {
+  const auto former = scheduler_->StateOf(id);
   const bool is_known = scheduler_->CancelJob(id);
-  if (!is_known) {
-    early_cancellations_.emplace(id, BootNow());
+  const bool is_news = is_known
+                           ? !IsFinal(*former)
+                           : early_cancellations_.emplace(id, BootNow()).second;
+  if (is_news) {
+    LogEvent(kPart, "cancel_heard",
+             {{"id", id},
+              {"source", source},
+              {"known", is_known},
+              {"epoch", ownership_.epoch}});
   }
   return is_known;
 }
@@ -96,7 +104,7 @@
   if (item.key.rfind(cancel_prefix, 0) == 0) {
     const std::string id = item.key.substr(cancel_prefix.size());
     if (scheduler_ != nullptr) {
-      CancelJob(id);
+      CancelJob(id, "store");
     } else {
       recovered_.cancelled.insert(id);
     }
@@ -364,7 +372,7 @@
            true);
   scheduler_ = std::move(scheduler);
   for (const std::string& id : recovered_.cancelled) {
-    CancelJob(id);  // Of a job that comes later, too.
+    CancelJob(id, "recovery");  // Of a job that comes later, too.
   }
   inbox_revision_ = recovered_.inbox_revision;
   former_may_grant_ = recovered_.former_may_grant;
