--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -733,8 +733,7 @@
                   scheduled_task& task,
                   std::uint64_t run,
                   millis now);
-  void SendStart(const scheduled_job& job,
-                 const task_name& key,
+  void SendStart(const task_name& key,
                  const scheduled_task& task,
                  const task_run& run);
   // Orders the starts again whose outcome the agent's former process has not
@@ -890,10 +889,10 @@
   // Starts of a worker that may be without an outcome, and their bytes: each
   // takes up memory here, on its way and at the agent.
   static constexpr std::size_t kMaxOpenStarts = 128;
-  static constexpr std::size_t kMaxOpenStartBytes = 256 * 1'024;
+  static constexpr std::size_t kMaxOpenStartBytes = 262'144;
   static constexpr std::size_t kOrderBytes = 256;  // Without its payload.
   // Of the orders in one reply; the rest follows in the next one.
-  static constexpr std::size_t kMaxReplyBytes = 512 * 1'024;
+  static constexpr std::size_t kMaxReplyBytes = 524'288;
 
   // A job with more runs takes no worker that has as many as RunLimit() says:
   // runs take up memory, and each list of them processor time.
--- a/src/include/chervilkeel/task_table.h
+++ b/src/include/chervilkeel/task_table.h
@@ -19,7 +19,7 @@
   // Sets the number of tasks of an empty table. None of them has started.
   void Resize(std::size_t size);
 
-  std::size_t size() const { return done_.size(); }
+  std::size_t Size() const { return done_.size(); }
   std::size_t DoneCount() const { return done_count_; }
   bool IsComplete() const { return done_count_ == done_.size(); }
   bool IsDone(std::size_t index) const { return done_[index]; }
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -86,7 +86,7 @@
     }
     scheduled_step& step = occurrence.steps[saved.step];
     const auto tasks = static_cast<std::uint32_t>(
-        std::min(saved.done.size(), step.tasks.size()));
+        std::min(saved.done.size(), step.tasks.Size()));
     for (std::uint32_t i = 0; i < tasks; ++i) {
       if (saved.done[i] == '1' && !job.record.spec.steps[saved.step].service) {
         step.tasks.SetDone(i);
@@ -95,32 +95,32 @@
       }
     }
     for (const auto& [index, runs] : saved.failed_runs) {
-      if (index < step.tasks.size()) {
+      if (index < step.tasks.Size()) {
         step.tasks.Track(index).failed_runs = runs;
         job.begun_runs += runs.size();
       }
     }
     for (const auto& [index, runs] : saved.crashed_runs) {
-      if (index < step.tasks.size()) {
+      if (index < step.tasks.Size()) {
         scheduled_task& task = step.tasks.Track(index);
         task.crashed_runs = runs;
         task.is_suspect = true;
       }
     }
     for (const auto& [index, run] : saved.proven_runs) {
-      if (index < step.tasks.size()) {
+      if (index < step.tasks.Size()) {
         step.tasks.Track(index).proven_run = run;
         ++job.begun_runs;
       }
     }
     for (const auto& [index, runs] : saved.late_crashed_runs) {
-      if (index < step.tasks.size()) {
+      if (index < step.tasks.Size()) {
         step.tasks.Track(index).late_crashed_runs = runs;
         job.begun_runs += runs.size();
       }
     }
     for (const auto& [index, checkpoint] : saved.checkpoints) {
-      if (index < step.tasks.size()) {
+      if (index < step.tasks.Size()) {
         step.tasks.Track(index).checkpoint = checkpoint;
         ++job.begun_runs;
       }
@@ -277,7 +277,7 @@
     return nullptr;
   }
   task_table& tasks = occurrence->second.steps[key.step].tasks;
-  if (key.index >= tasks.size()) {
+  if (key.index >= tasks.Size()) {
     return nullptr;
   }
   scheduled_task& task = tasks.Track(key.index);
--- a/src/libkernel/job_scheduler_books_fixture.h
+++ b/src/libkernel/job_scheduler_books_fixture.h
@@ -416,7 +416,7 @@
                  const scheduled_occurrence& occurrence) {
     for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
       const auto& tasks = occurrence.steps[s].tasks;
-      for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+      for (std::uint32_t i = 0; i < tasks.Size(); ++i) {
         for (const task_run& run : tasks[i].runs) {
           const task_name task{id, number, s, i};
           if (!HasRun(run, task)) {
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -187,7 +187,7 @@
     worker.health.OnProbe(now);
   }
   job.waited += now - task.ready_since;
-  SendStart(job, key, task, run);
+  SendStart(key, task, run);
   Emit("start_ordered", key.ToString(), worker.agent,
        "run=" + std::to_string(number) +
            " waited_ms=" + std::to_string(now - task.ready_since) +
@@ -197,8 +197,7 @@
            " failures=" + std::to_string(task.failed_runs.size()));
 }
 
-void job_scheduler::SendStart(const scheduled_job& job,
-                              const task_name& key,
+void job_scheduler::SendStart(const task_name& key,
                               const scheduled_task& task,
                               const task_run& run) {
   worker_order order;
@@ -240,7 +239,7 @@
     for (const task_run& run : task->runs) {
       if (run.agent == worker.agent && run.phase == run_phase::kOrdered &&
           !IsOrderQueued(worker, order_kind::kStart, key, run.run)) {
-        SendStart(jobs_.at(key.job), key, *task, run);
+        SendStart(key, *task, run);
         Emit("start_repeated", key.ToString(), worker.agent,
              "run=" + std::to_string(run.run));
       }
@@ -299,7 +298,7 @@
   for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
     const scheduled_step& step = occurrence.steps[i];
     const job_step& spec = job.record.spec.steps[i];
-    work += static_cast<double>(step.tasks.size() - step.tasks.DoneCount()) *
+    work += static_cast<double>(step.tasks.Size() - step.tasks.DoneCount()) *
             static_cast<double>(spec.size.milli_processors) *
             static_cast<double>(spec.expected);
   }
@@ -495,7 +494,7 @@
   scheduled_step& step =
       job.occurrences.at(waiting.occurrence).steps[waiting.step_index];
   std::uint64_t run = 0;
-  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+  for (std::size_t i = 0; i < step.tasks.Size(); ++i) {
     const scheduled_task& task = step.tasks[i];
     if (!task.runs.empty() || now < task.restart_at) {
       return;
@@ -503,7 +502,7 @@
     run = std::max(run, NextRunNumber(task));
   }
   std::vector<scheduled_worker*> chosen;
-  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+  for (std::uint32_t i = 0; i < step.tasks.Size(); ++i) {
     const task_name key{job.record.id, waiting.occurrence, waiting.step_index,
                         i};
     scheduled_worker* worker =
@@ -519,7 +518,7 @@
         *chosen[i], job,
         {job.record.id, waiting.occurrence, waiting.step_index, i});
   }
-  if (chosen.size() < step.tasks.size()) {
+  if (chosen.size() < step.tasks.Size()) {
     ReserveRoom(waiting, 0, now);
     return;
   }
--- a/src/libkernel/job_scheduler_sharing.cpp
+++ b/src/libkernel/job_scheduler_sharing.cpp
@@ -393,7 +393,7 @@
     const auto expected_end =
         static_cast<double>(wall_ms_ - job.record.accepted_ms + left);
     keys.emplace_back(expected_end > ObjectiveOf(job),
-                      step.tasks.size() - step.tasks.DoneCount(), percent_left,
+                      step.tasks.Size() - step.tasks.DoneCount(), percent_left,
                       i);
   }
   std::sort(keys.begin(), keys.end());
