Count runs of ended jobs as possible causes of a crash

Also, what is read of a reserved task no longer tracks it: with lookahead_ms, a step whose only waiting task was reserved could be placed without any.

Test: crash_beside_a_run_of_an_ended_job_gives_up_no_other_job fails without the change.

--- a/src/include/chervilkeel/job_scheduler.h
+++ b/src/include/chervilkeel/job_scheduler.h
@@ -493,6 +493,8 @@
   void StopAllRuns(scheduled_job& job, const char* reason);
   // Returns a task for changes, or null. It is tracked from now on.
   scheduled_task* FindTask(const task_name& key);
+  // Returns a task for reading, or null; see task_table.
+  const scheduled_task* PeekTask(const task_name& key) const;
   // Returns a copy of a task that exists, without tracking it.
   scheduled_task TaskCopy(const task_name& key) const {
     return jobs_.at(key.job)
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -266,7 +266,7 @@
   }
 }
 
-scheduled_task* job_scheduler::FindTask(const task_name& key) {
+const scheduled_task* job_scheduler::PeekTask(const task_name& key) const {
   const auto job = jobs_.find(key.job);
   if (job == jobs_.end()) {
     return nullptr;
@@ -276,11 +276,15 @@
       key.step >= occurrence->second.steps.size()) {
     return nullptr;
   }
-  task_table& tasks = occurrence->second.steps[key.step].tasks;
-  if (key.index >= tasks.Size()) {
+  const task_table& tasks = occurrence->second.steps[key.step].tasks;
+  return key.index < tasks.Size() ? &tasks[key.index] : nullptr;
+}
+
+scheduled_task* job_scheduler::FindTask(const task_name& key) {
+  if (PeekTask(key) == nullptr) {
     return nullptr;
   }
-  scheduled_task& task = tasks.Track(key.index);
+  scheduled_task& task = StepOf(key.Step()).tasks.Track(key.index);
   if (task.done && task.runs.empty()) {
     finished_tasks_.insert(key);
   }
--- a/src/libkernel/job_scheduler_crashes.cpp
+++ b/src/libkernel/job_scheduler_crashes.cpp
@@ -77,17 +77,22 @@
   std::vector<lost_run> suspects;
   std::string names;
   for (const lost_run& run : crashed.runs) {
-    const scheduled_task* task = FindTask(run.task);
-    if (run.proven || task == nullptr) {
+    const auto job = jobs_.find(run.task.job);
+    if (run.proven || job == jobs_.end()) {
+      continue;
+    }
+    // Runs of an ended job may be the cause, though its tasks are not held.
+    const bool has_ended = IsFinal(job->second.state);
+    const scheduled_task* task = PeekTask(run.task);
+    if (task == nullptr && !has_ended) {
       continue;
     }
     unproven.push_back(run);
     if (unproven.size() <= kMaxNamedRuns) {
       names += (names.empty() ? "" : ",") + run.task.ToString();
     }
-    const bool had_crashed =
-        task->crashed_runs.size() > task->crashed_runs.count(run.run);
-    if (had_crashed && !task->done && !IsFinal(jobs_.at(run.task.job).state)) {
+    if (!has_ended && !task->done &&
+        task->crashed_runs.size() > task->crashed_runs.count(run.run)) {
       suspects.push_back(run);
     }
   }
--- a/src/libkernel/job_scheduler_lookahead.cpp
+++ b/src/libkernel/job_scheduler_lookahead.cpp
@@ -111,7 +111,7 @@
 std::optional<reservation_end> job_scheduler::FindEnd(
     const room_reservation& reservation,
     millis now) {
-  const scheduled_task* task = FindTask(reservation.task);
+  const scheduled_task* task = PeekTask(reservation.task);
   if (task == nullptr || task->done ||
       IsFinal(jobs_.at(reservation.task.job).state)) {
     return reservation_end::kTaskEnded;
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -457,6 +457,9 @@
   task_table& tasks =
       job.occurrences.at(waiting.occurrence).steps[waiting.step_index].tasks;
   waiting_tasks_cursor next(waiting.tasks, waiting.has_untouched, tasks);
+  if (!next.Peek()) {
+    return true;
+  }
   task_name key{job.record.id, waiting.occurrence, waiting.step_index,
                 *next.Peek()};
   StartTrials(waiting, suspect_kind::kFirst, now);
--- a/src/libkernel/job_scheduler_trials_test.cpp
+++ b/src/libkernel/job_scheduler_trials_test.cpp
@@ -126,4 +126,27 @@
   BOOST_TEST(!task.is_suspect);
 }
 
+// Guards against a sound job that is given up (LOST): of two runs of a crash,
+// the other one belongs to a job that has ended, and counted for nothing.
+BOOST_FIXTURE_TEST_CASE(
+    crash_beside_a_run_of_an_ended_job_gives_up_no_other_job,
+    scheduler_fixture) {
+  ReportIdleWorker("a");
+  scheduler.AddJob(MakeJob("ended", 1), now);
+  scheduler.AddJob(MakeJob("sound", 1), now);
+  scheduler.CancelJob("ended");
+  Commit();
+  PassTime(1'000);
+  worker_report report = MakeReport("a");
+  for (std::uint64_t run = 1; run <= 2; ++run) {
+    report.crashes.push_back(
+        {report.worker.boot,
+         {{{"ended", 0, 0, 0}, run, false}, {{"sound", 0, 0, 0}, run, false}}});
+    ++report.worker.boot.started_ms;
+    scheduler.OnReport(report, now);
+  }
+  Commit();
+  BOOST_TEST(!IsFinal(*scheduler.StateOf("sound")));
+}
+
 }  // namespace chervilkeel
