Look a task up once, and copy none while tasks are placed

Each lookup of a task searched the jobs twice, each waiting task was copied, and a step that found no worker looked for a reservation that is switched off.

Change: FindTask() searches once, tasks that have not started share one object while a step is placed, and lookahead_ms is asked for first.

--- a/src/include/chervilkeel/task_table.h
+++ b/src/include/chervilkeel/task_table.h
@@ -39,6 +39,9 @@
   // their ready_since and possibly_running.
   const scheduled_task& operator[](std::size_t index) const;
 
+  // Returns what Track() would create for a task that has not started.
+  scheduled_task Untouched() const;
+
   // Returns a copy of a task; of an untracked one as Track() would create it.
   scheduled_task CopyOf(std::uint32_t index) const;
 
--- a/src/libkernel/job_scheduler.cpp
+++ b/src/libkernel/job_scheduler.cpp
@@ -281,10 +281,20 @@
 }
 
 scheduled_task* job_scheduler::FindTask(const task_name& key) {
-  if (PeekTask(key) == nullptr) {
+  const auto job = jobs_.find(key.job);
+  if (job == jobs_.end()) {
+    return nullptr;
+  }
+  const auto occurrence = job->second.occurrences.find(key.occurrence);
+  if (occurrence == job->second.occurrences.end() ||
+      key.step >= occurrence->second.steps.size()) {
+    return nullptr;
+  }
+  task_table& tasks = occurrence->second.steps[key.step].tasks;
+  if (key.index >= tasks.Size()) {
     return nullptr;
   }
-  scheduled_task& task = StepOf(key.Step()).tasks.Track(key.index);
+  scheduled_task& task = tasks.Track(key.index);
   if (task.done && task.runs.empty()) {
     finished_tasks_.insert(key);
   }
--- a/src/libkernel/job_scheduler_lookahead.cpp
+++ b/src/libkernel/job_scheduler_lookahead.cpp
@@ -216,9 +216,12 @@
   const task_name key{job.record.id, waiting.occurrence, waiting.step_index,
                       index};
   const job_step& step = job.record.spec.steps[key.step];
+  if (options_.lookahead == 0) {
+    return;
+  }
   const millis waited = now - TaskCopy(key).ready_since;
-  if (options_.lookahead == 0 || waited < options_.lookahead ||
-      waiting.lateness != 0 || (step.service && HasRuns(job)) ||
+  if (waited < options_.lookahead || waiting.lateness != 0 ||
+      (step.service && HasRuns(job)) ||
       !(step.gang || reservations_.IsLarge(job.policy.service, step.size)) ||
       !reservations_.MaySearch(key.Step(), now)) {
     return;
--- a/src/libkernel/job_scheduler_placement.cpp
+++ b/src/libkernel/job_scheduler_placement.cpp
@@ -460,6 +460,7 @@
   if (!next.Peek()) {
     return true;
   }
+  const scheduled_task untouched = tasks.Untouched();
   task_name key{job.record.id, waiting.occurrence, waiting.step_index,
                 *next.Peek()};
   StartTrials(waiting, suspect_kind::kFirst, now);
@@ -467,7 +468,9 @@
       Candidates(job, key, start_kind::kNormal, now);
   for (; next.Peek(); next.Advance()) {
     key.index = *next.Peek();
-    const scheduled_task task = tasks.CopyOf(key.index);
+    const auto tracked = tasks.Tracked().find(key.index);
+    const scheduled_task& task =
+        tracked != tasks.Tracked().end() ? tracked->second : untouched;
     if (task.is_suspect) {
       continue;
     }
--- a/src/libkernel/task_table.cpp
+++ b/src/libkernel/task_table.cpp
@@ -43,12 +43,20 @@
                                  : kUntouched;
 }
 
+scheduled_task task_table::Untouched() const {
+  scheduled_task task;
+  task.ready_since = ready_since_;
+  task.possibly_running = possibly_running_;
+  return task;
+}
+
 scheduled_task task_table::CopyOf(std::uint32_t index) const {
-  scheduled_task task = (*this)[index];
-  if (tracked_.count(index) == 0) {
-    task.ready_since = ready_since_;
-    task.possibly_running = possibly_running_;
+  const auto found = tracked_.find(index);
+  if (found != tracked_.end()) {
+    return found->second;
   }
+  scheduled_task task = Untouched();
+  task.done = done_[index];
   return task;
 }
 
