Log attempts to take the configuration, and what a decision on a queue rests on

The logs of the incident could not tell whether an answer rested on a confirmation, which transfers of the configuration failed, and who asked for it. Now each attempt leaves a line with way, outcome, bytes, time and the age of the confirmation (answers without a change leave none); each request says whether the configuration was confirmed and how long ago; each probe of the store leaves a line and counts in chervilkeel_events_total.

--- a/src/chervilkeeld/config_follower.cpp
+++ b/src/chervilkeeld/config_follower.cpp
@@ -20,6 +20,37 @@
 // keep the configuration confirmed while the store answers.
 constexpr millis kConfirmedFor = 1'600;
 
+std::size_t BytesOf(const std::vector<stored_item>& items) {
+  std::size_t bytes = 0;
+  for (const stored_item& item : items) {
+    bytes += item.value.size();
+  }
+  return bytes;
+}
+
+// Says in a word how an answer that lists changes ended.
+std::string OutcomeOf(const result<item_changes>& changes) {
+  if (!changes) {
+    return ToString(changes.error());
+  }
+  if (changes.value().history_lost) {
+    return "history lost";
+  }
+  return changes.value().items.empty() ? "unchanged" : "changed";
+}
+
+std::size_t BytesOf(const result<item_changes>& changes) {
+  return changes ? BytesOf(changes.value().items) : 0;
+}
+
+std::string OutcomeOf(const result<std::optional<stored_item>>& item) {
+  return !item ? ToString(item.error()) : item.value() ? "read" : "absent";
+}
+
+std::size_t BytesOf(const result<std::optional<stored_item>>& item) {
+  return item && item.value() ? item.value()->value.size() : 0;
+}
+
 }  // namespace
 
 config_follower::config_follower(boost::asio::io_context& context,
@@ -32,19 +63,21 @@
 }
 
 void config_follower::Read() {
-  store_.Client().Read(adapter_.ConfigKey(), kReadTimeout,
-                       [this, asked = BootNow()](
-                           const result<std::optional<stored_item>>& item) {
-                         store_.Note(item);
-                         if (item && item.value()) {
-                           Offer(*item.value());
-                           confirmed_at_ = std::max(confirmed_at_, asked);
-                           watched_revision_ = item.value()->revision;
-                           Watch();
-                           return;
-                         }
-                         After(kRetry, &config_follower::Read);
-                       });
+  store_.Client().Read(
+      adapter_.ConfigKey(), kReadTimeout,
+      [this,
+       asked = BootNow()](const result<std::optional<stored_item>>& item) {
+        store_.Note(item);
+        LogAttempt("read", 0, asked, OutcomeOf(item), BytesOf(item));
+        if (item && item.value()) {
+          Offer(*item.value());
+          confirmed_at_ = std::max(confirmed_at_, asked);
+          watched_revision_ = item.value()->revision;
+          Watch();
+          return;
+        }
+        After(kRetry, &config_follower::Read);
+      });
 }
 
 void config_follower::After(millis delay, void (config_follower::*step)()) {
@@ -64,6 +97,8 @@
       kWatchWait + kWatchGrace,
       [this, asked = BootNow()](const result<item_changes>& changes) {
         store_.Note(changes);
+        LogAttempt("watch", watched_revision_, asked, OutcomeOf(changes),
+                   BytesOf(changes));
         // Without a delay the store might say the same again and again.
         if (!changes) {
           After(kRetry, &config_follower::Watch);
@@ -134,6 +169,29 @@
          BootNow() - confirmed_at_ < kConfirmedFor;
 }
 
+millis config_follower::ConfirmedAge() const {
+  return confirmed_at_ == 0 ? -1 : BootNow() - confirmed_at_;
+}
+
+void config_follower::LogAttempt(const char* way,
+                                 std::uint64_t after_revision,
+                                 millis asked,
+                                 const std::string& outcome,
+                                 std::size_t bytes) const {
+  if (outcome == "unchanged") {
+    return;
+  }
+  LogEvent(kPart, "attempt",
+           {{"way", way},
+            {"outcome", outcome},
+            {"after_revision", after_revision},
+            {"bytes", static_cast<std::uint64_t>(bytes)},
+            {"took_ms", BootNow() - asked},
+            {"version", Version()},
+            {"confirmed_age_ms", ConfirmedAge()}},
+           true);
+}
+
 void config_follower::Confirm(confirmed_function done) {
   waiting_.push_back(std::move(done));
   if (waiting_.size() == 1) {
@@ -152,6 +210,8 @@
       adapter_.ConfigKey(), watched_revision_, kNoWait, kConfirmTimeout,
       [this, asked = BootNow()](const result<item_changes>& changes) {
         store_.Note(changes);
+        LogAttempt("confirmation", watched_revision_, asked, OutcomeOf(changes),
+                   BytesOf(changes));
         if (changes && changes.value().history_lost) {
           ConfirmByReading();
           return;
@@ -164,15 +224,17 @@
 }
 
 void config_follower::ConfirmByReading() {
-  store_.Client().Read(adapter_.ConfigKey(), kConfirmTimeout,
-                       [this, asked = BootNow()](
-                           const result<std::optional<stored_item>>& item) {
-                         store_.Note(item);
-                         if (item && item.value()) {
-                           Offer(*item.value());
-                         }
-                         EndConfirmation(item && item.value(), asked);
-                       });
+  store_.Client().Read(
+      adapter_.ConfigKey(), kConfirmTimeout,
+      [this,
+       asked = BootNow()](const result<std::optional<stored_item>>& item) {
+        store_.Note(item);
+        LogAttempt("confirmation", 0, asked, OutcomeOf(item), BytesOf(item));
+        if (item && item.value()) {
+          Offer(*item.value());
+        }
+        EndConfirmation(item && item.value(), asked);
+      });
 }
 
 void config_follower::EndConfirmation(bool confirmed, millis asked) {
--- a/src/chervilkeeld/config_follower.h
+++ b/src/chervilkeeld/config_follower.h
@@ -52,6 +52,10 @@
   // newest.
   bool IsConfirmed() const;
 
+  // Time since the configuration in force was last known to be the newest; -1:
+  // it never was.
+  millis ConfirmedAge() const;
+
   // Forgets that the configuration was confirmed.
   void Expire() { confirmed_at_ = 0; }
 
@@ -69,6 +73,13 @@
   void ConfirmByChanges();
   void ConfirmByReading();
   void EndConfirmation(bool confirmed, millis asked);
+  // Logs how an attempt to take the configuration ended, but for an answer that
+  // nothing has changed.
+  void LogAttempt(const char* way,
+                  std::uint64_t after_revision,
+                  millis asked,
+                  const std::string& outcome,
+                  std::size_t bytes) const;
 
   boost::asio::io_context& context_;
   store_link& store_;
--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -524,11 +524,17 @@
     return;
   }
   probing_ = true;
-  store_.Client().Read(adapter_->ConfigKey(), kProbeTimeout,
-                       [this](const result<std::optional<stored_item>>& item) {
-                         probing_ = false;
-                         store_.Note(item);
-                       });
+  store_.Client().Read(
+      adapter_->ConfigKey(), kProbeTimeout,
+      [this,
+       asked = BootNow()](const result<std::optional<stored_item>>& item) {
+        probing_ = false;
+        store_.Note(item);
+        metrics_.CountEvent("store_probes");
+        LogEvent(kPart, "store_probed",
+                 {{"outcome", item ? "answered" : ToString(item.error())},
+                  {"took_ms", BootNow() - asked}});
+      });
 }
 
 std::vector<std::string> job_entry_process::LiveEntries() const {
--- a/src/chervilkeeld/job_front.cpp
+++ b/src/chervilkeeld/job_front.cpp
@@ -196,6 +196,8 @@
             {"cause", cause},
             {"tries", request->tries},
             {"config", config_.Version()},
+            {"config_confirmed", config_.IsConfirmed()},
+            {"config_confirmed_age_ms", config_.ConfirmedAge()},
             {"took_ms", took}});
   request->respond(adapter_.EncodeAnswer(answer));
 }
