Let a long answer of the store take the time that its link needs

Cause: the timeout of a call to the store was for the whole answer, whatever its length. An answer of 1.05 MB (4,200 queues) takes 0.85 s over 10 Mbit/s on a link that carries nothing else; a watch had what its wait had left of 1.8 s, a read 0.8 s.

Commits and leases keep the timeout of the whole call. A watch can tell that a long answer has begun. This also holds for the lists by which an owner recovers: a page may have 1 MB, and had 1 s.

--- a/src/chervilkeeld/shared_store.h
+++ b/src/chervilkeeld/shared_store.h
@@ -1,6 +1,7 @@
 // A store for tests of several processes.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -12,6 +13,8 @@
 // one store.
 class shared_store : public coordination_store {
  public:
+  using coordination_store::Watch;
+
   explicit shared_store(store_in_memory& store) : store_(store) {}
 
   void Read(const std::string& key,
@@ -30,8 +33,10 @@
              std::uint64_t after_revision,
              millis wait,
              millis timeout,
-             store_callback<item_changes> callback) override {
-    store_.Watch(prefix, after_revision, wait, timeout, std::move(callback));
+             store_callback<item_changes> callback,
+             std::function<void()> begun) override {
+    store_.Watch(prefix, after_revision, wait, timeout, std::move(callback),
+                 std::move(begun));
   }
   void Commit(const store_transaction& transaction,
               millis timeout,
--- a/src/chervilkeeld/store_in_memory.h
+++ b/src/chervilkeeld/store_in_memory.h
@@ -1,6 +1,7 @@
 // A store for tests of what speaks to one.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,6 +19,8 @@
 // commits that took effect, and fall silent.
 class store_in_memory : public coordination_store {
  public:
+  using coordination_store::Watch;
+
   explicit store_in_memory(boost::asio::io_context& context)
       : context_(context) {}
 
@@ -31,6 +34,7 @@
       return;
     }
     const auto found = items.find(key);
+    read_bytes += found == items.end() ? 0 : found->second.value.size();
     Answer<std::optional<stored_item>>(
         std::move(callback),
         found == items.end() ? std::nullopt : std::optional(found->second));
@@ -42,6 +46,12 @@
             millis /*timeout*/,
             store_callback<item_page> callback) override {
     ++lists;
+    ++lists_of[prefix];
+    if (refused_reads > 0) {
+      --refused_reads;
+      Post(std::move(callback), Fail(error_code::kUnavailable, "refused"));
+      return;
+    }
     item_page page;
     page.revision = revision_;
     for (const auto& [key, item] : items) {
@@ -58,7 +68,8 @@
              std::uint64_t after_revision,
              millis wait,
              millis /*timeout*/,
-             store_callback<item_changes> callback) override {
+             store_callback<item_changes> callback,
+             std::function<void()> /*begun*/) override {
     if (lossy_watches > 0) {
       --lossy_watches;
       item_changes changes;
@@ -159,9 +170,11 @@
   }
 
   std::map<std::string, stored_item> items;
-  int refused_reads = 0;  // And of watches that do not wait.
+  int refused_reads = 0;  // And of lists, and of watches that do not wait.
   int reads = 0;
+  std::size_t read_bytes = 0;  // Of the values that reads returned.
   int lists = 0;
+  std::map<std::string, int> lists_of;  // By prefix.
   int failed_watches = 0;
   int lossy_watches = 0;  // The next ones are answered at once, as if nothing
                           // had changed up to the present revision.
--- a/src/include/chervilkeel/coordination_store.h
+++ b/src/include/chervilkeel/coordination_store.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "chervilkeel/clock.h"
@@ -75,6 +76,9 @@
 // The interface that store plug-ins implement. Each call ends with exactly one
 // callback, on the io_context that the plug-in was made with.
 //
+// The timeout of a read, a list or a watch is for its answer to begin. An
+// answer that has begun may take as long as the link needs for it.
+//
 // Errors: kNotFound for a lease that does not exist, kUnavailable when the call
 // certainly had no effect, kUnknown when it may have had one, now or later.
 class coordination_store {
@@ -93,12 +97,21 @@
                     millis timeout,
                     store_callback<item_page> callback) = 0;
 
-  // Waits up to `wait` for changes after a revision.
+  // Waits up to `wait` for changes after a revision. Calls `begun`, if there is
+  // one, when a part of a long answer has come.
   virtual void Watch(const std::string& prefix,
                      std::uint64_t after_revision,
                      millis wait,
                      millis timeout,
-                     store_callback<item_changes> callback) = 0;
+                     store_callback<item_changes> callback,
+                     std::function<void()> begun) = 0;
+  void Watch(const std::string& prefix,
+             std::uint64_t after_revision,
+             millis wait,
+             millis timeout,
+             store_callback<item_changes> callback) {
+    Watch(prefix, after_revision, wait, timeout, std::move(callback), nullptr);
+  }
 
   virtual void Commit(const store_transaction& transaction,
                       millis timeout,
--- a/src/include/chervilkeel/http_client.h
+++ b/src/include/chervilkeel/http_client.h
@@ -68,6 +68,16 @@
   std::function<bool(const http_response& answer)> is_peer;
 };
 
+// How long an answer may take once it has begun. A long one takes the time that
+// the link needs for it, so its size has no part in the timeout of a call.
+struct answer_patience {
+  // The longest time between two parts of the answer; 0: the timeout is that of
+  // the whole call.
+  millis pause = 0;
+  // Called when the first part has come, if `pause` is set.
+  std::function<void()> begun;
+};
+
 // Connections to one endpoint, opened when needed and kept for reuse.
 class http_pool : public std::enable_shared_from_this<http_pool> {
  public:
@@ -83,7 +93,8 @@
             millis timeout,
             std::uint64_t body_limit,
             http_callback callback,
-            std::shared_ptr<const http_peer_check> check = nullptr);
+            std::shared_ptr<const http_peer_check> check = nullptr,
+            answer_patience patience = {});
 
  private:
   friend class http_exchange;
--- a/src/libshell/http_client.cpp
+++ b/src/libshell/http_client.cpp
@@ -1,6 +1,7 @@
 #include "chervilkeel/http_client.h"
 
 #include <algorithm>
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -21,6 +22,8 @@
 
 constexpr std::uint64_t kClientBodyLimit = 64ULL << 20U;
 constexpr unsigned kOk = 200;
+// Of an answer that keeps coming: a bound against a peer that never ends it.
+constexpr std::chrono::seconds kLongestAnswer{60};
 
 http::request<http::string_body> MakeRequest(const http_call& call,
                                              const endpoint& peer) {
@@ -135,13 +138,15 @@
                 millis timeout,
                 std::uint64_t body_limit,
                 http_callback callback,
-                std::shared_ptr<const http_peer_check> check)
+                std::shared_ptr<const http_peer_check> check,
+                answer_patience patience)
       : pool_(std::move(pool)),
         request_(MakeRequest(call, pool_->peer_)),
         timeout_(timeout),
         body_limit_(body_limit),
         callback_(std::move(callback)),
-        check_(std::move(check)) {}
+        check_(std::move(check)),
+        answer_patience_(std::move(patience)) {}
 
   void Run() {
     stream_ = pool_->TakeIdle(PeerName());
@@ -214,6 +219,7 @@
   }
 
   void Send() {
+    is_patient_ = answer_patience_.pause > 0;
     Exchange(request_, timeout_, error_code::kUnknown,
              [self = shared_from_this()] { self->Finish(); });
   }
@@ -239,6 +245,10 @@
   }
 
   void Read(error_code on_failure, std::function<void()> done) {
+    if (is_patient_) {
+      ReadParts(on_failure, std::move(done));
+      return;
+    }
     http::async_read(
         *stream_, buffer_, *parser_,
         [self = shared_from_this(), on_failure, done = std::move(done)](
@@ -251,6 +261,36 @@
         });
   }
 
+  // Reads the answer by parts, each with a timeout of its own.
+  void ReadParts(error_code on_failure, std::function<void()> done) {
+    http::async_read_some(
+        *stream_, buffer_, *parser_,
+        [self = shared_from_this(), on_failure, done = std::move(done)](
+            beast::error_code failure, std::size_t) mutable {
+          if (failure) {
+            self->End(Fail(on_failure, Describe(self->pool_->peer_, failure)));
+          } else if (self->parser_->is_done()) {
+            done();
+          } else {
+            self->NotePart();
+            self->ReadParts(on_failure, std::move(done));
+          }
+        });
+  }
+
+  void NotePart() {
+    const auto now = std::chrono::steady_clock::now();
+    if (!answer_ends_) {
+      answer_ends_ = now + kLongestAnswer;
+      if (answer_patience_.begun) {
+        answer_patience_.begun();
+      }
+    }
+    stream_->expires_at(
+        std::min(*answer_ends_,
+                 now + std::chrono::milliseconds(answer_patience_.pause)));
+  }
+
   void Finish() {
     if (parser_->get().keep_alive()) {
       stream_->expires_never();
@@ -275,6 +315,10 @@
   const std::uint64_t body_limit_;
   http_callback callback_;
   const std::shared_ptr<const http_peer_check> check_;
+  const answer_patience answer_patience_;
+  bool is_patient_ =
+      false;  // From the call on; not with the check of the peer.
+  std::optional<std::chrono::steady_clock::time_point> answer_ends_;  // Latest.
   std::unique_ptr<asio::steady_timer> patience_;  // With the check of the peer.
   std::unique_ptr<beast::tcp_stream> stream_;
   beast::flat_buffer buffer_;
@@ -290,9 +334,11 @@
                      millis timeout,
                      std::uint64_t body_limit,
                      http_callback callback,
-                     std::shared_ptr<const http_peer_check> check) {
+                     std::shared_ptr<const http_peer_check> check,
+                     answer_patience patience) {
   std::make_shared<http_exchange>(shared_from_this(), call, timeout, body_limit,
-                                  std::move(callback), std::move(check))
+                                  std::move(callback), std::move(check),
+                                  std::move(patience))
       ->Run();
 }
 
