Follow the configuration by one call at a time

Cause: a watch, confirmations and reads carried the same value side by side, each within a part of the link's rate; a confirmation was cut after 0.5 s and repeated as long as callers asked. After its history was lost a reader went on from the revision of the item, which may be older than the history for good: it then read the whole value every 0.2 s.

Now each call is followed by the next one: a watch while the configuration is confirmed, a question without a wait otherwise. Whoever asks for a confirmation waits for the answer that is arriving, at most 0.5 s, and starts a question only beside a watch that still waits. The value is read by a list, whose answer has the revision of the store, from which the watch goes on.

--- a/src/chervilkeeld/config_follower.cpp
+++ b/src/chervilkeeld/config_follower.cpp
@@ -11,11 +11,12 @@
 
 constexpr const char* kPart = "config";
 constexpr millis kReadTimeout = 800;
-constexpr millis kConfirmTimeout = 500;
-constexpr millis kRetry = 200;        // Delay after a failed call.
-constexpr millis kWatchWait = 1'400;  // Duration of one watch.
-constexpr millis kWatchGrace = 400;   // Added to it for the call's timeout.
-constexpr millis kNoWait = 1;         // Shortest duration of a watch.
+constexpr millis kConfirmTimeout = 500;  // A caller waits no longer.
+constexpr millis kRetry = 200;           // Delay after a failed call.
+constexpr millis kWatchWait = 1'400;     // Duration of one watch.
+constexpr millis kWatchGrace = 400;      // Added to it for the call's timeout.
+constexpr millis kNoWait = 1;            // Shortest duration of a watch.
+constexpr millis kNoWaitTimeout = 800;
 // A confirmation holds for a little longer than a watch, so that the watches
 // keep the configuration confirmed while the store answers.
 constexpr millis kConfirmedFor = 1'600;
@@ -43,12 +44,12 @@
   return changes ? BytesOf(changes.value().items) : 0;
 }
 
-std::string OutcomeOf(const result<std::optional<stored_item>>& item) {
-  return !item ? ToString(item.error()) : item.value() ? "read" : "absent";
+std::string OutcomeOf(const result<item_page>& page) {
+  return page ? "read" : ToString(page.error());
 }
 
-std::size_t BytesOf(const result<std::optional<stored_item>>& item) {
-  return item && item.value() ? item.value()->value.size() : 0;
+std::size_t BytesOf(const result<item_page>& page) {
+  return page ? BytesOf(page.value().items) : 0;
 }
 
 }  // namespace
@@ -59,24 +60,32 @@
     : context_(context), store_(store), adapter_(adapter), timer_(context) {}
 
 void config_follower::Start() {
-  Read();
+  if (!std::exchange(is_started_, true)) {
+    Read();
+  }
 }
 
+// A list tells the revision of the store, from which a watch can go on however
+// old the configuration is.
 void config_follower::Read() {
-  store_.Client().Read(
-      adapter_.ConfigKey(), kReadTimeout,
-      [this,
-       asked = BootNow()](const result<std::optional<stored_item>>& item) {
-        store_.Note(item);
-        LogAttempt("read", 0, asked, OutcomeOf(item), BytesOf(item));
-        if (item && item.value()) {
-          Offer(*item.value());
-          confirmed_at_ = std::max(confirmed_at_, asked);
-          watched_revision_ = item.value()->revision;
-          Watch();
+  const std::uint64_t call = ++calls_;
+  store_.Client().List(
+      adapter_.ConfigKey(), "", false, kReadTimeout,
+      [this, call, asked = BootNow()](const result<item_page>& page) {
+        store_.Note(page);
+        LogAttempt("read", asked, OutcomeOf(page), BytesOf(page));
+        const bool has_config = page && OfferAll(page.value().items);
+        if (call != calls_) {
           return;
         }
-        After(kRetry, &config_follower::Read);
+        if (!has_config) {
+          AnswerWaiters(false);
+          After(kRetry, &config_follower::Read);
+          return;
+        }
+        watched_revision_ = page.value().revision;
+        NoteConfirmed(asked);
+        Watch();
       });
 }
 
@@ -92,35 +101,56 @@
 // A watch that failed is repeated from the same revision. Reading the value
 // anew would load the links of all entries at the end of an outage.
 void config_follower::Watch() {
+  WatchFor(IsConfirmed() ? kWatchWait : kNoWait);
+}
+
+void config_follower::WatchFor(millis wait) {
+  const std::uint64_t call = ++calls_;
+  is_waiting_for_change_ = wait == kWatchWait;
   store_.Client().Watch(
-      adapter_.ConfigKey(), watched_revision_, kWatchWait,
-      kWatchWait + kWatchGrace,
-      [this, asked = BootNow()](const result<item_changes>& changes) {
+      adapter_.ConfigKey(), watched_revision_, wait,
+      is_waiting_for_change_ ? wait + kWatchGrace : kNoWaitTimeout,
+      [this, call, asked = BootNow(),
+       wait](const result<item_changes>& changes) {
         store_.Note(changes);
-        LogAttempt("watch", watched_revision_, asked, OutcomeOf(changes),
-                   BytesOf(changes));
-        // Without a delay the store might say the same again and again.
-        if (!changes) {
-          After(kRetry, &config_follower::Watch);
-          return;
+        LogAttempt(wait == kWatchWait ? "watch" : "question", asked,
+                   OutcomeOf(changes), BytesOf(changes));
+        if (changes) {
+          OfferAll(changes.value().items);
         }
-        if (changes.value().history_lost) {
-          After(kRetry, &config_follower::Read);
-          return;
+        if (call == calls_) {
+          OnChanges(asked, wait, changes);
+        }
+      },
+      [this, call] {
+        if (call == calls_) {
+          is_waiting_for_change_ = false;
         }
-        OfferAll(changes.value().items);
-        // A watch without changes says so of the end of its wait, but of no
-        // time to come if it was ended early.
-        const bool quiet = changes.value().items.empty();
-        confirmed_at_ =
-            std::max(confirmed_at_,
-                     quiet ? std::min(BootNow(), asked + kWatchWait) : asked);
-        watched_revision_ =
-            std::max(watched_revision_, changes.value().revision);
-        Watch();
       });
 }
 
+void config_follower::OnChanges(millis asked,
+                                millis wait,
+                                const result<item_changes>& changes) {
+  is_waiting_for_change_ = false;
+  // Without a delay the store might say the same again and again.
+  if (!changes) {
+    AnswerWaiters(false);
+    After(kRetry, &config_follower::Watch);
+    return;
+  }
+  if (changes.value().history_lost) {
+    After(kRetry, &config_follower::Read);
+    return;
+  }
+  watched_revision_ = std::max(watched_revision_, changes.value().revision);
+  // A watch without changes says so of the end of its wait, but of no time to
+  // come if it was ended early.
+  const bool is_quiet = changes.value().items.empty();
+  NoteConfirmed(is_quiet ? std::min(BootNow(), asked + wait) : asked);
+  Watch();
+}
+
 void config_follower::Offer(const stored_item& item) {
   if (item.revision <= revision_) {
     return;
@@ -129,12 +159,15 @@
   Apply(item.value, "store");
 }
 
-void config_follower::OfferAll(const std::vector<stored_item>& items) {
+bool config_follower::OfferAll(const std::vector<stored_item>& items) {
+  bool has_config = false;
   for (const stored_item& item : items) {
     if (item.key == adapter_.ConfigKey() && item.revision != 0) {
       Offer(item);
+      has_config = true;
     }
   }
+  return has_config;
 }
 
 void config_follower::OfferFromPeer(const std::string& text) {
@@ -174,7 +207,6 @@
 }
 
 void config_follower::LogAttempt(const char* way,
-                                 std::uint64_t after_revision,
                                  millis asked,
                                  const std::string& outcome,
                                  std::size_t bytes) const {
@@ -184,7 +216,7 @@
   LogEvent(kPart, "attempt",
            {{"way", way},
             {"outcome", outcome},
-            {"after_revision", after_revision},
+            {"after_revision", watched_revision_},
             {"bytes", static_cast<std::uint64_t>(bytes)},
             {"took_ms", BootNow() - asked},
             {"version", Version()},
@@ -193,56 +225,33 @@
 }
 
 void config_follower::Confirm(confirmed_function done) {
-  waiting_.push_back(std::move(done));
-  if (waiting_.size() == 1) {
-    if (watched_revision_ == 0) {
-      ConfirmByReading();
-    } else {
-      ConfirmByChanges();
+  const auto asking = std::make_shared<waiter>(context_, std::move(done));
+  waiters_.push_back(asking);
+  asking->timer.expires_after(std::chrono::milliseconds(kConfirmTimeout));
+  asking->timer.async_wait([this, asking](boost::system::error_code failure) {
+    if (!failure && std::erase(waiters_, asking) > 0) {
+      asking->done(false);
     }
+  });
+  if (!is_started_) {
+    Start();
+  } else if (is_waiting_for_change_) {
+    WatchFor(kNoWait);
   }
 }
 
-// Asks for changes without waiting for any: the answer is short however long
-// the configuration is.
-void config_follower::ConfirmByChanges() {
-  store_.Client().Watch(
-      adapter_.ConfigKey(), watched_revision_, kNoWait, kConfirmTimeout,
-      [this, asked = BootNow()](const result<item_changes>& changes) {
-        store_.Note(changes);
-        LogAttempt("confirmation", watched_revision_, asked, OutcomeOf(changes),
-                   BytesOf(changes));
-        if (changes && changes.value().history_lost) {
-          ConfirmByReading();
-          return;
-        }
-        if (changes) {
-          OfferAll(changes.value().items);
-        }
-        EndConfirmation(changes.has_value(), asked);
-      });
-}
-
-void config_follower::ConfirmByReading() {
-  store_.Client().Read(
-      adapter_.ConfigKey(), kConfirmTimeout,
-      [this,
-       asked = BootNow()](const result<std::optional<stored_item>>& item) {
-        store_.Note(item);
-        LogAttempt("confirmation", 0, asked, OutcomeOf(item), BytesOf(item));
-        if (item && item.value()) {
-          Offer(*item.value());
-        }
-        EndConfirmation(item && item.value(), asked);
-      });
+void config_follower::NoteConfirmed(millis at) {
+  confirmed_at_ = std::max(confirmed_at_, at);
+  // Those that came while a change was arriving wait for the next answer.
+  if (IsConfirmed()) {
+    AnswerWaiters(true);
+  }
 }
 
-void config_follower::EndConfirmation(bool confirmed, millis asked) {
-  if (confirmed) {
-    confirmed_at_ = std::max(confirmed_at_, asked);
-  }
-  for (const confirmed_function& waiter : std::exchange(waiting_, {})) {
-    waiter(confirmed && config_ != nullptr);
+void config_follower::AnswerWaiters(bool confirmed) {
+  for (const auto& asking : std::exchange(waiters_, {})) {
+    asking->timer.cancel();
+    asking->done(confirmed);
   }
 }
 
--- a/src/chervilkeeld/config_follower.h
+++ b/src/chervilkeeld/config_follower.h
@@ -4,8 +4,10 @@
 
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -18,6 +20,10 @@
 
 // Used on the io_context's thread only. Versions only rise within the life of a
 // process.
+//
+// One call to the store is followed by the next: a configuration may fill the
+// link of a small VM for seconds, so whoever asks for a confirmation waits for
+// the answer that is arriving, and asks for no other one beside it.
 class config_follower {
  public:
   using changed_function =
@@ -31,6 +37,7 @@
   // Sets what is called when another version comes into force.
   void OnChange(changed_function changed) { changed_ = std::move(changed); }
 
+  // Begins to follow the store. Has no effect when called again.
   void Start();
 
   // The configuration in force; null before the first.
@@ -59,24 +66,38 @@
   // Forgets that the configuration was confirmed.
   void Expire() { confirmed_at_ = 0; }
 
-  // Asks the store, and calls back with true when the configuration in force is
-  // the newest; with false when the store did not answer. Calls that come while
-  // the question is open share its answer.
+  // Calls back with true once the store has shown that the configuration in
+  // force is the newest; with false if it does not answer, or a newer one has
+  // not come whole in time.
   void Confirm(confirmed_function done);
 
  private:
+  // Whoever waits for a confirmation, and until when.
+  struct waiter {
+    waiter(boost::asio::io_context& context, confirmed_function callback)
+        : timer(context), done(std::move(callback)) {}
+
+    boost::asio::steady_timer timer;
+    confirmed_function done;
+  };
+
   void Read();
-  void After(millis delay, void (config_follower::*step)());
+  // Watches for changes; without a wait while the configuration is not
+  // confirmed.
   void Watch();
-  void OfferAll(const std::vector<stored_item>& items);
+  void WatchFor(millis wait);
+  void OnChanges(millis asked,
+                 millis wait,
+                 const result<item_changes>& changes);
+  void After(millis delay, void (config_follower::*step)());
+  // Returns whether one of the items is the configuration.
+  bool OfferAll(const std::vector<stored_item>& items);
   void Apply(const std::string& text, const char* source);
-  void ConfirmByChanges();
-  void ConfirmByReading();
-  void EndConfirmation(bool confirmed, millis asked);
+  void NoteConfirmed(millis at);
+  void AnswerWaiters(bool confirmed);
   // Logs how an attempt to take the configuration ended, but for an answer that
   // nothing has changed.
   void LogAttempt(const char* way,
-                  std::uint64_t after_revision,
                   millis asked,
                   const std::string& outcome,
                   std::size_t bytes) const;
@@ -91,7 +112,12 @@
   std::uint64_t revision_ = 0;  // Of the newest item that the store has shown.
   std::uint64_t watched_revision_ = 0;  // The watch continues from there.
   millis confirmed_at_ = 0;
-  std::vector<confirmed_function> waiting_;  // For the open question.
+  bool is_started_ = false;
+  // A watch is open that may stay unanswered for its whole duration.
+  bool is_waiting_for_change_ = false;
+  // Counts the calls to the store. Only the last one is followed by another.
+  std::uint64_t calls_ = 0;
+  std::list<std::shared_ptr<waiter>> waiters_;
 };
 
 }  // namespace chervilkeel
