Probe the store by a short value

Cause: an entry that loses the store makes all others find out whether they have, too, and they read the whole configuration for it. Over 10 Mbit/s that does not fit into the probe's 0.4 s, so the probe of a sound store failed, the entry counted the store as lost, and made all others probe. The owner's key is as good, and short.

Test: probe_of_the_store_reads_a_short_value; it failed with the former key (100,010 bytes).

--- a/src/chervilkeeld/job_entry_outage_test.cpp
+++ b/src/chervilkeeld/job_entry_outage_test.cpp
@@ -62,19 +62,19 @@
     return true;
   }
 
-  // Asks the owner what entries ask each other.
-  void AskAsPeer() {
+  // Asks the owner what entries ask each other, and returns its answer.
+  wire::fleet_reply AskAsPeer(wire::fleet_question question) {
+    question.set_from(endpoint{kPeerAddress, settings.rpc_port}.ToString());
     const auto call = MakeCall<wire::fleet_question, wire::fleet_reply>(
-        peers.At(OwnerAddress()), {}, kCallTimeout);
-    call->request.set_from(
-        endpoint{kPeerAddress, settings.rpc_port}.ToString());
-    call->request.set_config_version(1);
+        peers.At(OwnerAddress()), std::move(question), kCallTimeout);
     call->peer->jobs->async()->Fleet(&call->context, &call->request,
                                      &call->reply,
                                      [call](const grpc::Status&) {});
     RunFor(kAskInterval);
+    return call->reply;
   }
 
+  static constexpr std::size_t kLongText = 100'000;
   static constexpr millis kPollInterval = 5;
   static constexpr millis kAskInterval = 200;
   // From the last answer of the store until the right has lapsed: the lease of
@@ -144,7 +144,7 @@
   bool grants = false;
   for (millis waited = 0; waited < kLapsedWithin + kLongAfter;
        waited += kAskInterval) {
-    AskAsPeer();
+    AskAsPeer({});
     grants = waited > kLapsedWithin && (grants || IsGranting());
   }
   BOOST_TEST(!grants);
@@ -187,6 +187,20 @@
   BOOST_TEST(GrantsThroughout(kLongAfter));
 }
 
+// Guards against links that are full for good: each entry that lost the store
+// made all others read the whole configuration.
+BOOST_AUTO_TEST_CASE(probe_of_the_store_reads_a_short_value) {
+  memory.Put("config", "2 /paths/ " + std::string(kLongText, 'p'));
+  StartOwner();
+  const int reads = memory.reads;
+  const std::size_t bytes = memory.read_bytes;
+  wire::fleet_question question;
+  question.set_store_lost(true);
+  AskAsPeer(question);
+  BOOST_TEST(memory.reads > reads);
+  BOOST_TEST(memory.read_bytes - bytes < kLongText);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -5,6 +5,7 @@
 
 #include "chervilkeel/event_log.h"
 #include "chervilkeel/http_drain.h"
+#include "job_keys.h"
 #include "job_wire.h"
 
 namespace chervilkeel {
@@ -518,14 +519,15 @@
   call.Finish();
 }
 
-// Another entry has lost the store: finds out whether this one has, too.
+// Another entry has lost the store: finds out whether this one has, too. Any
+// short value will do.
 void job_entry_process::ProbeStore() {
   if (probing_) {
     return;
   }
   probing_ = true;
   store_.Client().Read(
-      adapter_->ConfigKey(), kProbeTimeout,
+      kOwnerKey, kProbeTimeout,
       [this,
        asked = BootNow()](const result<std::optional<stored_item>>& item) {
         probing_ = false;
