Tell the configuration to an entry that asks for it, and not in each gossip

Cause: each answer to an entry with an older configuration held the newer one whole. Four fast entries sent 0.8 MB each, every 0.4 s, to each slow one, which gave the answer up after 0.35 s; it also dropped the connection, as for a peer that is silent. An entry that is behind takes its configuration from the store.

Now an entry asks one other for it, with 8 s for the answer, and only when it has lost the store. An entry of an older version is told none by newer ones; it has the store.

Tests: gossip_holds_no_configuration_unless_it_is_asked_for, entry_without_the_store_takes_the_configuration_of_a_peer.

--- a/src/chervilkeeld/job_entry_fixture.h
+++ b/src/chervilkeeld/job_entry_fixture.h
@@ -52,6 +52,7 @@
   std::uint64_t config_version = 1;
   millis store_silent = 0;
   int answers = std::numeric_limits<int>::max();
+  std::string config;  // Told to an entry that asks for it.
 };
 
 // An entry that answers the gossip, and nothing else.
@@ -60,8 +61,11 @@
   explicit scripted_peer(const peer_script& script) : script_(script) {}
 
   grpc::ServerUnaryReactor* Fleet(grpc::CallbackServerContext* context,
-                                  const wire::fleet_question* /*request*/,
+                                  const wire::fleet_question* request,
                                   wire::fleet_reply* reply) override {
+    if (request->wants_config()) {
+      reply->set_config(script_.config);
+    }
     reply->set_config_version(script_.config_version);
     reply->set_store_silent_ms(script_.store_silent);
     reply->set_processors(1.0);
--- a/src/chervilkeeld/job_entry_outage_test.cpp
+++ b/src/chervilkeeld/job_entry_outage_test.cpp
@@ -201,6 +201,29 @@
   BOOST_TEST(memory.read_bytes - bytes < kLongText);
 }
 
+// The same for gossip, of which each answer held the configuration.
+BOOST_AUTO_TEST_CASE(gossip_holds_no_configuration_unless_it_is_asked_for) {
+  StartOwner();
+  wire::fleet_question question;
+  BOOST_TEST(AskAsPeer(question).config().empty());
+  question.set_wants_config(true);
+  BOOST_TEST(AskAsPeer(question).config() == "1 /paths/ paths");
+}
+
+BOOST_AUTO_TEST_CASE(
+    entry_without_the_store_takes_the_configuration_of_a_peer) {
+  peer_script peer;
+  peer.config_version = 2;
+  peer.config = "2 /added/ added";
+  StartPeer(peer);
+  StartOwner();
+  RunFor(kHeardWithin);
+  BOOST_TEST(AskAsPeer({}).config_version() == 1);
+  memory.is_silent = true;
+  RunFor(kLapsedWithin);
+  BOOST_TEST(AskAsPeer({}).config_version() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -1,5 +1,8 @@
 #include "job_entry_process.h"
 
+#include <algorithm>
+#include <utility>
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/json.hpp>
 
@@ -16,6 +19,8 @@
 constexpr millis kCallTimeout = 800;
 constexpr millis kGossipInterval = 400;
 constexpr millis kGossipTimeout = 350;
+// Of an answer that holds the longest configuration, over 2 Mbit/s.
+constexpr millis kFetchTimeout = 8'000;
 // Up to so many others are asked in each interval; with more the interval
 // grows, so that an entry's share does not grow with the fleet.
 constexpr std::size_t kAskedAtOnce = 8;
@@ -375,9 +380,7 @@
 
 // An entry that has lost the store needs fresh news of all others.
 millis job_entry_process::GossipInterval() const {
-  const bool has_lost_store =
-      store_.IsLost() || (election_->IsOwner() && !election_->IsLeaseValid());
-  const std::size_t asked = has_lost_store ? 0 : entries_.size();
+  const std::size_t asked = HasLostStore() ? 0 : entries_.size();
   return kGossipInterval * static_cast<millis>(std::max<std::size_t>(
                                1, (asked + kAskedAtOnce - 1) / kAskedAtOnce));
 }
@@ -444,6 +447,9 @@
   }
   if (!reply.value().config().empty()) {
     config_.OfferFromPeer(reply.value().config());
+  } else if (reply.value().config_version() > config_.Version() &&
+             HasLostStore()) {
+    FetchConfig(address);
   }
   if (reply.value().has_evacuated()) {
     OfferEvacuations(reply.value().evacuated());
@@ -452,6 +458,33 @@
   ResignIfReplaceable();
 }
 
+void job_entry_process::FetchConfig(const std::string& address) {
+  if (std::exchange(is_fetching_config_, true)) {
+    return;
+  }
+  wire::fleet_question question;
+  question.set_config_version(config_.Version());
+  question.set_store_lost(true);
+  question.set_wants_config(true);
+  CallOwnerService<wire::fleet_question, wire::fleet_reply>(
+      context_, peers_, address, kFleetMethod, std::move(question),
+      kFetchTimeout,
+      [this, address,
+       asked = BootNow()](const result<wire::fleet_reply>& reply) {
+        is_fetching_config_ = false;
+        LogEvent(kPart, "config_fetched",
+                 {{"from", address},
+                  {"outcome", reply ? "answered" : ToString(reply.error())},
+                  {"bytes", static_cast<std::uint64_t>(
+                                reply ? reply.value().config().size() : 0)},
+                  {"took_ms", BootNow() - asked}},
+                 true);
+        if (reply && !reply.value().config().empty()) {
+          config_.OfferFromPeer(reply.value().config());
+        }
+      });
+}
+
 void job_entry_process::OfferEvacuations(const wire::evacuations& list) {
   if (FollowsEvacuations()) {
     evacuations_.OfferFromPeer(FromWire(list));
@@ -498,11 +531,9 @@
   call.reply->set_leaving(leaving_);
   const std::uint64_t version = config_.Version();
   call.reply->set_config_version(version);
-  if (version > call.request->config_version()) {
+  if (call.request->wants_config() &&
+      version > call.request->config_version()) {
     call.reply->set_config(config_.Text());
-  } else if (version < call.request->config_version() &&
-             !call.request->from().empty()) {
-    AskFleet(call.request->from());  // Its reply holds the newer one.
   }
   if (call.request->has_evacuated()) {
     OfferEvacuations(call.request->evacuated());
@@ -539,6 +570,11 @@
       });
 }
 
+bool job_entry_process::HasLostStore() const {
+  return store_.IsLost() ||
+         (election_->IsOwner() && !election_->IsLeaseValid());
+}
+
 std::vector<std::string> job_entry_process::LiveEntries() const {
   std::vector<std::string> live;
   if (!leaving_ || election_->IsOwner()) {
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -80,10 +80,14 @@
   void ReportDrained();
   void OnConfig(const std::shared_ptr<const deployed_config>& config);
   void ProbeStore();
+  bool HasLostStore() const;
   void Gossip();
   millis GossipInterval() const;
   void HandOverIfSlow();
   void AskFleet(const std::string& address);
+  // Takes a newer configuration from another entry, unless the store can give
+  // it.
+  void FetchConfig(const std::string& address);
   void OnFleetReply(const std::string& address,
                     millis asked,
                     const result<wire::fleet_reply>& reply);
@@ -137,6 +141,7 @@
   millis last_answers_at_ = 0;  // 0: they have not been given.
   std::function<void()> ended_;
   bool probing_ = false;
+  bool is_fetching_config_ = false;  // From another entry.
   bool was_ready_ = false;
   bool handing_over_ = false;
   const millis started_at_;
