Refuse to serve a queue by a configuration that may have been replaced

Cause: when a confirmation failed, the front refused only what had no route; a known queue was served whatever the age of the configuration. A submission was not even confirmed while the store had missed two calls.

Only while no entry is known to reach the store do the known queues go on: nothing can have changed them.

--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -151,6 +151,7 @@
       [this](const wire::job_question& question, millis timeout,
              auto callback) { Ask(question, timeout, std::move(callback)); });
   config_.OnChange([this](const auto& config) { OnConfig(config); });
+  front_->OnDoubt([this] { return IsStoreAway(); });
   if (FollowsEvacuations()) {
     owner_->SetEvacuations(evacuations_.State());
     evacuations_.OnChange([this] { OnEvacuations(); });
@@ -575,6 +576,16 @@
          (election_->IsOwner() && !election_->IsLeaseValid());
 }
 
+bool job_entry_process::IsStoreAway() const {
+  const auto has_store = [](const auto& named) {
+    const known_entry& entry = named.second;
+    return entry.answered > 0 && BootNow() - entry.answered < kEntryGone &&
+           entry.store_silent == 0;
+  };
+  return HasLostStore() &&
+         std::none_of(entries_.begin(), entries_.end(), has_store);
+}
+
 std::vector<std::string> job_entry_process::LiveEntries() const {
   std::vector<std::string> live;
   if (!leaving_ || election_->IsOwner()) {
--- a/src/chervilkeeld/job_entry_process.h
+++ b/src/chervilkeeld/job_entry_process.h
@@ -81,6 +81,8 @@
   void OnConfig(const std::shared_ptr<const deployed_config>& config);
   void ProbeStore();
   bool HasLostStore() const;
+  // Whether no entry is known to reach the store.
+  bool IsStoreAway() const;
   void Gossip();
   millis GossipInterval() const;
   void HandOverIfSlow();
--- a/src/chervilkeeld/job_front.cpp
+++ b/src/chervilkeeld/job_front.cpp
@@ -122,9 +122,9 @@
   }
   // A job that exists has its state whatever the routes are.
   const queue_route* route = FindRoute(request->call);
-  const bool depends_on_newest =
-      route == nullptr || request->call.kind == job_call_kind::kCount ||
-      (request->call.kind == job_call_kind::kSubmit && store_.IsUp());
+  const bool depends_on_newest = route == nullptr ||
+                                 request->call.kind == job_call_kind::kCount ||
+                                 request->call.kind == job_call_kind::kSubmit;
   if (depends_on_newest && !config_.IsConfirmed()) {
     DispatchWhenConfirmed(request);
   } else if (route == nullptr) {
@@ -135,19 +135,29 @@
 }
 
 void job_front::DispatchWhenConfirmed(const job_request_ptr& request) {
+  if (request->call.kind == job_call_kind::kSubmit && IsStoreSilent()) {
+    RefuseWithoutStore(request);
+    return;
+  }
   request->waits_for = "configuration";
   config_.Confirm([this, request](bool confirmed) {
+    if (IsAnswered(request)) {
+      return;
+    }
     const queue_route* route = FindRoute(request->call);
-    if (route != nullptr) {
+    if (route != nullptr &&
+        (confirmed || (is_store_away_ && is_store_away_()))) {
       Dispatch(request, *route);
     } else if (confirmed) {
       Answer(request, Refusal(job_result::kNoQueue, "no such queue"),
              "no route");
+    } else if (BootNow() < request->began + kRefuseAfter) {
+      Again(request, [this, request] { DispatchWhenConfirmed(request); });
     } else {
       Answer(request,
              Refusal(job_result::kUnavailable,
-                     "no such queue in a configuration that may be outdated"),
-             "no route, configuration not confirmed");
+                     "the newest configuration is not known here"),
+             "configuration not confirmed");
     }
   });
 }
@@ -273,14 +283,22 @@
   record.queue = route.queue;
   record.accepted_ms = static_cast<std::int64_t>(WallNow());
   record.spec = std::move(spec.value());
-  if (!store_.IsUp() && store_.Silent() > kRefuseAfter) {
-    Answer(request, Refusal(job_result::kUnavailable, "the store is away"),
-           "store_silent_ms=" + std::to_string(store_.Silent()));
+  if (IsStoreSilent()) {
+    RefuseWithoutStore(request);
     return;
   }
   Store(request);
 }
 
+bool job_front::IsStoreSilent() const {
+  return !store_.IsUp() && store_.Silent() > kRefuseAfter;
+}
+
+void job_front::RefuseWithoutStore(const job_request_ptr& request) {
+  Answer(request, Refusal(job_result::kUnavailable, "the store is away"),
+         "store_silent_ms=" + std::to_string(store_.Silent()));
+}
+
 // Stores the job on condition that no other owner has been elected in the
 // meantime, and that it hasn't been cancelled since the request came: a try
 // without an answer may take effect seconds later. The configuration is no
--- a/src/chervilkeeld/job_front.h
+++ b/src/chervilkeeld/job_front.h
@@ -58,6 +58,12 @@
             config_follower& config,
             ask_function ask);
 
+  // Sets what tells whether the whole store is away, and not only out of this
+  // entry's reach. Without it the store never is.
+  void OnDoubt(std::function<bool()> is_store_away) {
+    is_store_away_ = std::move(is_store_away);
+  }
+
   // Takes one request; `respond` is called exactly once.
   void Handle(http_request request, http_responder respond);
 
@@ -87,9 +93,13 @@
   // Routes a request by the configuration in force.
   void Dispatch(const job_request_ptr& request, const queue_route& route);
   // Routes a request, or refuses it, once the store has confirmed that the
-  // configuration in force is the newest.
+  // configuration in force is the newest. Nothing can have changed it while the
+  // whole store is away.
   void DispatchWhenConfirmed(const job_request_ptr& request);
   void Submit(const job_request_ptr& request, const queue_route& route);
+  // Whether a submission can't be stored in the time that a caller gives it.
+  bool IsStoreSilent() const;
+  void RefuseWithoutStore(const job_request_ptr& request);
   void Store(const job_request_ptr& request);
   void OnStored(const job_request_ptr& request,
                 const result<transaction_outcome>& outcome);
@@ -143,6 +153,7 @@
   const platform_adapter& adapter_;
   const ask_function ask_;
   config_follower& config_;
+  std::function<bool()> is_store_away_;
   known_epoch epoch_;
   std::unordered_set<job_request_ptr> open_;  // Not answered yet.
   std::deque<untold_cancel> untold_cancels_;  // The oldest first.
--- a/src/chervilkeeld/job_front_test.cpp
+++ b/src/chervilkeeld/job_front_test.cpp
@@ -323,6 +323,33 @@
   BOOST_TEST(Call("COUNT", "/paths/") == "no such queue");
 }
 
+// Guards against a removed queue that is served (CONFIG): the store has a newer
+// configuration, which does not come.
+BOOST_AUTO_TEST_CASE(
+    count_is_refused_while_a_newer_configuration_may_be_in_force) {
+  has_owner = true;
+  memory->refused_reads = kAlways;
+  config.Expire();
+  BOOST_TEST(Call("COUNT", "/paths/") == "unavailable");
+}
+
+BOOST_AUTO_TEST_CASE(
+    job_is_refused_while_a_newer_configuration_may_be_in_force) {
+  memory->refused_reads = kAlways;
+  config.Expire();
+  BOOST_TEST(Call("POST", path) == "unavailable");
+  BOOST_TEST(!IsStored());
+}
+
+// No store, no change.
+BOOST_AUTO_TEST_CASE(queue_is_served_while_the_whole_store_is_away) {
+  has_owner = true;
+  memory->refused_reads = kAlways;
+  config.Expire();
+  front.OnDoubt([] { return true; });
+  BOOST_TEST(Call("COUNT", "/paths/") == "count");
+}
+
 // "No such queue" is final to a caller; without the store it can't be known.
 BOOST_AUTO_TEST_CASE(unknown_queue_without_the_store_may_be_tried_again) {
   memory->refused_reads = kAlways;
