Ask the store with pauses while no configuration can be read

By reading: with a first configuration that cannot be decoded the follower was never confirmed, and asked one question after the other without a pause. The choice between a watch and a question now goes by when the store has answered. Test: unreadable_first_item_is_watched_for_a_change. Waiters for a confirmation end by their own timers, so a crowd of them costs no search.

--- a/src/chervilkeeld/config_follower.cpp
+++ b/src/chervilkeeld/config_follower.cpp
@@ -101,7 +101,7 @@
 // A watch that failed is repeated from the same revision. Reading the value
 // anew would load the links of all entries at the end of an outage.
 void config_follower::Watch() {
-  WatchFor(IsConfirmed() ? kWatchWait : kNoWait);
+  WatchFor(IsFresh() ? kWatchWait : kNoWait);
 }
 
 void config_follower::WatchFor(millis wait) {
@@ -197,9 +197,12 @@
   }
 }
 
+bool config_follower::IsFresh() const {
+  return confirmed_at_ > 0 && BootNow() - confirmed_at_ < kConfirmedFor;
+}
+
 bool config_follower::IsConfirmed() const {
-  return config_ != nullptr && confirmed_at_ > 0 &&
-         BootNow() - confirmed_at_ < kConfirmedFor;
+  return config_ != nullptr && IsFresh();
 }
 
 millis config_follower::ConfirmedAge() const {
@@ -224,13 +227,20 @@
            true);
 }
 
+void config_follower::waiter::Answer(bool confirmed) {
+  timer.cancel();
+  if (const auto callback = std::exchange(done, nullptr)) {
+    callback(confirmed);
+  }
+}
+
 void config_follower::Confirm(confirmed_function done) {
   const auto asking = std::make_shared<waiter>(context_, std::move(done));
   waiters_.push_back(asking);
   asking->timer.expires_after(std::chrono::milliseconds(kConfirmTimeout));
-  asking->timer.async_wait([this, asking](boost::system::error_code failure) {
-    if (!failure && std::erase(waiters_, asking) > 0) {
-      asking->done(false);
+  asking->timer.async_wait([asking](boost::system::error_code failure) {
+    if (!failure) {
+      asking->Answer(false);
     }
   });
   if (!is_started_) {
@@ -250,8 +260,7 @@
 
 void config_follower::AnswerWaiters(bool confirmed) {
   for (const auto& asking : std::exchange(waiters_, {})) {
-    asking->timer.cancel();
-    asking->done(confirmed);
+    asking->Answer(confirmed);
   }
 }
 
--- a/src/chervilkeeld/config_follower.h
+++ b/src/chervilkeeld/config_follower.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <memory>
 #include <string>
 #include <utility>
@@ -72,18 +71,22 @@
   void Confirm(confirmed_function done);
 
  private:
-  // Whoever waits for a confirmation, and until when.
+  // Whoever waits for a confirmation.
   struct waiter {
     waiter(boost::asio::io_context& context, confirmed_function callback)
         : timer(context), done(std::move(callback)) {}
 
+    // Has an effect once.
+    void Answer(bool confirmed);
+
     boost::asio::steady_timer timer;
     confirmed_function done;
   };
 
+  // Whether the store has answered lately.
+  bool IsFresh() const;
   void Read();
-  // Watches for changes; without a wait while the configuration is not
-  // confirmed.
+  // Watches for changes; without a wait if the store has not answered lately.
   void Watch();
   void WatchFor(millis wait);
   void OnChanges(millis asked,
@@ -117,7 +120,7 @@
   bool is_waiting_for_change_ = false;
   // Counts the calls to the store. Only the last one is followed by another.
   std::uint64_t calls_ = 0;
-  std::list<std::shared_ptr<waiter>> waiters_;
+  std::vector<std::shared_ptr<waiter>> waiters_;
 };
 
 }  // namespace chervilkeel
--- a/src/chervilkeeld/config_follower_test.cpp
+++ b/src/chervilkeeld/config_follower_test.cpp
@@ -126,6 +126,16 @@
   BOOST_TEST(Reads() == 1);
 }
 
+// Guards against an entry that asks the store without a pause: nothing that it
+// reads becomes a configuration.
+BOOST_AUTO_TEST_CASE(unreadable_first_item_is_watched_for_a_change) {
+  memory->Put("config", "bad");
+  follower.Start();
+  context.run_for(std::chrono::milliseconds(500));
+  BOOST_TEST(memory->watches == 0);
+  BOOST_TEST(Reads() == 1);
+}
+
 // All entries lose their watches in an outage of the store, and its end is no
 // time for reading a long configuration thirty times.
 BOOST_AUTO_TEST_CASE(watch_that_failed_goes_on_without_reading_the_value) {
