--- a/src/chervilkeeld/job_entry_process.cpp
+++ b/src/chervilkeeld/job_entry_process.cpp
@@ -151,7 +151,7 @@
       [this](const wire::job_question& question, millis timeout,
              auto callback) { Ask(question, timeout, std::move(callback)); });
   config_.OnChange([this](const auto& config) { OnConfig(config); });
-  front_->OnDoubt([this] { return IsStoreAway(); });
+  front_->SetOutageCheck([this] { return IsStoreAway(); });
   if (FollowsEvacuations()) {
     owner_->SetEvacuations(evacuations_.State());
     evacuations_.OnChange([this] { OnEvacuations(); });
--- a/src/chervilkeeld/job_front.h
+++ b/src/chervilkeeld/job_front.h
@@ -58,9 +58,9 @@
             config_follower& config,
             ask_function ask);
 
-  // Sets what tells whether the whole store is away, and not only out of this
-  // entry's reach. Without it the store never is.
-  void OnDoubt(std::function<bool()> is_store_away) {
+  // Sets what tells whether the store is away for all entries, and not only out
+  // of this one's reach. Without it, the store never is.
+  void SetOutageCheck(std::function<bool()> is_store_away) {
     is_store_away_ = std::move(is_store_away);
   }
 
--- a/src/chervilkeeld/job_front_test.cpp
+++ b/src/chervilkeeld/job_front_test.cpp
@@ -346,7 +346,7 @@
   has_owner = true;
   memory->refused_reads = kAlways;
   config.Expire();
-  front.OnDoubt([] { return true; });
+  front.SetOutageCheck([] { return true; });
   BOOST_TEST(Call("COUNT", "/paths/") == "count");
 }
 
